--- /dev/null
+++ b/cmd/hickorydrum/main.go
@@ -0,0 +1,6 @@
+// Command hickorydrum runs an instance and applies the operators' files.
+package main
+
+import "hickorydrum/command"
+
+func main() { command.Main() }
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,278 @@
+// Package command is the command line of hickorydrum.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"hickorydrum/declaration"
+	"hickorydrum/fault"
+	"hickorydrum/instance"
+	"hickorydrum/platform"
+	"hickorydrum/rollout"
+	"hickorydrum/setting"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+const callTimeout = 10 * time.Second
+
+// Run carries out the command line and returns the exit code: 0 for success, 1
+// for failure, 2 for a faulty command line, settings or files.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	flags := flag.NewFlagSet("hickorydrum", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	commander := subcommands.NewCommander(flags, "hickorydrum")
+	commander.Output, commander.Error = out, errOut
+	p := printer{out: out, err: errOut}
+	commander.Register(commander.HelpCommand(), "")
+	for _, c := range []subcommands.Command{
+		newServe(p), newCheck(p), newPlan(p), newApply(p), newStatus(p), newLookup(p), newCertify(p), newVersion(p),
+	} {
+		commander.Register(c, "")
+	}
+	if err := flags.Parse(args); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	return int(commander.Execute(ctx))
+}
+
+// printer writes results and faults.
+type printer struct {
+	out, err io.Writer
+}
+
+func (p printer) printf(format string, args ...any) { _, _ = fmt.Fprintf(p.out, format, args...) }
+
+// fail prints a fault and returns its exit code.
+func (p printer) fail(err error) subcommands.ExitStatus {
+	_, _ = fmt.Fprintln(p.err, err)
+	var problems declaration.Problems
+	if errors.As(err, &problems) || fault.KindOf(err) == fault.Invalid {
+		return subcommands.ExitUsageError
+	}
+	return subcommands.ExitFailure
+}
+
+// base holds what every command has.
+type base struct {
+	printer
+	name     string
+	synopsis string
+	usage    string
+	settings *setting.Table
+	run      func(ctx context.Context, args []string) error
+}
+
+// Name returns the name of the command.
+func (b *base) Name() string { return b.name }
+
+// Synopsis returns one line about the command.
+func (b *base) Synopsis() string { return b.synopsis }
+
+// Usage returns how the command is called.
+func (b *base) Usage() string { return b.usage + "\n  " + b.synopsis + ".\n\n" }
+
+// SetFlags declares the settings.
+func (b *base) SetFlags(f *flag.FlagSet) {
+	if b.settings != nil {
+		b.settings.SetFlags(f)
+	}
+}
+
+// Execute checks the settings and runs the command.
+func (b *base) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if b.settings != nil {
+		if err := b.settings.Check(); err != nil {
+			return b.fail(err)
+		}
+	}
+	if err := b.run(ctx, f.Args()); err != nil {
+		return b.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func newServe(p printer) subcommands.Command {
+	b := &base{
+		printer: p, name: "serve", synopsis: "run an instance until SIGTERM, then stop it without cutting a request",
+		usage: "serve [settings]", settings: setting.Serve(),
+	}
+	b.run = func(ctx context.Context, _ []string) error {
+		i, err := instance.New(b.settings, b.settings.Logger())
+		if err != nil {
+			return err
+		}
+		stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+		defer cancel()
+		return i.Run(stop)
+	}
+	return b
+}
+
+// loadDir checks the files of the only argument.
+func loadDir(args []string) (*declaration.Set, error) {
+	if len(args) != 1 {
+		return nil, fault.New(fault.Invalid, "one directory is needed", "name the directory with the .yaml files")
+	}
+	return declaration.Load(args[0])
+}
+
+func newCheck(p printer) subcommands.Command {
+	b := &base{printer: p, name: "check", synopsis: "check a directory of declarations offline", usage: "check DIR"}
+	b.run = func(_ context.Context, args []string) error {
+		set, err := loadDir(args)
+		if err != nil {
+			return err
+		}
+		b.printf("%d declarations are in order: %d regions, %d services, %d blocks; digest %.12s\n",
+			len(set.Records()), len(set.Regions()), len(set.Services()), len(set.Blocks()), set.Digest())
+		return nil
+	}
+	return b
+}
+
+func newPlan(p printer) subcommands.Command {
+	b := &base{
+		printer: p, name: "plan", synopsis: "tell what an apply would change, what it moves and how long the caps make it take",
+		usage: "plan -platform URL DIR", settings: setting.NewTable(setting.Platform()),
+	}
+	b.run = func(ctx context.Context, args []string) error {
+		set, err := loadDir(args)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		old, revision, err := rollout.Load(ctx, platform.New(b.settings.Value("platform")))
+		if err != nil {
+			return err
+		}
+		b.printf("%s", describe(old, revision, set, time.Now()))
+		return nil
+	}
+	return b
+}
+
+func newApply(p printer) subcommands.Command {
+	b := &base{
+		printer: p, name: "apply", synopsis: "apply a directory of declarations as one revision",
+		usage: "apply -platform URL DIR", settings: setting.NewTable(setting.Platform()),
+	}
+	b.run = func(ctx context.Context, args []string) error {
+		set, err := loadDir(args)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		store := platform.New(b.settings.Value("platform"))
+		base, head, err := rollout.Current(ctx, store)
+		if err != nil {
+			return err
+		}
+		if base != 0 && head.Digest == set.Digest() {
+			b.printf("revision %d holds these declarations already\n", base)
+			return nil
+		}
+		revision, err := rollout.Apply(ctx, store, set, base, author(), time.Now())
+		if err != nil {
+			return err
+		}
+		b.printf("revision %d is accepted: %d declarations, digest %.12s\n", revision, len(set.Records()), set.Digest())
+		return nil
+	}
+	return b
+}
+
+func author() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func newStatus(p printer) subcommands.Command {
+	b := &base{
+		printer: p, name: "status", synopsis: "tell which revision is in force where, drains, shares and headroom",
+		usage: "status -instance ADDRESS", settings: setting.NewTable(setting.Instance()),
+	}
+	b.run = func(ctx context.Context, _ []string) error {
+		var all []instance.Status
+		if err := getJSON(ctx, "http://"+b.settings.Value("instance")+"/status?all=1", &all); err != nil {
+			return err
+		}
+		b.printf("%s", statusText(all))
+		return nil
+	}
+	return b
+}
+
+func newLookup(p printer) subcommands.Command {
+	var at, address, service string
+	b := &base{printer: p, name: "lookup", synopsis: "ask an instance which instances a caller should use"}
+	c := &lookupCommand{base: b, at: &at, address: &address, service: &service}
+	b.usage = "lookup -at ADDRESS [-address IP] [-service NAME]"
+	b.run = func(ctx context.Context, _ []string) error { return lookup(ctx, b, at, address, service) }
+	return c
+}
+
+// lookupCommand adds flags of its own.
+type lookupCommand struct {
+	*base
+	at, address, service *string
+}
+
+// SetFlags declares the flags of the look-up.
+func (c *lookupCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(c.at, "at", "", "callers' address of any instance")
+	f.StringVar(c.address, "address", "", "IP number of the caller, if not this machine")
+	f.StringVar(c.service, "service", "", "name of the service that the caller wants")
+}
+
+func getJSON(ctx context.Context, url string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fault.New(fault.Invalid, "the address is not usable", "write it such as 10.1.0.4:8080", fault.WithCause(err))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fault.New(fault.Unavailable, "the instance does not answer", "name another instance", fault.WithCause(err))
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fault.New(fault.Unavailable, "the instance answered "+resp.Status+": "+string(body), "")
+	}
+	return json.Unmarshal(body, into)
+}
+
+func newVersion(p printer) subcommands.Command {
+	b := &base{printer: p, name: "version", synopsis: "print the version", usage: "version"}
+	b.run = func(context.Context, []string) error {
+		b.printf("hickorydrum %s\n", Version)
+		return nil
+	}
+	return b
+}
+
+// Main runs the command line of the process.
+func Main() { os.Exit(Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/declaration/set.go
@@ -0,0 +1,208 @@
+package declaration
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Region is a group of failure domains that callers are steered to.
+type Region struct {
+	name    string
+	domains []string
+}
+
+// Name returns the name of the region.
+func (r *Region) Name() string { return r.name }
+
+// Domains returns the failure domains of the region.
+func (r *Region) Domains() []string { return r.domains }
+
+// Worker is one upstream of a service.
+type Worker struct {
+	address string
+	domain  string
+	region  string
+	slots   int
+}
+
+// Address returns the host and port of the upstream.
+func (w *Worker) Address() string { return w.address }
+
+// Domain returns the failure domain that the upstream stands in.
+func (w *Worker) Domain() string { return w.domain }
+
+// Region returns the region that the upstream stands in.
+func (w *Worker) Region() string { return w.region }
+
+// Slots returns how many requests the upstream runs at once.
+func (w *Worker) Slots() int { return w.slots }
+
+// Service is a group of upstreams behind one path prefix.
+type Service struct {
+	name    string
+	path    string
+	safe    []string
+	limit   time.Duration
+	health  string
+	workers []*Worker
+}
+
+// Name returns the name of the service.
+func (s *Service) Name() string { return s.name }
+
+// Path returns the path prefix that callers use.
+func (s *Service) Path() string { return s.path }
+
+// Idempotent reports whether requests of the method may run more than once.
+func (s *Service) Idempotent(method string) bool { return slices.Contains(s.safe, method) }
+
+// Limit returns the longest time that one request may take.
+func (s *Service) Limit() time.Duration { return s.limit }
+
+// Health returns the path of the upstreams' health page.
+func (s *Service) Health() string { return s.health }
+
+// Workers returns the upstreams of the service.
+func (s *Service) Workers() []*Worker { return s.workers }
+
+// Step is how much traffic may move at once and how often.
+type Step struct {
+	share float64
+	every time.Duration
+}
+
+// NewStep returns a step of the given share, a fraction of 1, in each interval.
+func NewStep(share float64, every time.Duration) Step { return Step{share: share, every: every} }
+
+// Share returns the part of the traffic that may move in one interval.
+func (s Step) Share() float64 { return s.share }
+
+// Every returns the length of the interval.
+func (s Step) Every() time.Duration { return s.every }
+
+// Cap limits how fast the traffic of a service moves between regions.
+type Cap struct {
+	service string
+	planned Step
+	failure Step
+}
+
+// Planned returns the step for moves that were declared.
+func (c Cap) Planned() Step { return c.planned }
+
+// Failure returns the step for moves away from a failed region.
+func (c Cap) Failure() Step { return c.failure }
+
+// Link is the path between two regions.
+type Link struct {
+	ends [2]string
+	rate float64
+}
+
+// Ends returns the two regions, sorted.
+func (l Link) Ends() (a, b string) { return l.ends[0], l.ends[1] }
+
+// Rate returns the rate in bytes a second each way.
+func (l Link) Rate() float64 { return l.rate }
+
+// Drain is a declared stop of a region, a failure domain or an upstream.
+type Drain struct {
+	region string
+	domain string
+	worker string
+	from   time.Time
+	until  time.Time
+}
+
+// Region returns the drained region, or "".
+func (d Drain) Region() string { return d.region }
+
+// Domain returns the drained failure domain, or "".
+func (d Drain) Domain() string { return d.domain }
+
+// Worker returns the address of the drained upstream, or "".
+func (d Drain) Worker() string { return d.worker }
+
+// Active reports whether the drain is in force at the instant.
+func (d Drain) Active(now time.Time) bool { return !now.Before(d.from) && now.Before(d.until) }
+
+// From returns the instant at which the drain begins.
+func (d Drain) From() time.Time { return d.from }
+
+// Until returns the instant at which the drain ends.
+func (d Drain) Until() time.Time { return d.until }
+
+// Block is a range of caller addresses and the region nearest to it.
+type Block struct {
+	prefix netip.Prefix
+	region string
+}
+
+// Prefix returns the addresses of the block.
+func (b Block) Prefix() netip.Prefix { return b.prefix }
+
+// Region returns the home region of the block.
+func (b Block) Region() string { return b.region }
+
+// Set is a checked set of declarations. It never changes.
+type Set struct {
+	records  []Record
+	digest   string
+	regions  []*Region
+	services []*Service
+	caps     map[string]Cap
+	links    []Link
+	drains   []Drain
+	blocks   []Block
+}
+
+// Records returns the canonical records, sorted.
+func (s *Set) Records() []Record { return s.records }
+
+// Digest returns the digest of the records.
+func (s *Set) Digest() string { return s.digest }
+
+// Regions returns the regions, sorted by name.
+func (s *Set) Regions() []*Region { return s.regions }
+
+// Services returns the services, sorted by name.
+func (s *Set) Services() []*Service { return s.services }
+
+// Cap returns the cap of a service. Without a declared one nothing moves.
+func (s *Set) Cap(service string) Cap { return s.caps[service] }
+
+// Links returns the links between regions.
+func (s *Set) Links() []Link { return s.links }
+
+// Drains returns the declared drains.
+func (s *Set) Drains() []Drain { return s.drains }
+
+// Blocks returns the blocks of callers.
+func (s *Set) Blocks() []Block { return s.blocks }
+
+// RegionOf returns the region that holds a failure domain, or "".
+func (s *Set) RegionOf(domain string) string {
+	for _, r := range s.regions {
+		if slices.Contains(r.domains, domain) {
+			return r.name
+		}
+	}
+	return ""
+}
+
+// RegionDrained reports whether a declared drain empties the region now.
+func (s *Set) RegionDrained(region string, now time.Time) bool {
+	return slices.ContainsFunc(s.drains, func(d Drain) bool {
+		return d.region == region && d.Active(now)
+	})
+}
+
+// WorkerDrained reports whether a declared drain empties the upstream now,
+// itself or with its failure domain. A region's drain is paced by its cap and
+// leaves the upstreams serving meanwhile.
+func (s *Set) WorkerDrained(w *Worker, now time.Time) bool {
+	return slices.ContainsFunc(s.drains, func(d Drain) bool {
+		return d.Active(now) && (d.worker == w.address || d.domain == w.domain)
+	})
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,557 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/xid"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"hickorydrum/declaration"
+	"hickorydrum/event"
+	"hickorydrum/fault"
+	"hickorydrum/order"
+	"hickorydrum/peer"
+	"hickorydrum/roster"
+	"hickorydrum/steering"
+	"hickorydrum/upstream"
+)
+
+// HeaderKey names the header with a caller's idempotency key.
+const HeaderKey = "Idempotency-Key"
+
+const (
+	maxTries = 3
+	// retryShare is the part of first tries that may be followed by a retry.
+	retryShare  = 0.1
+	maxTokens   = 20.0
+	writeMargin = time.Second
+)
+
+var (
+	requests    = metrics.GetOrCreateCounter(`hickorydrum_requests_total`)
+	lookupCount = metrics.GetOrCreateCounter(`hickorydrum_lookups_total`)
+	retries     = metrics.GetOrCreateCounter(`hickorydrum_retries_total`)
+	latency     = metrics.GetOrCreateHistogram(`hickorydrum_request_seconds`)
+	cut         = metrics.GetOrCreateCounter(`hickorydrum_answers_cut_total`)
+)
+
+// CallPlacements asks a peer for the placements in force.
+const CallPlacements peer.Call = "placements"
+
+// Local serves requests at the upstreams that this instance owns.
+type Local interface {
+	Serve(ctx context.Context, ask *upstream.Ask, open upstream.OpenBody, sink upstream.Sink) error
+	Room(service string) upstream.Room
+}
+
+// Remote has other instances serve requests.
+type Remote interface {
+	Serve(
+		ctx context.Context, to peer.Target, ask *upstream.Ask, open upstream.OpenBody, sink upstream.Sink,
+		report func(upstream.Room),
+	) error
+}
+
+// Entry is the callers' side of an instance.
+type Entry struct {
+	self   func() roster.Member
+	local  Local
+	remote Remote
+	orders *order.Book
+	log    *slog.Logger
+	frozen func(now time.Time) bool
+	life   time.Duration // of an answer to a look-up
+
+	scope   atomic.Pointer[scope]
+	rooms   *rooms
+	flows   *flows
+	links   *links
+	budget  budget
+	leaving atomic.Bool
+
+	mu    sync.Mutex // held while scope is replaced
+	table *steering.Table
+	view  *roster.View
+}
+
+// scope is what one request sees: a table and a roster that fit.
+type scope struct {
+	table     *steering.Table
+	directory *directory
+	lookups   *lookups
+	home      int // the index of this instance's region, for undeclared callers
+}
+
+// Option changes an Entry while it is made.
+type Option func(*Entry)
+
+// WithFrozen sets the function that reports whether shares must not move, since
+// the revision could not be confirmed.
+func WithFrozen(frozen func(now time.Time) bool) Option { return func(e *Entry) { e.frozen = frozen } }
+
+// WithLookupLife sets how long callers may keep the answer to a look-up.
+func WithLookupLife(life time.Duration) Option { return func(e *Entry) { e.life = life } }
+
+// New returns the callers' side of the instance self.
+func New(
+	self func() roster.Member, local Local, remote Remote, orders *order.Book, log *slog.Logger, opts ...Option,
+) *Entry {
+	e := &Entry{
+		self: self, local: local, remote: remote, orders: orders, log: log,
+		frozen: func(time.Time) bool { return false },
+		life:   3 * time.Second,
+		rooms:  newRooms(),
+		flows:  newFlows(log),
+		links:  newLinks(self().Region),
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// SetTable takes in a new set of declarations.
+func (e *Entry) SetTable(t *steering.Table) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.flows.setTable(t)
+	e.table = t
+	e.rescope()
+}
+
+// SetView takes in a change of the roster.
+func (e *Entry) SetView(v *roster.View) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.view = v
+	e.rooms.forget(v)
+	e.rescope()
+}
+
+// rescope builds what requests see. The lock is held.
+func (e *Entry) rescope() {
+	if e.table == nil || e.view == nil {
+		return
+	}
+	home, _ := e.table.RegionIndex(e.self().Region)
+	e.links.update(e.table, e.view)
+	e.scope.Store(&scope{
+		table:     e.table,
+		directory: newDirectory(e.table, e.view),
+		lookups:   newLookups(e.table, e.view),
+		home:      home,
+	})
+}
+
+// Leave makes the answers ask callers to open new connections elsewhere.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
+// Run moves shares until the context is done.
+func (e *Entry) Run(ctx context.Context) error {
+	ticker := time.NewTicker(advanceEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			if s := e.scope.Load(); s != nil && !e.frozen(now) {
+				e.flows.advance(ctx, s.directory, e.rooms, now)
+			}
+		}
+	}
+}
+
+// Shares returns where traffic is served that has left its home region.
+func (e *Entry) Shares() []Share { return e.flows.shares() }
+
+// Register adds the handler of the placements call to a node.
+func (e *Entry) Register(node *peer.Node) {
+	node.Handle(CallPlacements, peer.Unary(func(context.Context, string, struct{}) ([]placementMessage, error) {
+		return e.flows.placements(), nil
+	}))
+}
+
+// Asker makes unary calls to peers.
+type Asker interface {
+	Ask(ctx context.Context, to peer.Target, call peer.Call, req, resp any) error
+}
+
+// Adopt takes over the placements that a peer has in force: a new instance must
+// not jump to where traffic should be in the end.
+func (e *Entry) Adopt(ctx context.Context, asker Asker, from peer.Target) error {
+	var messages []placementMessage
+	if err := asker.Ask(ctx, from, CallPlacements, struct{}{}, &messages); err != nil {
+		return err
+	}
+	e.flows.adopt(messages, time.Now())
+	return nil
+}
+
+// Handler returns the HTTP handler for callers.
+func (e *Entry) Handler() http.Handler {
+	server := echo.New()
+	server.GET(LookupPath, e.lookup)
+	server.Any("/*", e.request)
+	return server
+}
+
+// lookup answers which instances the caller should use.
+func (e *Entry) lookup(c echo.Context) error {
+	lookupCount.Inc()
+	now := time.Now()
+	s := e.scope.Load()
+	if s == nil {
+		return e.fail(c, "", notReady(now))
+	}
+	addr, err := callerAddr(c.Request())
+	if text := c.QueryParam("address"); text != "" {
+		addr, err = netip.ParseAddr(text)
+	}
+	if err != nil {
+		return e.fail(c, "", fault.New(fault.Invalid, "address is not an IP number", "write it such as 10.7.1.2"))
+	}
+	service := c.QueryParam("service")
+	if service != "" && s.table.ServiceNamed(service) == nil {
+		return e.fail(c, "", fault.New(fault.Missing, "service "+strconv.Quote(service)+" is not declared",
+			"use the name of a declared service"))
+	}
+	body, ok := s.lookups.append(make([]byte, 0, 512), addr, service, s.home, *e.flows.away.Load(), now.Add(e.life))
+	if !ok {
+		return e.fail(c, "", notReady(now))
+	}
+	h := c.Response().Header()
+	h.Set("Cache-Control", "max-age="+strconv.Itoa(int(e.life.Seconds())))
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, body)
+}
+
+func notReady(now time.Time) *fault.Error {
+	return fault.New(fault.Unavailable, "this instance has no configuration yet", "apply one, or ask another instance",
+		fault.WithRetryAt(now.Add(time.Second)))
+}
+
+func callerAddr(r *http.Request) (netip.Addr, error) {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}, err
+	}
+	return netip.ParseAddr(host)
+}
+
+// fail answers a request with a fault.
+func (e *Entry) fail(c echo.Context, id string, err error) error {
+	f := fault.From(err)
+	h := c.Response().Header()
+	h.Set(upstream.HeaderRan, string(f.Ran()))
+	if id != "" {
+		h.Set(upstream.HeaderRequestID, id)
+	}
+	setRetryAfter(h, f.RetryAt(), time.Now())
+	if e.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+	event.RequestFailed.Log(c.Request().Context(), e.log, slog.String("id", id), slog.String("error", err.Error()))
+	metrics.GetOrCreateCounter(`hickorydrum_failures_total{kind="` + string(f.Kind()) + `",ran="` + string(f.Ran()) + `"}`).Inc()
+	return c.JSON(f.Status(), failure{Kind: f.Kind(), Text: f.Text(), Remedy: f.Remedy(), Ran: f.Ran(), ID: id})
+}
+
+// request accepts a request of a caller and answers it.
+func (e *Entry) request(c echo.Context) error {
+	requests.Inc()
+	begun := time.Now()
+	defer latency.UpdateDuration(begun)
+	r := c.Request()
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := otel.Tracer("hickorydrum").Start(ctx, "entry")
+	defer span.End()
+	id := xid.New().String()
+	span.SetAttributes(attribute.String("id", id))
+	s := e.scope.Load()
+	if s == nil {
+		return e.fail(c, id, notReady(begun))
+	}
+	service := s.table.Service(r.URL.Path)
+	if service == nil {
+		return e.fail(c, id, fault.New(fault.Missing, "no service has the path "+strconv.Quote(r.URL.Path),
+			"use the path of a declared service"))
+	}
+	limit, err := timeLimit(r.Header, service)
+	if err != nil {
+		return e.fail(c, id, err)
+	}
+	x := &exchange{
+		entry: e, scope: s, service: service, id: id, deadline: begun.Add(limit),
+		body: newCallerBody(c.Response().Writer, r),
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	rc := http.NewResponseController(c.Response().Writer)
+	_ = rc.SetReadDeadline(x.deadline)
+	_ = rc.SetWriteDeadline(x.deadline.Add(writeMargin))
+	defer func() {
+		_ = rc.SetWriteDeadline(time.Time{})
+	}()
+	return x.serve(ctx, c)
+}
+
+// timeLimit returns how long a request may take: the service's limit or the
+// caller's, whichever is less.
+func timeLimit(h http.Header, service *declaration.Service) (time.Duration, error) {
+	text := h.Get(upstream.HeaderTimeout)
+	if text == "" {
+		return service.Limit(), nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms > math.MaxInt32 {
+		return 0, fault.New(fault.Invalid, upstream.HeaderTimeout+" is not a number of milliseconds",
+			"send the remaining time in milliseconds")
+	}
+	if ms <= 0 {
+		return 0, fault.New(fault.Expired, "the deadline of the request has passed", "send it with more time")
+	}
+	return min(service.Limit(), time.Duration(ms)*time.Millisecond), nil
+}
+
+// exchange is one request of a caller.
+type exchange struct {
+	entry    *Entry
+	scope    *scope
+	service  *declaration.Service
+	id       string
+	deadline time.Time
+	body     *callerBody
+	answer   *answer
+}
+
+func (x *exchange) serve(ctx context.Context, c echo.Context) error {
+	r := c.Request()
+	w := c.Response().Writer
+	x.answer = &answer{
+		w: w, rc: http.NewResponseController(w), id: x.id,
+		bodyless: r.Method == http.MethodHead,
+		closing:  x.entry.leaving.Load(),
+	}
+	ask, err := x.ask(r)
+	if err != nil {
+		return x.entry.fail(c, x.id, err)
+	}
+	key := r.Header.Get(HeaderKey)
+	if key == "" || ask.Idempotent {
+		return x.end(c, x.forward(ctx, ask, r))
+	}
+	claim, kept, err := x.entry.orders.Begin(ctx, x.service.Name(), key, r.Method+" "+r.URL.RequestURI(), x.deadline)
+	switch {
+	case err != nil:
+		return x.entry.fail(c, x.id, err)
+	case kept != nil:
+		return x.replay(kept)
+	}
+	x.answer.keep = true
+	err = x.forward(ctx, ask, r)
+	// The caller has its answer already; the claim is settled before the
+	// handler ends, so that a planned stop waits for it.
+	if err == nil {
+		_ = x.answer.rc.Flush()
+		claim.Finish(order.NewAnswer(x.answer.status, x.answer.header, x.answer.kept))
+	} else {
+		claim.Fail(err)
+	}
+	return x.end(c, err)
+}
+
+// replay answers a re-send from the kept answer.
+func (x *exchange) replay(kept *order.Answer) error {
+	head := upstream.Head{Status: kept.Status(), Header: kept.Header(), Length: int64(len(kept.Body()))}
+	if err := x.answer.Head(head); err != nil {
+		return err
+	}
+	_, err := x.answer.Write(kept.Body())
+	return err
+}
+
+// end finishes the answer. One that is not whole ends with the connection, never
+// as if it were.
+func (x *exchange) end(c echo.Context, err error) error {
+	if err == nil && x.answer.whole() {
+		return nil
+	}
+	if x.answer.headed {
+		cut.Inc()
+		if err == nil {
+			err = errors.New("fewer bytes than announced")
+		}
+		event.RequestFailed.Log(c.Request().Context(), x.entry.log,
+			slog.String("id", x.id), slog.String("error", err.Error()))
+		panic(http.ErrAbortHandler)
+	}
+	return x.entry.fail(c, x.id, err)
+}
+
+func (x *exchange) ask(r *http.Request) (*upstream.Ask, error) {
+	addr, err := callerAddr(r)
+	if err != nil {
+		return nil, fault.New(fault.Invalid, "the caller's address is not an IP number", "", fault.WithCause(err))
+	}
+	if r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect {
+		return nil, fault.New(fault.Invalid, "protocol upgrades are not carried", "use plain requests")
+	}
+	header := r.Header.Clone()
+	upstream.StripHop(header)
+	header.Set("X-Forwarded-For", addr.String())
+	return &upstream.Ask{
+		ID:         x.id,
+		Service:    x.service.Name(),
+		Method:     r.Method,
+		Target:     r.URL.RequestURI(),
+		Host:       r.Host,
+		Header:     header,
+		Length:     r.ContentLength,
+		Idempotent: x.service.Idempotent(r.Method),
+		Caller:     addr.String(),
+	}, nil
+}
+
+// forward decides the region and has the request served there.
+func (x *exchange) forward(ctx context.Context, ask *upstream.Ask, r *http.Request) error {
+	e := x.entry
+	addr, err := callerAddr(r)
+	if err != nil {
+		return fault.From(err)
+	}
+	home := x.scope.table.Lookup(addr, x.scope.home)
+	flow := e.flows.flow(place{service: x.service.Name(), region: home.Region()}, time.Now())
+	route := flow.Route(home.Hash(), steering.HashRequest(x.id))
+	p := place{service: x.service.Name(), region: route.Region()}
+	err = x.serveIn(ctx, p, ask)
+	flow.Done(route, x.body.size.Load()+x.answer.written)
+	x.noteOutcome(ctx, p, err)
+	return err
+}
+
+func (x *exchange) noteOutcome(ctx context.Context, p place, err error) {
+	switch fault.KindOf(err) {
+	case "":
+		if err == nil {
+			x.entry.flows.note(p, true)
+		}
+	case fault.Overloaded, fault.Unavailable:
+		if ctx.Err() == nil {
+			x.entry.flows.note(p, false)
+		}
+	}
+}
+
+// serveIn tries the owners in one region until one serves the request.
+func (x *exchange) serveIn(ctx context.Context, p place, ask *upstream.Ask) error {
+	e := x.entry
+	owners := x.scope.directory.at(p)
+	if len(owners) == 0 {
+		return fault.New(fault.Unavailable, "no instance serves the region", "retry after the given time",
+			fault.WithRetryAt(time.Now().Add(time.Second)))
+	}
+	e.budget.earn()
+	failed := make([]bool, len(owners))
+	var last error
+	for try := 0; try < maxTries; try++ {
+		i := x.choose(p, owners, failed)
+		if i < 0 {
+			break
+		}
+		last = x.serveAt(ctx, p, owners[i], ask)
+		if last == nil || !x.mayRetry(ctx, ask, last) {
+			return last
+		}
+		failed[i] = true
+		retries.Inc()
+	}
+	return last
+}
+
+func (x *exchange) choose(p place, owners []owner, failed []bool) int {
+	now := time.Now()
+	candidates := make([]steering.Candidate, len(owners))
+	for i, o := range owners {
+		k := roomKey{service: p.service, member: o.member.ID()}
+		candidates[i] = x.entry.rooms.candidate(k, o.slots, failed[i], now)
+	}
+	return steering.Choose(candidates, rand.Uint64())
+}
+
+// mayRetry reports whether another try can do no harm: the request was not run
+// and its body is untouched, or it is idempotent and nothing was passed on.
+func (x *exchange) mayRetry(ctx context.Context, ask *upstream.Ask, err error) bool {
+	f := fault.From(err)
+	safe := f.Ran() == fault.RanNo || ask.Idempotent
+	if !safe || x.answer.headed || x.body.touched.Load() || ctx.Err() != nil {
+		return false
+	}
+	switch f.Kind() {
+	case fault.Unavailable, fault.Missing, fault.Broken, fault.Conflict, fault.Denied:
+		return true
+	case fault.Overloaded:
+		return x.entry.budget.spend()
+	default:
+		return false
+	}
+}
+
+func (x *exchange) serveAt(ctx context.Context, p place, o owner, ask *upstream.Ask) error {
+	e := x.entry
+	k := roomKey{service: p.service, member: o.member.ID()}
+	e.rooms.begin(k)
+	defer e.rooms.end(k)
+	ask.Remaining = time.Until(x.deadline).Milliseconds()
+	open, sink := e.links.paced(ctx, o.member.Region, x.openBody, x.answer)
+	if o.member.ID() == e.self().ID() {
+		err := e.local.Serve(ctx, ask, open, sink)
+		e.rooms.told(k, e.local.Room(p.service), time.Now())
+		return err
+	}
+	to := peer.NewTarget(o.member.Name, o.member.Peer)
+	err := e.remote.Serve(ctx, to, ask, open, sink, func(room upstream.Room) { e.rooms.told(k, room, time.Now()) })
+	if ctx.Err() == nil {
+		e.flows.reached(ctx, p.region, !peer.Unreachable(err), time.Now())
+	}
+	return err
+}
+
+func (x *exchange) openBody() (io.ReadCloser, error) { return x.body, nil }
+
+// budget limits retries to a share of first tries, so that they cannot multiply
+// an overload.
+type budget struct {
+	mu     sync.Mutex
+	tokens float64
+}
+
+func (b *budget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(maxTokens, b.tokens+retryShare)
+}
+
+func (b *budget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,68 @@
+// Package event numbers what instances log. docs/EVENTS.md is its catalogue.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is a numbered kind of log entry.
+type Event struct {
+	number int
+	level  slog.Level
+	text   string
+}
+
+// Number returns the number of the event.
+func (e Event) Number() int { return e.number }
+
+// Level returns the level at which the event is logged.
+func (e Event) Level() slog.Level { return e.level }
+
+// Text returns the message of the event.
+func (e Event) Text() string { return e.text }
+
+// The events, by duty.
+var (
+	Started         = add(100, slog.LevelInfo, "instance started")
+	Ready           = add(101, slog.LevelInfo, "instance ready")
+	StopBegun       = add(102, slog.LevelInfo, "planned stop begun")
+	StopStep        = add(103, slog.LevelInfo, "planned stop step done")
+	Stopped         = add(104, slog.LevelInfo, "instance stopped")
+	KeysReloaded    = add(105, slog.LevelInfo, "keys loaded again")
+	KeysFailed      = add(106, slog.LevelWarn, "keys could not be loaded again")
+	ServeFailed     = add(107, slog.LevelError, "a server of the instance failed")
+	Registered      = add(200, slog.LevelInfo, "instance registered")
+	RegisterFailed  = add(201, slog.LevelWarn, "instance could not register")
+	MemberJoined    = add(202, slog.LevelInfo, "instance joined")
+	MemberLeaving   = add(203, slog.LevelInfo, "instance leaving")
+	MemberGone      = add(204, slog.LevelWarn, "instance gone")
+	RevisionTaken   = add(300, slog.LevelInfo, "revision in force")
+	RevisionRefused = add(301, slog.LevelError, "revision refused")
+	WatchFailed     = add(302, slog.LevelWarn, "platform watch failed")
+	WatchBack       = add(303, slog.LevelInfo, "platform watch works again")
+	Isolated        = add(304, slog.LevelWarn, "neither platform nor peers confirm the revision")
+	Confirmed       = add(305, slog.LevelInfo, "revision confirmed again")
+	TrafficMoved    = add(400, slog.LevelInfo, "traffic moved")
+	RegionDead      = add(401, slog.LevelWarn, "region does not answer")
+	RegionBack      = add(402, slog.LevelInfo, "region answers again")
+	RequestFailed   = add(500, slog.LevelDebug, "request failed")
+	ClaimLost       = add(600, slog.LevelWarn, "an order's claim is in doubt")
+	AnswerNotKept   = add(601, slog.LevelWarn, "an order's answer could not be kept")
+)
+
+var catalogue []Event
+
+func add(number int, level slog.Level, text string) Event {
+	e := Event{number: number, level: level, text: text}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// All returns the catalogue in the order of numbers.
+func All() []Event { return append([]Event(nil), catalogue...) }
+
+// Log writes an event with its number and attributes.
+func (e Event) Log(ctx context.Context, log *slog.Logger, attrs ...slog.Attr) {
+	log.LogAttrs(ctx, e.level, e.text, append([]slog.Attr{slog.Int("event", e.number)}, attrs...)...)
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,502 @@
+// Package instance assembles one instance from its parts and runs it from its
+// start to its planned stop.
+package instance
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/xid"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"hickorydrum/declaration"
+	"hickorydrum/drain"
+	"hickorydrum/entry"
+	"hickorydrum/event"
+	"hickorydrum/fault"
+	"hickorydrum/order"
+	"hickorydrum/peer"
+	"hickorydrum/platform"
+	"hickorydrum/rollout"
+	"hickorydrum/roster"
+	"hickorydrum/setting"
+	"hickorydrum/steering"
+	"hickorydrum/upstream"
+)
+
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 10 * time.Second
+	callerIdle        = 60 * time.Second
+	callerUserTimeout = 10 * time.Second
+	refreshEvery      = 200 * time.Millisecond
+	keysEvery         = 5 * time.Second
+	cleanEvery        = time.Hour
+	frozenAfter       = 10 * time.Second
+	// spreadMargin is how long the news that an instance leaves takes to reach
+	// every instance that answers look-ups.
+	spreadMargin    = 500 * time.Millisecond
+	stopStepTimeout = 3 * time.Second
+	handoverTimeout = 10 * time.Second
+	stopPoll        = 20 * time.Millisecond
+	stopSlack       = 5 * time.Second
+	seedWait        = 300 * time.Millisecond
+)
+
+// Instance is one running instance.
+type Instance struct {
+	settings *setting.Table
+	log      *slog.Logger
+	platform *platform.Client
+	roster   *roster.Roster
+	registry *roster.Registry
+	watcher  *roster.Watcher
+	keys     *peer.Keys
+	node     *peer.Node
+	pool     *upstream.Pool
+	owner    *upstream.Ownership
+	state    *rollout.State
+	follower *rollout.Follower
+	entry    *entry.Entry
+	orders   *order.Book
+	callers  *server
+	admin    *server
+
+	ctx    context.Context // of the background work
+	cancel context.CancelFunc
+	group  errgroup.Group
+
+	viewMu sync.Mutex              // held while a view is passed on
+	seen   map[string]roster.State // for the log
+}
+
+// New opens the listeners of an instance and assembles its parts.
+func New(settings *setting.Table, log *slog.Logger) (*Instance, error) {
+	bind := net.ParseIP(settings.Value("bind"))
+	keys, err := peer.NewKeys(settings.Value("ca"), settings.Value("cert"), settings.Value("key"))
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{
+		settings: settings, log: log, keys: keys,
+		platform: platform.New(settings.Value("platform"), platform.WithBind(bind)),
+		seen:     make(map[string]roster.State),
+	}
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	if err := i.listen(bind); err != nil {
+		i.cancel()
+		return nil, err
+	}
+	i.assemble(bind)
+	return i, nil
+}
+
+func (i *Instance) listen(bind net.IP) error {
+	var err error
+	if i.node, err = peer.Listen(i.settings.Value("peer"), i.keys); err != nil {
+		return err
+	}
+	if i.callers, err = listenHTTP(i.settings.Value("caller"), "-caller"); err != nil {
+		return errors.Join(err, i.node.Close())
+	}
+	if i.admin, err = listenHTTP(i.settings.Value("admin"), "-admin"); err != nil {
+		return errors.Join(err, i.callers.listener.Close(), i.node.Close())
+	}
+	i.roster = roster.New(i.member())
+	i.watcher, err = roster.NewWatcher(i.roster, i.settings.Value("probe"), bind, i.onGone)
+	if err != nil {
+		return errors.Join(err, i.admin.listener.Close(), i.callers.listener.Close(), i.node.Close())
+	}
+	return nil
+}
+
+func (i *Instance) member() roster.Member {
+	announced := func(name string) string {
+		if v := i.settings.Value("announce-" + name); v != "" {
+			return v
+		}
+		return i.settings.Value(name)
+	}
+	return roster.Member{
+		Name: i.settings.Value("name"), Run: xid.New().String(),
+		Region: i.settings.Value("region"), Domain: i.settings.Value("domain"),
+		Caller: announced("caller"), Peer: announced("peer"), Probe: announced("probe"),
+		State: roster.Joining,
+	}
+}
+
+func (i *Instance) assemble(bind net.IP) {
+	self := i.roster.Self()
+	i.registry = roster.NewRegistry(i.platform)
+	i.pool = upstream.NewPool(self.Region, upstream.WithBind(bind))
+	i.owner = upstream.NewOwnership(i.pool, i.roster, i.node, i.registry)
+	i.state = rollout.NewState(i.onRevision)
+	i.orders = order.New(i.ctx, i.platform, i.log)
+	i.entry = entry.New(i.roster.Self, i.pool, upstream.NewRemote(i.node), i.orders, i.log,
+		entry.WithFrozen(i.frozen), entry.WithLookupLife(i.settings.Duration("lookup-life")))
+	i.follower = rollout.NewFollower(i.state, i.platform, i.roster, i.node, i.log, i.onList)
+	i.callers.http.Handler = i.entry.Handler()
+	i.admin.http.Handler = i.adminHandler()
+	i.roster.OnChange(i.onView)
+	i.onView(i.roster.View())
+	i.pool.Register(i.node)
+	i.owner.Register(i.node)
+	i.follower.Register(i.node)
+	i.entry.Register(i.node)
+	i.node.Handle(CallStatus, peer.Unary(func(context.Context, string, struct{}) (Status, error) {
+		return i.Status(), nil
+	}))
+}
+
+// server is an HTTP server with its listener.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+func listenHTTP(address, flag string) (*server, error) {
+	config := net.ListenConfig{Control: setUserTimeout}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, "the address "+address+" cannot be listened on",
+			"set "+flag+" to a free address of this machine", fault.WithCause(err))
+	}
+	return &server{listener: listener, http: &http.Server{
+		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdle,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}}, nil
+}
+
+// setUserTimeout ends connections whose other side no longer acknowledges.
+// Accepted connections inherit it.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(callerUserTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+func (i *Instance) frozen(now time.Time) bool {
+	return now.Sub(i.state.ConfirmedAt()) > frozenAfter
+}
+
+func (i *Instance) onRevision(set *declaration.Set, revision uint64) {
+	table := steering.NewTable(set, revision)
+	i.pool.SetTable(table, time.Now())
+	i.entry.SetTable(table)
+}
+
+// onView passes the newest view on, whichever change called it.
+func (i *Instance) onView(*roster.View) {
+	i.viewMu.Lock()
+	defer i.viewMu.Unlock()
+	v := i.roster.View()
+	i.owner.OnRoster(v)
+	i.entry.SetView(v)
+	i.logMembers(v)
+}
+
+func (i *Instance) logMembers(v *roster.View) {
+	self := i.roster.Self()
+	for _, m := range v.Members() {
+		if i.seen[m.ID()] == m.State || m.ID() == self.ID() {
+			continue
+		}
+		i.seen[m.ID()] = m.State
+		e, ok := map[roster.State]event.Event{
+			roster.Live: event.MemberJoined, roster.Leaving: event.MemberLeaving, roster.Gone: event.MemberGone,
+		}[m.State]
+		if ok {
+			e.Log(i.ctx, i.log, slog.String("member", m.ID()), slog.String("domain", m.Domain))
+		}
+	}
+}
+
+func (i *Instance) onList(page rollout.LivePage) {
+	i.pool.SetLeaving(page.Leaving)
+	i.watcher.SetList(append(slices.Clone(page.Live), page.Leaving...))
+}
+
+// onGone registers the proof that a member is gone, for those that start later.
+func (i *Instance) onGone(m roster.Member) {
+	m.State = roster.Gone
+	i.group.Go(func() error {
+		i.register(i.ctx, m)
+		return nil
+	})
+}
+
+// register writes a member's state until the platform took it.
+func (i *Instance) register(ctx context.Context, m roster.Member) bool {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		err := i.registry.Write(ctx, m)
+		if err == nil {
+			return true
+		}
+		if failures == 0 {
+			event.RegisterFailed.Log(ctx, i.log, slog.String("member", m.ID()), slog.String("error", err.Error()))
+		}
+		timer := time.NewTimer(platform.Backoff(failures))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return false
+}
+
+// Run serves until stop is done, then stops without cutting a request.
+func (i *Instance) Run(stop context.Context) error {
+	endTraces, err := startTraces(i.ctx, i.settings.Value("otlp"), i.settings.Value("name"))
+	if err != nil {
+		return fault.New(fault.Invalid, "traces cannot be sent", "correct -otlp", fault.WithCause(err))
+	}
+	self := i.roster.Self()
+	event.Started.Log(i.ctx, i.log, slog.String("instance", self.ID()), slog.String("caller", self.Caller),
+		slog.String("peer", self.Peer))
+	i.node.Serve()
+	i.serveHTTP(i.callers)
+	i.serveHTTP(i.admin)
+	for _, run := range []func(context.Context) error{
+		i.watcher.Run, i.follower.Run, i.owner.Run, i.entry.Run, upstream.NewProber(i.pool).Run, i.refresh, i.reloadKeys,
+		i.clean, i.join,
+	} {
+		i.group.Go(func() error { return run(i.ctx) })
+	}
+	<-stop.Done()
+	drain.Stop(i.ctx, i.log, i.stopSteps()...)
+	i.cancel()
+	i.pool.Close()
+	i.platform.Close()
+	err = errors.Join(i.admin.http.Close(), i.group.Wait(), i.node.Close())
+	i.orders.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), stopStepTimeout)
+	defer cancel()
+	return errors.Join(err, endTraces(ctx))
+}
+
+func (i *Instance) serveHTTP(s *server) {
+	i.group.Go(func() error {
+		err := s.http.Serve(s.listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			event.ServeFailed.Log(i.ctx, i.log, slog.String("error", err.Error()))
+		}
+		return nil
+	})
+}
+
+// join takes over what the peers know, then registers; only a registered
+// instance owns upstreams and is named to callers.
+func (i *Instance) join(ctx context.Context) error {
+	if !i.register(ctx, withState(i.roster.Self(), roster.Joining)) {
+		return nil
+	}
+	i.bootstrap(ctx)
+	i.adopt(ctx)
+	if !i.register(ctx, withState(i.roster.Self(), roster.Live)) {
+		return nil
+	}
+	if i.roster.Self().State == roster.Joining {
+		i.roster.SetSelf(roster.Live)
+		event.Registered.Log(ctx, i.log)
+	}
+	i.follower.Spread(ctx)
+	event.Ready.Log(ctx, i.log)
+	return nil
+}
+
+func withState(m roster.Member, s roster.State) roster.Member {
+	m.State = s
+	return m
+}
+
+// bootstrap waits for a first revision, from the platform or from the seeds.
+func (i *Instance) bootstrap(ctx context.Context) {
+	var seeds []peer.Target
+	for _, address := range i.settings.List("seeds") {
+		seeds = append(seeds, peer.NewTarget("", address))
+	}
+	if members, err := i.registry.Read(ctx); err == nil {
+		i.roster.Merge(members)
+	}
+	for try := 0; ctx.Err() == nil && i.state.Revision() == 0 && try < 10; try++ {
+		i.follower.Bootstrap(ctx, seeds)
+		timer := time.NewTimer(seedWait)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// adopt takes over the placements that an instance of the same region has in
+// force.
+func (i *Instance) adopt(ctx context.Context) {
+	self := i.roster.Self()
+	for _, m := range i.roster.View().Serving(self.Region) {
+		if m.ID() == self.ID() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, stopStepTimeout)
+		err := i.entry.Adopt(ctx, i.node, peer.NewTarget(m.Name, m.Peer))
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// refresh applies drains whose instant has come, and tells of isolation.
+func (i *Instance) refresh(ctx context.Context) error {
+	ticker := time.NewTicker(refreshEvery)
+	defer ticker.Stop()
+	isolated := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			set := i.state.Set()
+			if set == nil {
+				continue
+			}
+			i.pool.Refresh(set, now)
+			if frozen := i.frozen(now); frozen != isolated {
+				isolated = frozen
+				e := event.Confirmed
+				if frozen {
+					e = event.Isolated
+				}
+				e.Log(ctx, i.log)
+			}
+		}
+	}
+}
+
+// reloadKeys takes in new certificates without a restart.
+func (i *Instance) reloadKeys(ctx context.Context) error {
+	ticker := time.NewTicker(keysEvery)
+	defer ticker.Stop()
+	last := i.keyTimes()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			times := i.keyTimes()
+			if slices.Equal(times, last) {
+				continue
+			}
+			last = times
+			if err := i.keys.Reload(); err != nil {
+				event.KeysFailed.Log(ctx, i.log, slog.String("error", err.Error()))
+				continue
+			}
+			event.KeysReloaded.Log(ctx, i.log)
+		}
+	}
+}
+
+// keyTimes returns when the key files were last changed.
+func (i *Instance) keyTimes() []time.Time {
+	var times []time.Time
+	for _, name := range []string{"ca", "cert", "key"} {
+		var at time.Time
+		if info, err := os.Stat(i.settings.Value(name)); err == nil {
+			at = info.ModTime()
+		}
+		times = append(times, at)
+	}
+	return times
+}
+
+// clean deletes old claims. One instance of the whole does it at a time.
+func (i *Instance) clean(ctx context.Context) error {
+	ticker := time.NewTicker(cleanEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			first, _ := roster.First("clean", i.roster.View().All())
+			if first.ID() == i.roster.Self().ID() {
+				_ = i.orders.Clean(ctx)
+			}
+		}
+	}
+}
+
+// stopSteps returns the steps of a planned stop.
+func (i *Instance) stopSteps() []drain.Step {
+	var leftAt time.Time
+	longest := func() time.Time {
+		limit := stopSlack
+		if set := i.state.Set(); set != nil {
+			for _, s := range set.Services() {
+				limit = max(limit, s.Limit()+stopSlack)
+			}
+		}
+		return time.Now().Add(limit)
+	}
+	return []drain.Step{
+		drain.NewStep("leave", func(ctx context.Context) error {
+			leftAt = time.Now()
+			i.entry.Leave()
+			i.roster.SetSelf(roster.Leaving)
+			return i.publish(ctx, roster.Leaving)
+		}),
+		drain.When("hand over", stopPoll, func() time.Time { return leftAt.Add(handoverTimeout) }, i.handedOver),
+		drain.Until("expire", func() time.Time {
+			return leftAt.Add(i.settings.Duration("lookup-life") + spreadMargin)
+		}),
+		drain.NewStep("finish callers", func(ctx context.Context) error {
+			ctx, cancel := context.WithDeadline(ctx, longest())
+			defer cancel()
+			return i.callers.http.Shutdown(ctx)
+		}),
+		drain.When("finish upstreams", stopPoll, longest, func() bool { return i.pool.InFlight() == 0 }),
+		drain.NewStep("depart", func(ctx context.Context) error { return i.publish(ctx, roster.Gone) }),
+	}
+}
+
+// publish tells peers and platform of this instance's state.
+func (i *Instance) publish(ctx context.Context, state roster.State) error {
+	ctx, cancel := context.WithTimeout(ctx, stopStepTimeout)
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error { return i.registry.Write(ctx, withState(i.roster.Self(), state)) })
+	group.Go(func() error {
+		if state == roster.Gone {
+			i.roster.SetSelf(state)
+		}
+		i.follower.Spread(ctx)
+		return nil
+	})
+	return group.Wait()
+}
+
+// handedOver reports whether other instances own what this one owned, or there
+// is none that could.
+func (i *Instance) handedOver() bool {
+	self := i.roster.Self()
+	others := slices.DeleteFunc(i.roster.View().Serving(self.Region), func(m roster.Member) bool {
+		return m.ID() == self.ID() || m.State != roster.Live
+	})
+	if len(others) == 0 {
+		return true
+	}
+	return !slices.ContainsFunc(i.pool.Uses(time.Now()), func(u upstream.Use) bool { return u.Owned })
+}
--- /dev/null
+++ b/instance/status.go
@@ -0,0 +1,124 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/entry"
+	"hickorydrum/peer"
+	"hickorydrum/roster"
+	"hickorydrum/upstream"
+)
+
+// CallStatus asks a peer for its status.
+const CallStatus peer.Call = "status"
+
+const (
+	statusTimeout  = 2 * time.Second
+	statusParallel = 32
+)
+
+// Status is what one instance tells operators of itself.
+type Status struct {
+	Name      string         `json:"name" cbor:"1,keyasint"`
+	Region    string         `json:"region" cbor:"2,keyasint"`
+	Domain    string         `json:"domain" cbor:"3,keyasint"`
+	State     string         `json:"state" cbor:"4,keyasint"`
+	Revision  uint64         `json:"revision" cbor:"5,keyasint"`
+	Frozen    bool           `json:"frozen" cbor:"6,keyasint"`
+	Uses      []upstream.Use `json:"uses" cbor:"7,keyasint"`
+	Shares    []entry.Share  `json:"shares" cbor:"8,keyasint"`
+	Reachable bool           `json:"reachable" cbor:"9,keyasint"`
+}
+
+// Status returns the status of the instance.
+func (i *Instance) Status() Status {
+	self := i.roster.Self()
+	now := time.Now()
+	return Status{
+		Name: self.Name, Region: self.Region, Domain: self.Domain, State: self.State.String(),
+		Revision: i.state.Revision(), Frozen: i.frozen(now),
+		Uses: i.pool.Uses(now), Shares: i.entry.Shares(), Reachable: true,
+	}
+}
+
+// all returns the status of every member, as far as it answers.
+func (i *Instance) all(ctx context.Context) []Status {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	self := i.roster.Self()
+	out := []Status{i.Status()}
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(statusParallel)
+	for _, m := range i.roster.View().All() {
+		if m.ID() == self.ID() {
+			continue
+		}
+		group.Go(func() error {
+			status := i.ask(ctx, m)
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, status)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.SortFunc(out, func(a, b Status) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (i *Instance) ask(ctx context.Context, m roster.Member) Status {
+	var status Status
+	if err := i.node.Ask(ctx, peer.NewTarget(m.Name, m.Peer), CallStatus, struct{}{}, &status); err != nil {
+		return Status{Name: m.Name, Region: m.Region, Domain: m.Domain, State: m.State.String()}
+	}
+	return status
+}
+
+// adminHandler serves operators: liveness, readiness, metrics and status.
+func (i *Instance) adminHandler() http.Handler {
+	server := echo.New()
+	server.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	server.GET("/readyz", func(c echo.Context) error {
+		if reason := i.unready(time.Now()); reason != "" {
+			return c.String(http.StatusServiceUnavailable, reason+"\n")
+		}
+		return c.String(http.StatusOK, "ok\n")
+	})
+	server.GET("/metrics", func(c echo.Context) error {
+		metrics.WritePrometheus(c.Response(), true)
+		return nil
+	})
+	server.GET("/status", func(c echo.Context) error {
+		if c.QueryParam("all") != "" {
+			return c.JSON(http.StatusOK, i.all(c.Request().Context()))
+		}
+		return c.JSON(http.StatusOK, i.Status())
+	})
+	return server
+}
+
+// unready returns why the instance should get no callers, or "".
+func (i *Instance) unready(now time.Time) string {
+	switch {
+	case i.roster.Self().State == roster.Joining:
+		return "not registered with the platform yet"
+	case i.roster.Self().State != roster.Live:
+		return "leaving"
+	case i.state.Revision() == 0:
+		return "no configuration yet; apply one"
+	case i.frozen(now):
+		return "neither the platform nor a peer confirms the revision; shares do not move"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/rollout/chunk.go
@@ -0,0 +1,221 @@
+// Package rollout brings an accepted set of declarations into force: it writes a
+// set to the platform as one revision, and carries revisions to every instance.
+package rollout
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/xid"
+
+	"hickorydrum/declaration"
+	"hickorydrum/fault"
+	"hickorydrum/platform"
+	"hickorydrum/roster"
+)
+
+const (
+	// HeadKey is the object whose version is the revision in force.
+	HeadKey     = roster.WatchPrefix + "head"
+	chunkPrefix = "chunk/"
+	// chunkRecords is how many records a chunk has on average. Boundaries follow
+	// from the records' keys, so that a change rewrites one chunk only.
+	chunkRecords  = 1024
+	maxChunkBytes = 900 << 10
+	// keptChunks bounds the chunks that a reader keeps for the next revision.
+	keptChunks = 4096
+)
+
+// Head tells which records are in force.
+type Head struct {
+	Nonce  string    `json:"nonce"`
+	Digest string    `json:"digest"`
+	Chunks []string  `json:"chunks"`
+	By     string    `json:"by,omitempty"`
+	At     time.Time `json:"at"`
+}
+
+// Store is the part of the platform that rollouts need.
+type Store interface {
+	platform.Store
+	List(ctx context.Context, prefix string) (platform.Page, error)
+	Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Page, error)
+}
+
+// split divides sorted records into encoded chunks.
+func split(records []declaration.Record) ([][]byte, error) {
+	var chunks [][]byte
+	var part []declaration.Record
+	size := 0
+	flush := func() error {
+		if len(part) == 0 {
+			return nil
+		}
+		data, err := json.Marshal(part)
+		if err != nil {
+			return err
+		}
+		if len(data) > platform.MaxValue {
+			return fault.New(fault.Invalid, fmt.Sprintf("%s %q is too large", part[0].Kind, part[0].Name),
+				"divide it into several declarations")
+		}
+		chunks = append(chunks, data)
+		part, size = nil, 0
+		return nil
+	}
+	for _, r := range records {
+		n := len(r.Body)*4/3 + len(r.Name) + 64 // as JSON with base64
+		if size+n > maxChunkBytes {
+			if err := flush(); err != nil {
+				return nil, err
+			}
+		}
+		part = append(part, r)
+		size += n
+		if xxhash.Sum64String(string(r.Kind)+"/"+r.Name)%chunkRecords == 0 {
+			if err := flush(); err != nil {
+				return nil, err
+			}
+		}
+	}
+	err := flush()
+	return chunks, err
+}
+
+func chunkName(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// Current reads the head in force. The revision is 0 when nothing was applied.
+func Current(ctx context.Context, s Store) (revision uint64, head Head, err error) {
+	o, err := s.Get(ctx, HeadKey)
+	if fault.KindOf(err) == fault.Missing {
+		return 0, Head{}, nil
+	}
+	if err != nil {
+		return 0, Head{}, err
+	}
+	if err := json.Unmarshal(o.Value, &head); err != nil {
+		return 0, Head{}, fault.New(fault.Broken, "the head is not readable", "apply the files again", fault.WithCause(err))
+	}
+	return o.Version, head, nil
+}
+
+// Apply writes the set as the successor of the base revision. The fault is of
+// kind Conflict when another set was applied meanwhile; exactly one of two
+// racing applies is accepted.
+func Apply(ctx context.Context, s Store, set *declaration.Set, base uint64, by string, now time.Time) (uint64, error) {
+	chunks, err := split(set.Records())
+	if err != nil {
+		return 0, err
+	}
+	head := Head{Nonce: xid.New().String(), Digest: set.Digest(), By: by, At: now}
+	for _, data := range chunks {
+		name := chunkName(data)
+		head.Chunks = append(head.Chunks, name)
+		if err := putChunk(ctx, s, name, data); err != nil {
+			return 0, err
+		}
+	}
+	value, err := json.Marshal(head)
+	if err != nil {
+		return 0, err
+	}
+	revision, err := platform.PutSure(ctx, s, HeadKey, value, base)
+	if fault.KindOf(err) == fault.Conflict {
+		return 0, raced(ctx, s)
+	}
+	if err != nil && !fault.NotRun(err) {
+		return 0, fault.New(fault.Unavailable, "the platform does not tell whether the set was accepted",
+			"run status to see the revision in force, then apply again if it is not yours",
+			fault.WithRan(fault.RanUnknown), fault.WithCause(err))
+	}
+	return revision, err
+}
+
+// putChunk writes a chunk. Chunks are named by their content, so that one that
+// is there already is the same.
+func putChunk(ctx context.Context, s Store, name string, data []byte) error {
+	_, err := platform.PutSure(ctx, s, chunkPrefix+name, data, 0)
+	if fault.KindOf(err) == fault.Conflict {
+		return nil
+	}
+	return err
+}
+
+func raced(ctx context.Context, s Store) error {
+	text := "another set was applied meanwhile"
+	if revision, head, err := Current(ctx, s); err == nil {
+		text = fmt.Sprintf("revision %d was applied meanwhile by %s at %s", revision, head.By, head.At.Format(time.RFC3339))
+	}
+	return fault.New(fault.Conflict, text, "run plan to see what differs, merge it into your files and apply again")
+}
+
+// loader reads revisions from the platform and keeps chunks between them.
+type loader struct {
+	chunks map[string][]declaration.Record
+}
+
+// load returns the records of a head, sorted and checked against its digest.
+func (l *loader) load(ctx context.Context, s Store, head Head) ([]declaration.Record, error) {
+	if l.chunks == nil || len(l.chunks) > keptChunks {
+		l.chunks = make(map[string][]declaration.Record)
+	}
+	used := make(map[string][]declaration.Record, len(head.Chunks))
+	var records []declaration.Record
+	for _, name := range head.Chunks {
+		part, ok := l.chunks[name]
+		if !ok {
+			var err error
+			if part, err = readChunk(ctx, s, name); err != nil {
+				return nil, err
+			}
+		}
+		used[name] = part
+		records = append(records, part...)
+	}
+	l.chunks = used
+	declaration.Sort(records)
+	if declaration.Digest(records) != head.Digest {
+		return nil, fault.New(fault.Broken, "the records do not match the digest of the head", "apply the files again")
+	}
+	return records, nil
+}
+
+func readChunk(ctx context.Context, s Store, name string) ([]declaration.Record, error) {
+	o, err := s.Get(ctx, chunkPrefix+name)
+	if err != nil {
+		return nil, err
+	}
+	if chunkName(o.Value) != name {
+		return nil, fault.New(fault.Broken, "a chunk of the configuration is damaged", "apply the files again")
+	}
+	var part []declaration.Record
+	if err := json.NewDecoder(bytes.NewReader(o.Value)).Decode(&part); err != nil {
+		return nil, fault.New(fault.Broken, "a chunk of the configuration is not readable", "apply the files again",
+			fault.WithCause(err))
+	}
+	return slices.Clip(part), nil
+}
+
+// Load returns the set in force on the platform and its revision.
+func Load(ctx context.Context, s Store) (*declaration.Set, uint64, error) {
+	revision, head, err := Current(ctx, s)
+	if err != nil || revision == 0 {
+		return nil, 0, err
+	}
+	records, err := new(loader).load(ctx, s, head)
+	if err != nil {
+		return nil, 0, err
+	}
+	set, err := declaration.FromRecords(records)
+	return set, revision, err
+}
--- /dev/null
+++ b/rollout/follow.go
@@ -0,0 +1,486 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/declaration"
+	"hickorydrum/event"
+	"hickorydrum/fault"
+	"hickorydrum/peer"
+	"hickorydrum/platform"
+	"hickorydrum/roster"
+)
+
+// Calls between instances.
+const (
+	// CallHello compares revisions and rosters.
+	CallHello peer.Call = "hello"
+	// CallUpdate asks for what changed since a revision.
+	CallUpdate peer.Call = "update"
+	// CallRoster exchanges the members that both sides know.
+	CallRoster peer.Call = "roster"
+)
+
+const (
+	// LivePageKey is the platform's lagging list of live and leaving instances.
+	LivePageKey = roster.WatchPrefix + "instances"
+
+	watchWait    = 4 * time.Second
+	helloEvery   = time.Second
+	callTimeout  = 2 * time.Second
+	updateLimit  = 10 * time.Second
+	relays       = 2 // of each failure domain watch the platform
+	helloOthers  = 2 // neighbours in the region
+	helloFarther = 1 // instances of other regions
+)
+
+type helloMessage struct {
+	From     roster.Member `cbor:"1,keyasint"`
+	Revision uint64        `cbor:"2,keyasint"`
+	Roster   uint64        `cbor:"3,keyasint"`
+}
+
+type updateRequest struct {
+	Have uint64 `cbor:"1,keyasint"`
+	// Offset is the number of records of the whole set that have arrived.
+	Offset int `cbor:"2,keyasint,omitempty"`
+}
+
+type updateMessage struct {
+	From    uint64               `cbor:"1,keyasint,omitempty"`
+	To      uint64               `cbor:"2,keyasint"`
+	Digest  string               `cbor:"3,keyasint,omitempty"`
+	Deltas  []declaration.Delta  `cbor:"4,keyasint,omitempty"`
+	Records []declaration.Record `cbor:"5,keyasint,omitempty"`
+	// More states that further records of the whole set follow.
+	More bool `cbor:"6,keyasint,omitempty"`
+}
+
+type rosterMessage struct {
+	Members []roster.Member `cbor:"1,keyasint"`
+}
+
+// LivePage is the platform's lagging list.
+type LivePage struct {
+	Live    []string `json:"live"`
+	Leaving []string `json:"leaving"`
+}
+
+// Asker makes unary calls to peers.
+type Asker interface {
+	Ask(ctx context.Context, to peer.Target, call peer.Call, req, resp any) error
+}
+
+// Follower keeps one instance at the newest revision and roster.
+type Follower struct {
+	state  *State
+	store  Store
+	roster *roster.Roster
+	asker  Asker
+	log    *slog.Logger
+	onList func(LivePage)
+
+	loader  loader
+	wake    chan struct{}
+	failing atomic.Bool
+	newsTo  chan struct{}
+}
+
+// NewFollower returns a follower. onList is called with each state of the
+// platform's list of instances.
+func NewFollower(
+	state *State, store Store, r *roster.Roster, asker Asker, log *slog.Logger, onList func(LivePage),
+) *Follower {
+	f := &Follower{
+		state: state, store: store, roster: r, asker: asker, log: log, onList: onList,
+		wake: make(chan struct{}, 1), newsTo: make(chan struct{}, 1),
+	}
+	r.OnChange(func(*roster.View) { f.tell() })
+	return f
+}
+
+// Register adds the handlers of the protocol to a node.
+func (f *Follower) Register(node *peer.Node) {
+	node.Handle(CallHello, peer.Unary(f.onHello))
+	node.Handle(CallUpdate, peer.Unary(f.onUpdate))
+	node.Handle(CallRoster, peer.Unary(f.onRoster))
+}
+
+// Run follows the platform and the peers until the context is done.
+func (f *Follower) Run(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { return f.watch(ctx) })
+	group.Go(func() error { return f.hello(ctx) })
+	group.Go(func() error { return f.spread(ctx) })
+	return group.Wait()
+}
+
+// relay reports whether this instance watches the platform for its failure
+// domain. An instance that cannot confirm its revision with a peer watches too.
+func (f *Follower) relay(now time.Time) bool {
+	self := f.roster.Self()
+	order := roster.Rank("relay", f.roster.View().Domain(self.Domain))
+	for i, m := range order {
+		if m.ID() == self.ID() {
+			return i < relays || now.Sub(f.state.ConfirmedAt()) > watchWait
+		}
+	}
+	return true
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	failures := 0
+	var cursor uint64
+	for ctx.Err() == nil {
+		if !f.relay(time.Now()) {
+			cursor = 0
+			pause(ctx, helloEvery)
+			continue
+		}
+		next, err := f.watchOnce(ctx, cursor)
+		if err != nil {
+			f.watchFailed(ctx, err)
+			cursor = 0
+			pause(ctx, platform.Backoff(failures))
+			failures++
+			continue
+		}
+		f.watchWorks(ctx)
+		failures = 0
+		cursor = next
+	}
+	return nil
+}
+
+func (f *Follower) watchFailed(ctx context.Context, err error) {
+	if ctx.Err() == nil && !f.failing.Swap(true) {
+		event.WatchFailed.Log(ctx, f.log, slog.String("error", err.Error()))
+	}
+}
+
+func (f *Follower) watchWorks(ctx context.Context) {
+	if f.failing.Swap(false) {
+		event.WatchBack.Log(ctx, f.log)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// watchOnce lists at first, then waits for changes.
+func (f *Follower) watchOnce(ctx context.Context, cursor uint64) (uint64, error) {
+	if cursor == 0 {
+		return f.list(ctx)
+	}
+	page, err := f.store.Watch(ctx, roster.WatchPrefix, cursor, watchWait)
+	if fault.KindOf(err) == fault.Conflict {
+		return f.list(ctx)
+	}
+	if err != nil {
+		return 0, err
+	}
+	if err := f.takeObjects(ctx, page.Objects); err != nil {
+		return 0, err
+	}
+	f.state.Confirm(time.Now())
+	return page.Cursor, nil
+}
+
+func (f *Follower) list(ctx context.Context) (uint64, error) {
+	page, err := f.store.List(ctx, roster.WatchPrefix)
+	if err != nil {
+		return 0, err
+	}
+	if err := f.takeObjects(ctx, page.Objects); err != nil {
+		return 0, err
+	}
+	f.state.Confirm(time.Now())
+	return page.Cursor, nil
+}
+
+func (f *Follower) takeObjects(ctx context.Context, objects []platform.Object) error {
+	for _, o := range objects {
+		switch {
+		case o.Key == HeadKey && !o.Deleted:
+			if err := f.takeHead(ctx, o); err != nil {
+				return err
+			}
+		case roster.Holds(o.Key):
+			f.roster.Merge(roster.Decode(o))
+		case o.Key == LivePageKey && !o.Deleted:
+			var page LivePage
+			if json.Unmarshal(o.Value, &page) == nil {
+				f.onList(page)
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Follower) takeHead(ctx context.Context, o platform.Object) error {
+	if o.Version <= f.state.Revision() {
+		return nil
+	}
+	var head Head
+	if err := json.Unmarshal(o.Value, &head); err != nil {
+		f.refuse(ctx, o.Version, err)
+		return nil
+	}
+	records, err := f.loader.load(ctx, f.store, head)
+	if err != nil {
+		return err
+	}
+	f.take(ctx, records, o.Version, "platform")
+	return nil
+}
+
+func (f *Follower) take(ctx context.Context, records []declaration.Record, revision uint64, source string) {
+	taken, err := f.state.take(records, revision, time.Now())
+	if err != nil {
+		f.refuse(ctx, revision, err)
+		return
+	}
+	if taken {
+		event.RevisionTaken.Log(ctx, f.log, slog.Uint64("revision", revision), slog.String("source", source))
+		f.tell()
+	}
+}
+
+func (f *Follower) refuse(ctx context.Context, revision uint64, err error) {
+	event.RevisionRefused.Log(ctx, f.log, slog.Uint64("revision", revision), slog.String("error", err.Error()))
+}
+
+// tell has the neighbours told of news.
+func (f *Follower) tell() {
+	select {
+	case f.newsTo <- struct{}{}:
+	default:
+	}
+}
+
+// spread says hello to the own failure domain and the neighbours at once when
+// there are news.
+func (f *Follower) spread(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.newsTo:
+		}
+		self := f.roster.Self()
+		view := f.roster.View()
+		to := append(view.Domain(self.Domain), f.neighbours(view, self)...)
+		f.helloAll(ctx, without(to, self))
+	}
+}
+
+func without(members []roster.Member, self roster.Member) []roster.Member {
+	var out []roster.Member
+	seen := map[string]bool{self.ID(): true}
+	for _, m := range members {
+		if !seen[m.ID()] {
+			seen[m.ID()] = true
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// hello compares notes with a few neighbours and one instance farther away, so
+// that news reach everyone even when relays or the platform fail.
+func (f *Follower) hello(ctx context.Context) error {
+	ticker := time.NewTicker(helloEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			self := f.roster.Self()
+			f.helloAll(ctx, without(f.neighbours(f.roster.View(), self), self))
+		}
+	}
+}
+
+func (f *Follower) neighbours(view *roster.View, self roster.Member) []roster.Member {
+	ring := view.Present(self.Region)
+	var out []roster.Member
+	for i, m := range ring {
+		if m.ID() != self.ID() {
+			continue
+		}
+		for k := 1; k <= helloOthers && k < len(ring); k++ {
+			out = append(out, ring[(i+k)%len(ring)])
+		}
+	}
+	var far []roster.Member
+	for _, m := range view.All() {
+		if m.Region != self.Region {
+			far = append(far, m)
+		}
+	}
+	for range min(helloFarther, len(far)) {
+		out = append(out, far[rand.IntN(len(far))])
+	}
+	return out
+}
+
+func (f *Follower) helloAll(ctx context.Context, members []roster.Member) {
+	var group errgroup.Group
+	for _, m := range members {
+		group.Go(func() error {
+			f.helloOne(ctx, m)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func target(m roster.Member) peer.Target { return peer.NewTarget(m.Name, m.Peer) }
+
+func (f *Follower) helloOne(ctx context.Context, m roster.Member) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	mine := f.note()
+	var theirs helloMessage
+	if err := f.asker.Ask(ctx, target(m), CallHello, mine, &theirs); err != nil {
+		return
+	}
+	f.compare(ctx, theirs)
+}
+
+func (f *Follower) note() helloMessage {
+	return helloMessage{
+		From: f.roster.Self(), Revision: f.state.Revision(), Roster: f.roster.View().Digest(),
+	}
+}
+
+// compare fetches what the other side has and this one lacks.
+func (f *Follower) compare(ctx context.Context, theirs helloMessage) {
+	f.roster.Merge([]roster.Member{theirs.From})
+	if theirs.Revision <= f.state.Revision() {
+		if theirs.Revision == f.state.Revision() && theirs.Revision > 0 {
+			f.state.Confirm(time.Now())
+		}
+	} else {
+		f.fetch(ctx, theirs.From)
+	}
+	if theirs.Roster != f.roster.View().Digest() {
+		f.swapRosters(ctx, theirs.From)
+	}
+}
+
+func (f *Follower) fetch(ctx context.Context, from roster.Member) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), updateLimit)
+	defer cancel()
+	update, err := f.fetchAll(ctx, from)
+	if err != nil || update.To <= f.state.Revision() {
+		return
+	}
+	records, err := f.state.patch(update)
+	if err != nil {
+		f.refuse(ctx, update.To, err)
+		return
+	}
+	f.take(ctx, records, update.To, from.Name)
+}
+
+// fetchAll asks for the change since the revision in force. A whole set comes in
+// parts; when the revision changes between two of them, it begins anew.
+func (f *Follower) fetchAll(ctx context.Context, from roster.Member) (updateMessage, error) {
+	req := updateRequest{Have: f.state.Revision()}
+	var whole updateMessage
+	for {
+		var part updateMessage
+		if err := f.asker.Ask(ctx, target(from), CallUpdate, req, &part); err != nil {
+			return updateMessage{}, err
+		}
+		if part.To != whole.To {
+			whole = updateMessage{}
+			if req.Offset > 0 {
+				req.Offset = 0
+				continue
+			}
+		}
+		part.Records = append(whole.Records, part.Records...)
+		whole = part
+		if !part.More {
+			return whole, nil
+		}
+		req.Offset = len(whole.Records)
+	}
+}
+
+func (f *Follower) swapRosters(ctx context.Context, with roster.Member) {
+	var theirs rosterMessage
+	mine := rosterMessage{Members: f.roster.View().Members()}
+	if err := f.asker.Ask(ctx, target(with), CallRoster, mine, &theirs); err == nil {
+		f.roster.Merge(theirs.Members)
+	}
+}
+
+// checkSender refuses messages whose sender is not who its certificate says.
+func checkSender(name string, from roster.Member) error {
+	if from.Name != name {
+		return fault.New(fault.Denied, "a message of "+from.Name+" came from "+name,
+			"give each instance a certificate of its own")
+	}
+	return nil
+}
+
+func (f *Follower) onHello(ctx context.Context, name string, theirs helloMessage) (helloMessage, error) {
+	if err := checkSender(name, theirs.From); err != nil {
+		return helloMessage{}, err
+	}
+	f.roster.Merge([]roster.Member{theirs.From})
+	if theirs.Revision > f.state.Revision() {
+		f.fetch(ctx, theirs.From)
+	} else if theirs.Revision == f.state.Revision() && theirs.Revision > 0 {
+		f.state.Confirm(time.Now())
+	}
+	return f.note(), nil
+}
+
+func (f *Follower) onUpdate(_ context.Context, _ string, req updateRequest) (updateMessage, error) {
+	return f.state.since(req.Have, req.Offset), nil
+}
+
+func (f *Follower) onRoster(_ context.Context, _ string, theirs rosterMessage) (rosterMessage, error) {
+	f.roster.Merge(theirs.Members)
+	return rosterMessage{Members: f.roster.View().Members()}, nil
+}
+
+// Spread tells the neighbours of a change of this instance and returns when
+// each has answered or its time is over.
+func (f *Follower) Spread(ctx context.Context) {
+	self := f.roster.Self()
+	view := f.roster.View()
+	f.helloAll(ctx, without(append(view.Present(self.Region), f.neighbours(view, self)...), self))
+}
+
+// Bootstrap asks the known instances for the revision in force, for a start
+// while the platform does not answer.
+func (f *Follower) Bootstrap(ctx context.Context, seeds []peer.Target) {
+	for _, to := range seeds {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		var theirs helloMessage
+		err := f.asker.Ask(ctx, to, CallHello, f.note(), &theirs)
+		if err == nil {
+			f.compare(ctx, theirs)
+		}
+		cancel()
+	}
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,265 @@
+// Package roster knows the instances: which are live, which are leaving and
+// which are gone, and in which order they own an upstream.
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hickorydrum/steering"
+)
+
+// State is what is known of an instance. States only grow.
+type State uint8
+
+// The states of an instance.
+const (
+	Joining State = iota + 1 // runs, but is not registered yet
+	Live
+	Leaving
+	Gone
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Joining:
+		return "joining"
+	case Live:
+		return "live"
+	case Leaving:
+		return "leaving"
+	case Gone:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
+
+// Member is one run of one instance. A restarted instance is another member.
+type Member struct {
+	Name   string `cbor:"1,keyasint" json:"name"`
+	Run    string `cbor:"2,keyasint" json:"run"`
+	Region string `cbor:"3,keyasint" json:"region"`
+	Domain string `cbor:"4,keyasint" json:"domain"`
+	Caller string `cbor:"5,keyasint" json:"caller"` // address for callers
+	Peer   string `cbor:"6,keyasint" json:"peer"`   // address for instances
+	Probe  string `cbor:"7,keyasint" json:"probe"`  // address that proves it runs
+	State  State  `cbor:"8,keyasint" json:"state"`
+}
+
+// ID identifies the run of the instance.
+func (m Member) ID() string { return m.Name + "/" + m.Run }
+
+// View is an immutable list of members.
+type View struct {
+	members []Member
+	byID    map[string]Member
+	digest  uint64
+}
+
+func newView(byID map[string]Member) *View {
+	v := &View{byID: byID}
+	for _, m := range byID {
+		v.members = append(v.members, m)
+	}
+	slices.SortFunc(v.members, func(a, b Member) int { return cmp.Compare(a.ID(), b.ID()) })
+	h := xxhash.New()
+	for _, m := range v.members {
+		_, _ = h.WriteString(m.ID() + strconv.Itoa(int(m.State)) + ";")
+	}
+	v.digest = h.Sum64()
+	return v
+}
+
+// Digest returns a hash of all members and their states.
+func (v *View) Digest() uint64 { return v.digest }
+
+// Members returns every member, also those that are gone, sorted.
+func (v *View) Members() []Member { return v.members }
+
+// Member returns the member with the id.
+func (v *View) Member(id string) (Member, bool) {
+	m, ok := v.byID[id]
+	return m, ok
+}
+
+// Serving returns the members of a region that are live, or, where there are
+// none, leaving.
+func (v *View) Serving(region string) []Member {
+	live := v.filter(func(m Member) bool { return m.Region == region && m.State == Live })
+	if len(live) > 0 {
+		return live
+	}
+	return v.filter(func(m Member) bool { return m.Region == region && m.State == Leaving })
+}
+
+// Present returns the members of a region that are not gone.
+func (v *View) Present(region string) []Member {
+	return v.filter(func(m Member) bool { return m.Region == region && m.State != Gone })
+}
+
+// Domain returns the live members of a failure domain.
+func (v *View) Domain(domain string) []Member {
+	return v.filter(func(m Member) bool { return m.Domain == domain && m.State == Live })
+}
+
+// All returns the members of every region that are not gone.
+func (v *View) All() []Member {
+	return v.filter(func(m Member) bool { return m.State != Gone })
+}
+
+func (v *View) filter(keep func(Member) bool) []Member {
+	var out []Member
+	for _, m := range v.members {
+		if keep(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Rank orders members for a key, such as the address of an upstream: the first
+// owns it, the second is the heir. The order of the others does not change when
+// one leaves.
+func Rank(key string, members []Member) []Member {
+	type ranked struct {
+		member Member
+		rank   uint64
+	}
+	order := make([]ranked, len(members))
+	for i, m := range members {
+		order[i] = ranked{member: m, rank: steering.Rank(key, m.ID())}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.member.ID(), b.member.ID()))
+	})
+	out := make([]Member, len(order))
+	for i, r := range order {
+		out[i] = r.member
+	}
+	return out
+}
+
+// First returns the members that come first and second for a key. It is Rank
+// without the sorting, for the many keys of a region.
+func First(key string, members []Member) (owner, heir Member) {
+	var ownerRank, heirRank uint64
+	for _, m := range members {
+		rank := steering.Rank(key, m.ID())
+		switch {
+		case owner.Name == "" || rank > ownerRank:
+			heir, heirRank = owner, ownerRank
+			owner, ownerRank = m, rank
+		case heir.Name == "" || rank > heirRank:
+			heir, heirRank = m, rank
+		}
+	}
+	return owner, heir
+}
+
+// Roster holds the current view and tells listeners of changes.
+type Roster struct {
+	mu        sync.Mutex
+	self      Member
+	view      *View
+	listeners []func(*View)
+}
+
+// New returns a roster that knows only the instance itself.
+func New(self Member) *Roster {
+	return &Roster{self: self, view: newView(map[string]Member{self.ID(): self})}
+}
+
+// Self returns the member that stands for this instance.
+func (r *Roster) Self() Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self
+}
+
+// View returns the current view.
+func (r *Roster) View() *View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view
+}
+
+// OnChange registers a function that is called after each change. Two changes at
+// once may be told in either order; View returns the newest.
+func (r *Roster) OnChange(f func(*View)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listeners = append(r.listeners, f)
+}
+
+// Merge takes in members that others know; of two states the later one stays.
+// An instance alone decides about its own state. It reports whether anything
+// changed.
+func (r *Roster) Merge(members []Member) bool {
+	r.mu.Lock()
+	next := maps.Clone(r.view.byID)
+	changed := false
+	for _, m := range members {
+		id := m.ID()
+		known, ok := next[id]
+		if id == r.self.ID() || ok && known.State >= m.State || m.Name == "" || m.Run == "" {
+			continue
+		}
+		next[id] = m
+		changed = true
+	}
+	if !changed {
+		r.mu.Unlock()
+		return false
+	}
+	r.publish(next)
+	return true
+}
+
+// SetSelf changes the state of this instance.
+func (r *Roster) SetSelf(state State) {
+	r.mu.Lock()
+	r.self.State = state
+	next := maps.Clone(r.view.byID)
+	next[r.self.ID()] = r.self
+	r.publish(next)
+}
+
+// publish replaces the view; it is called with mu held and releases it.
+func (r *Roster) publish(next map[string]Member) {
+	r.view = newView(next)
+	view, listeners := r.view, slices.Clone(r.listeners)
+	r.mu.Unlock()
+	for _, f := range listeners {
+		f(view)
+	}
+}
+
+// MarkGone records the proof that a member no longer runs.
+func (r *Roster) MarkGone(id string) bool {
+	m, ok := r.View().Member(id)
+	if !ok || m.State == Gone {
+		return false
+	}
+	m.State = Gone
+	return r.Merge([]Member{m})
+}
+
+// Forget drops members that are gone and no longer registered, so that the list
+// does not grow without end.
+func (r *Roster) Forget(ids []string) {
+	r.mu.Lock()
+	next := maps.Clone(r.view.byID)
+	for _, id := range ids {
+		if next[id].State == Gone {
+			delete(next, id)
+		}
+	}
+	r.publish(next)
+}
--- /dev/null
+++ b/steering/table.go
@@ -0,0 +1,150 @@
+// Package steering decides which region and which instance serve a caller. It
+// takes values and returns values: it does no I/O and reads no clock.
+package steering
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gaissmai/bart"
+
+	"hickorydrum/declaration"
+)
+
+// MaxRegions is the largest number of regions in one set.
+const MaxRegions = 255
+
+// Address blocks that are not declared are told apart by these prefix lengths.
+const (
+	undeclaredBitsV4 = 24
+	undeclaredBitsV6 = 48
+)
+
+// Home is what the table knows of a caller's address.
+type Home struct {
+	hash     uint64
+	region   uint8
+	declared bool
+}
+
+// Hash returns the hash of the caller's block, the same on every instance.
+func (h Home) Hash() uint64 { return h.hash }
+
+// Region returns the index of the block's region in the table.
+func (h Home) Region() int { return int(h.region) }
+
+// Declared reports whether the address lies in a declared block.
+func (h Home) Declared() bool { return h.declared }
+
+// Table is an immutable index over one set of declarations. It is replaced as
+// a whole when the set changes.
+type Table struct {
+	set      *declaration.Set
+	revision uint64
+	blocks   bart.Table[Home]
+	regions  []string
+	index    map[string]int
+	paths    []*declaration.Service
+	byName   map[string]*declaration.Service
+}
+
+// NewTable indexes a set that is in force as the given revision.
+func NewTable(set *declaration.Set, revision uint64) *Table {
+	t := &Table{
+		set:      set,
+		revision: revision,
+		index:    make(map[string]int),
+		byName:   make(map[string]*declaration.Service),
+	}
+	for i, r := range set.Regions() {
+		t.regions = append(t.regions, r.Name())
+		t.index[r.Name()] = i
+	}
+	for _, b := range set.Blocks() {
+		home := Home{hash: hashPrefix(b.Prefix()), region: uint8(t.index[b.Region()]), declared: true}
+		t.blocks.Insert(b.Prefix(), home)
+	}
+	t.paths = slices.Clone(set.Services())
+	slices.SortFunc(t.paths, func(a, b *declaration.Service) int { return len(b.Path()) - len(a.Path()) })
+	for _, s := range set.Services() {
+		t.byName[s.Name()] = s
+	}
+	return t
+}
+
+// Set returns the declarations that the table indexes.
+func (t *Table) Set() *declaration.Set { return t.set }
+
+// Revision returns the revision that the table stands for.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Regions returns the names of the regions by index.
+func (t *Table) Regions() []string { return t.regions }
+
+// RegionIndex returns the index of a region and whether it is declared.
+func (t *Table) RegionIndex(name string) (int, bool) {
+	i, ok := t.index[name]
+	return i, ok
+}
+
+// Service returns the service whose path is the longest prefix of path, or nil.
+func (t *Table) Service(path string) *declaration.Service {
+	for _, s := range t.paths {
+		if matches(s.Path(), path) {
+			return s
+		}
+	}
+	return nil
+}
+
+// ServiceNamed returns the service with the given name, or nil.
+func (t *Table) ServiceNamed(name string) *declaration.Service { return t.byName[name] }
+
+// matches reports whether path lies under prefix, at a segment boundary.
+func matches(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+// Lookup returns the home of an address. An address outside every declared
+// block gets the fallback region.
+func (t *Table) Lookup(addr netip.Addr, fallback int) Home {
+	addr = addr.Unmap()
+	if home, ok := t.blocks.Lookup(addr); ok {
+		return home
+	}
+	bits := undeclaredBitsV6
+	if addr.Is4() {
+		bits = undeclaredBitsV4
+	}
+	prefix, err := addr.Prefix(bits)
+	if err != nil {
+		return Home{region: uint8(fallback)}
+	}
+	return Home{hash: hashPrefix(prefix), region: uint8(fallback)}
+}
+
+func hashPrefix(p netip.Prefix) uint64 {
+	addr := p.Addr().As16()
+	var buf [17]byte
+	copy(buf[:], addr[:])
+	buf[16] = byte(p.Bits())
+	return xxhash.Sum64(buf[:])
+}
+
+// HashRequest returns the hash of a request id.
+func HashRequest(id string) uint64 { return xxhash.Sum64String(id) }
+
+// Rank returns how strongly a member is preferred for a key; the highest rank
+// owns the key. All instances compute the same ranks.
+func Rank(key, member string) uint64 {
+	var buf [16]byte
+	binary.BigEndian.PutUint64(buf[:8], xxhash.Sum64String(key))
+	binary.BigEndian.PutUint64(buf[8:], xxhash.Sum64String(member))
+	return xxhash.Sum64(buf[:])
+}
--- /dev/null
+++ b/upstream/dispatch.go
@@ -0,0 +1,239 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/fault"
+)
+
+const (
+	copyBuffer    = 32 << 10
+	defaultShed   = 200 * time.Millisecond
+	maxInterim    = 8 // informational answers before the final one
+	retryAfterMax = time.Minute
+)
+
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// StripHop removes the headers that belong to one connection only.
+func StripHop(h http.Header) {
+	for _, field := range h.Values("Connection") {
+		for _, name := range strings.Split(field, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBuffer)
+	return &b
+}}
+
+// exchange is one request on one connection.
+type exchange struct {
+	ask      *Ask
+	deadline time.Time
+	progress fault.Progress
+	conn     *conn
+	bodyRead atomic.Bool // nothing more is wanted of the body
+}
+
+// failed returns the fault of the exchange, with the outcome that its progress
+// proves.
+func (x *exchange) failed(kind fault.Kind, text string, cause error) *fault.Error {
+	remedy := "retry only if the request is idempotent"
+	if x.progress.Ran() == fault.RanNo {
+		remedy = "retry later"
+	}
+	return fault.New(kind, text, remedy, fault.WithRan(x.progress.Ran()), fault.WithCause(cause))
+}
+
+// trackedBody remembers that reading the body failed.
+type trackedBody struct {
+	io.Reader
+	err error
+}
+
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil {
+		b.err = err
+	}
+	return n, err
+}
+
+// send writes the request's head and body.
+func (x *exchange) send(body io.Reader) error {
+	w := x.conn.w
+	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", x.ask.Method, x.ask.Target, x.ask.Host)
+	header := x.ask.Header.Clone()
+	header.Set(HeaderRequestID, x.ask.ID)
+	header.Set(HeaderTimeout, strconv.FormatInt(max(1, time.Until(x.deadline).Milliseconds()), 10))
+	header.Del("Content-Length")
+	switch {
+	case x.ask.Length > 0:
+		header.Set("Content-Length", strconv.FormatInt(x.ask.Length, 10))
+	case x.ask.Length < 0:
+		header.Set("Transfer-Encoding", "chunked")
+	case x.ask.Method != http.MethodGet && x.ask.Method != http.MethodHead:
+		header.Set("Content-Length", "0")
+	}
+	if err := header.Write(w); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(w, "\r\n"); err != nil {
+		return err
+	}
+	if err := x.sendBody(body); err != nil {
+		return err
+	}
+	x.bodyRead.Store(true)
+	return w.Flush()
+}
+
+func (x *exchange) sendBody(body io.Reader) error {
+	w := x.conn.w
+	if x.ask.Length == 0 {
+		return nil
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if x.ask.Length > 0 {
+		_, err := io.CopyN(w, body, x.ask.Length)
+		return err
+	}
+	chunks := httputil.NewChunkedWriter(w)
+	if _, err := io.Copy(chunks, body); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, "\r\n")
+	return err
+}
+
+// receive reads the head of the final answer.
+func (x *exchange) receive() (*http.Response, error) {
+	req := &http.Request{Method: x.ask.Method}
+	for range maxInterim {
+		resp, err := http.ReadResponse(x.conn.r, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errors.New("too many informational answers")
+}
+
+// run sends the request, checks the answer and passes it to the sink. It
+// reports whether the connection may serve another request.
+func (x *exchange) run(ctx context.Context, body io.ReadCloser, sink Sink) (reusable bool, err error) {
+	x.conn.progress = &x.progress
+	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
+	defer stop()
+	if err := x.conn.SetDeadline(x.deadline); err != nil {
+		return false, x.failed(fault.Unavailable, "the connection to the upstream was lost", err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		tracked := &trackedBody{Reader: body}
+		err := x.send(tracked)
+		if err != nil && tracked.err != nil {
+			_ = x.conn.Close() // the rest of the body will never come
+		}
+		return err
+	})
+	resp, err := x.receive()
+	if err != nil {
+		x.stopSending(body)
+		if sendErr := group.Wait(); sendErr != nil && fault.KindOf(sendErr) != "" {
+			err = sendErr // the body broke on its way here
+		}
+		return false, x.lost(ctx, err)
+	}
+	// An answer before the end of the body ends the use of the connection.
+	reusable, err = x.answer(resp, sink)
+	if !reusable || err != nil || !x.bodyRead.Load() {
+		reusable = false
+		x.stopSending(body)
+	}
+	sendErr := group.Wait()
+	return reusable && sendErr == nil, err
+}
+
+// stopSending ends a send that may wait for the caller or for the upstream.
+func (x *exchange) stopSending(body io.Closer) {
+	_ = x.conn.Close()
+	if !x.bodyRead.Load() && x.ask.Length != 0 {
+		_ = body.Close()
+	}
+}
+
+func (x *exchange) lost(ctx context.Context, err error) error {
+	if time.Until(x.deadline) <= 0 || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return x.failed(fault.Expired, "the upstream did not answer in time", err)
+	}
+	return x.failed(fault.Broken, "the connection to the upstream ended without an answer", err)
+}
+
+// answer checks that the answer belongs to the request and passes it on whole.
+func (x *exchange) answer(resp *http.Response, sink Sink) (bool, error) {
+	defer func() { _ = resp.Body.Close() }()
+	if id := resp.Header.Get(HeaderRequestID); id != "" && id != x.ask.ID {
+		return false, x.failed(fault.Broken, "the upstream answered another request", nil)
+	}
+	if refusal(resp) {
+		x.progress.MarkRefused()
+		return false, x.shed(resp)
+	}
+	header := resp.Header
+	StripHop(header)
+	if err := sink.Head(Head{Status: resp.StatusCode, Header: header, Length: resp.ContentLength}); err != nil {
+		return false, x.failed(fault.Broken, "the caller is gone", err)
+	}
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	if _, err := io.CopyBuffer(sink, struct{ io.Reader }{resp.Body}, *buf); err != nil {
+		return false, x.failed(fault.Broken, "the answer was cut short", err)
+	}
+	x.progress.MarkAnswered()
+	return !resp.Close, nil
+}
+
+// refusal reports whether the upstream states that it did not run the request.
+func refusal(resp *http.Response) bool {
+	shed := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	return shed && resp.Header.Get(HeaderRan) == string(fault.RanNo)
+}
+
+func (x *exchange) shed(resp *http.Response) error {
+	wait := defaultShed
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds >= 0 {
+		wait = min(time.Duration(seconds)*time.Second, retryAfterMax)
+	}
+	return fault.New(fault.Overloaded, "the upstream sheds load", "retry later",
+		fault.WithRan(x.progress.Ran()), fault.WithRetryAt(time.Now().Add(wait)))
+}
