--- a/drain/drain.go
+++ b/drain/drain.go
@@ -17,7 +17,9 @@
 }
 
 // NewStep returns a step with a name for the log.
-func NewStep(name string, run func(ctx context.Context) error) Step { return Step{name: name, run: run} }
+func NewStep(name string, run func(ctx context.Context) error) Step {
+	return Step{name: name, run: run}
+}
 
 // Stop runs the steps in order. A step that fails does not keep the later ones
 // from running: they protect requests too.
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -216,11 +216,15 @@
 		Setting{name: "ca", usage: "certificate authority: file name or PEM text", check: required},
 		Setting{name: "cert", usage: "certificate of the instance: file name or PEM text", check: required},
 		Setting{name: "key", usage: "private key of the instance: file name or PEM text", check: required},
-		Setting{name: "lookup-life", usage: "how long callers may keep the answer to a look-up", fallback: "3s",
-			check: between(time.Second, time.Minute)},
+		Setting{
+			name: "lookup-life", usage: "how long callers may keep the answer to a look-up", fallback: "3s",
+			check: between(time.Second, time.Minute),
+		},
 		Setting{name: "log", usage: "format of the log: text or json", fallback: "text", check: oneOf("text", "json")},
-		Setting{name: "log-level", usage: "least level of the log: debug, info, warn or error", fallback: "info",
-			check: oneOf("debug", "info", "warn", "error")},
+		Setting{
+			name: "log-level", usage: "least level of the log: debug, info, warn or error", fallback: "info",
+			check: oneOf("debug", "info", "warn", "error"),
+		},
 		Setting{name: "otlp", usage: "HTTP address of a trace collector; empty for none", check: optional(httpURL)},
 	)
 }
