--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,7 +5,7 @@
 	"context"
 	"os"
 
-	"hickorydrum/standin"
+	"hickorydrum/trial"
 )
 
-func main() { os.Exit(standin.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(trial.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/trial/deploy.go
@@ -0,0 +1,517 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/declaration"
+	"hickorydrum/instance"
+	"hickorydrum/rollout"
+	"hickorydrum/standin"
+)
+
+const (
+	behindLink      = 10000 // ports of processes lie this much above their advertised ones
+	callerPort      = 8080
+	peerPort        = 7070
+	probePort       = 7071
+	adminPort       = 9090
+	platformAddress = "127.1.1.9:7000"
+	linkControl     = "127.0.0.1:7999"
+	// directAddress is an upstream that only the direct calls use, since they
+	// pass by the admission that keeps the others under their slots.
+	directAddress = "127.1.1.99:8999"
+	directSlots   = 1000
+	perDomain     = 2
+	startTimeout  = 30 * time.Second
+	pollEvery     = 50 * time.Millisecond
+	endTimeout    = 3 * time.Second
+	dirMode       = 0o700
+	fileMode      = 0o600
+)
+
+// Profile is how a deployment of the examples is driven.
+type Profile struct {
+	name  string
+	rtt   time.Duration // between regions
+	work  map[string]time.Duration
+	loads []Work
+}
+
+// Profiles are the two deployments of the examples.
+var Profiles = map[string]Profile{
+	"caltagirone": {
+		name: "caltagirone", rtt: 20 * time.Millisecond,
+		work: map[string]time.Duration{
+			"swatches": 40 * time.Millisecond, "orders": 60 * time.Millisecond, "designs": 100 * time.Millisecond,
+		},
+		loads: []Work{
+			{Class: ClassListing, Path: "/swatches", Rate: 400},
+			{Class: ClassOrder, Path: "/orders", Rate: 30},
+			{Class: ClassUpload, Path: "/designs", Rate: 2, Size: 2 << 20, Length: 4},
+		},
+	},
+	"valderrama": {
+		name: "valderrama", rtt: 35 * time.Millisecond,
+		work: map[string]time.Duration{
+			"phrases": 40 * time.Millisecond, "sales": 60 * time.Millisecond, "recordings": 100 * time.Millisecond,
+		},
+		loads: []Work{
+			{Class: ClassListing, Path: "/phrases", Rate: 400},
+			{Class: ClassOrder, Path: "/sales", Rate: 30},
+			{Class: ClassUpload, Path: "/recordings", Rate: 2, Size: 1 << 20, Length: 3},
+		},
+	},
+}
+
+// process is one started program.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+	err    error
+}
+
+// instanceProcess is one instance with its addresses.
+type instanceProcess struct {
+	*process
+	name   string
+	region string
+	domain string
+	ip     string
+}
+
+func (i *instanceProcess) caller() string { return fmt.Sprintf("%s:%d", i.ip, callerPort) }
+func (i *instanceProcess) admin() string  { return fmt.Sprintf("%s:%d", i.ip, adminPort) }
+
+// Deployment is a whole small deployment of separate processes on loopback.
+type Deployment struct {
+	profile   Profile
+	dir       string
+	product   string
+	self      string
+	sources   map[string][]byte
+	set       *declaration.Set
+	processes []*process
+	instances []*instanceProcess
+	group     errgroup.Group
+
+	mu   sync.Mutex
+	runs map[string]int // runs by load id, as told by the workers
+}
+
+// NewDeployment prepares a deployment in a directory. product and self are the
+// programs of hickorydrum and of the stand-ins.
+func NewDeployment(profile Profile, examples, dir, product, self string) (*Deployment, error) {
+	d := &Deployment{
+		profile: profile, dir: dir, product: product, self: self,
+		sources: make(map[string][]byte), runs: make(map[string]int),
+	}
+	paths, err := filepath.Glob(filepath.Join(examples, profile.name, "*.yaml"))
+	if err != nil || len(paths) == 0 {
+		return nil, fmt.Errorf("no example under %q: run it in the root of the project (%w)", examples, err)
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		d.sources[filepath.Base(path)] = onLoopback(data)
+	}
+	d.set, err = declaration.Parse(d.sources)
+	return d, err
+}
+
+// onLoopback moves the examples' addresses to the loopback range.
+func onLoopback(data []byte) []byte {
+	text := strings.ReplaceAll(string(data), `"10.`, `"127.`)
+	return []byte(strings.ReplaceAll(text, "prefix: 10.", "prefix: 127."))
+}
+
+func shift(address string, by int) string {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return address
+	}
+	return netip.AddrPortFrom(ap.Addr(), ap.Port()+uint16(by)).String()
+}
+
+// start runs a program until Close, with its log in the directory.
+func (d *Deployment) start(name, program string, out io.Writer, args ...string) (*process, error) {
+	cmd := exec.Command(program, args...)
+	log, err := os.Create(filepath.Join(d.dir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	cmd.Stderr = log
+	cmd.Stdout = out
+	if out == nil {
+		cmd.Stdout = log
+	}
+	// A process of the deployment must not outlive the one that started it, and
+	// an interrupt of the terminal is for that one only.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	p := &process{name: name, cmd: cmd, exited: make(chan struct{})}
+	d.processes = append(d.processes, p)
+	d.group.Go(func() error {
+		p.err = cmd.Wait()
+		close(p.exited)
+		return log.Close()
+	})
+	return p, nil
+}
+
+// Start starts every process and waits until the deployment serves.
+func (d *Deployment) Start(ctx context.Context, say func(format string, args ...any)) error {
+	if err := d.startLink(); err != nil {
+		return err
+	}
+	if _, err := d.start("platform", d.self, nil, "platform", "-listen", shift(platformAddress, behindLink)); err != nil {
+		return err
+	}
+	if err := d.startWorkers(); err != nil {
+		return err
+	}
+	if err := waitFor(ctx, "the platform", func() bool {
+		return getStatus(ctx, "http://"+platformAddress+"/standin/calls") == http.StatusOK
+	}); err != nil {
+		return err
+	}
+	say("started the platform, the link and %d upstreams", len(d.processes)-2)
+	if err := d.startInstances(); err != nil {
+		return err
+	}
+	if err := d.publishList(ctx, nil, nil); err != nil {
+		return err
+	}
+	say("started %d instances", len(d.instances))
+	if _, err := d.Apply(ctx, d.sources); err != nil {
+		return err
+	}
+	if err := waitFor(ctx, "every instance to be ready", func() bool { return d.ready(ctx) }); err != nil {
+		return err
+	}
+	return waitFor(ctx, "every upstream to have an owner", func() bool { return d.owned(ctx) })
+}
+
+func (d *Deployment) startLink() error {
+	routes := []standin.Route{{Network: "tcp", From: platformAddress, To: shift(platformAddress, behindLink)}}
+	for _, s := range d.set.Services() {
+		for _, w := range s.Workers() {
+			routes = append(routes, standin.Route{Network: "tcp", From: w.Address(), To: shift(w.Address(), behindLink)})
+		}
+	}
+	routes = append(routes, standin.Route{Network: "tcp", From: directAddress, To: shift(directAddress, behindLink)})
+	for r, region := range d.set.Regions() {
+		for k, domain := range region.Domains() {
+			for n := range perDomain {
+				i := &instanceProcess{
+					name: fmt.Sprintf("%s-%c", domain, 'a'+n), region: region.Name(), domain: domain,
+					ip: fmt.Sprintf("127.%d.%d.%d", r+1, k+1, 11+n),
+				}
+				d.instances = append(d.instances, i)
+				for network, port := range map[string]int{"tcp": callerPort, "udp": peerPort} {
+					from := fmt.Sprintf("%s:%d", i.ip, port)
+					routes = append(routes, standin.Route{Network: network, From: from, To: shift(from, behindLink)})
+				}
+			}
+		}
+	}
+	data, err := json.Marshal(routes)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(d.dir, "routes.json")
+	if err := os.WriteFile(file, data, fileMode); err != nil {
+		return err
+	}
+	_, err = d.start("link", d.self, nil, "link", "-routes", file, "-control", linkControl,
+		"-domains", "500us", "-regions", d.profile.rtt.String(), "-callers", "3ms")
+	return err
+}
+
+func (d *Deployment) startWorkers() error {
+	for _, s := range d.set.Services() {
+		for _, w := range s.Workers() {
+			name := "upstream-" + strings.NewReplacer(".", "-", ":", "-").Replace(w.Address())
+			_, err := d.start(name, d.self, &runWriter{d: d}, "upstream", "-listen", shift(w.Address(), behindLink),
+				"-slots", strconv.Itoa(w.Slots()), "-work", d.profile.work[s.Name()].String())
+			if err != nil {
+				return err
+			}
+		}
+	}
+	_, err := d.start("direct", d.self, nil, "upstream", "-listen", shift(directAddress, behindLink),
+		"-slots", strconv.Itoa(directSlots), "-work", d.profile.work[strings.TrimPrefix(d.profile.loads[0].Path, "/")].String())
+	return err
+}
+
+// runWriter takes in the lines that a worker prints for each run, so that its
+// facts survive it.
+type runWriter struct {
+	d    *Deployment
+	rest string
+}
+
+// Write takes in a part of the output.
+func (w *runWriter) Write(p []byte) (int, error) {
+	lines := strings.Split(w.rest+string(p), "\n")
+	w.rest = lines[len(lines)-1]
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	for _, line := range lines[:len(lines)-1] {
+		w.d.runs[line]++
+	}
+	return len(p), nil
+}
+
+// Runs returns how often each request was run.
+func (d *Deployment) Runs() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]int, len(d.runs))
+	for id, n := range d.runs {
+		out[id] = n
+	}
+	return out
+}
+
+func (d *Deployment) startInstances() error {
+	var names, seeds []string
+	for _, i := range d.instances {
+		names = append(names, i.name)
+		seeds = append(seeds, fmt.Sprintf("%s:%d", i.ip, peerPort))
+	}
+	keys := filepath.Join(d.dir, "keys")
+	out, err := exec.Command(d.product, append([]string{"certify", "-dir", keys}, names...)...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("certify: %s: %w", out, err)
+	}
+	for _, i := range d.instances {
+		if err := d.startInstance(i, seeds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startInstance(i *instanceProcess, seeds []string) error {
+	keys := filepath.Join(d.dir, "keys")
+	listen := func(port int) string { return fmt.Sprintf("%s:%d", i.ip, port+behindLink) }
+	announce := func(port int) string { return fmt.Sprintf("%s:%d", i.ip, port) }
+	p, err := d.start("instance-"+i.name, d.product, nil, "serve",
+		"-name", i.name, "-region", i.region, "-domain", i.domain,
+		"-platform", "http://"+platformAddress, "-bind", i.ip,
+		"-caller", listen(callerPort), "-announce-caller", announce(callerPort),
+		"-peer", listen(peerPort), "-announce-peer", announce(peerPort),
+		"-probe", announce(probePort), "-admin", i.admin(), "-lookup-life", "2s",
+		"-ca", filepath.Join(keys, "ca.pem"), "-cert", filepath.Join(keys, i.name+".pem"),
+		"-key", filepath.Join(keys, i.name+"-key.pem"), "-seeds", strings.Join(seeds, ","))
+	i.process = p
+	return err
+}
+
+// Apply applies files with the product's command and returns what it printed.
+func (d *Deployment) Apply(ctx context.Context, sources map[string][]byte) (string, error) {
+	dir := filepath.Join(d.dir, "files")
+	if err := os.RemoveAll(dir); err != nil {
+		return "", err
+	}
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return "", err
+	}
+	for name, data := range sources {
+		if err := os.WriteFile(filepath.Join(dir, name), data, fileMode); err != nil {
+			return "", err
+		}
+	}
+	out, err := exec.CommandContext(ctx, d.product, "apply", "-platform", "http://"+platformAddress, dir).CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("apply: %s: %w", out, err)
+	}
+	return string(out), nil
+}
+
+// publishList writes the platform's lagging list of live and leaving instances.
+func (d *Deployment) publishList(ctx context.Context, leaving, gone []string) error {
+	page := rollout.LivePage{Leaving: leaving}
+	for _, i := range d.instances {
+		address := i.caller()
+		if !contains(leaving, address) && !contains(gone, address) {
+			page.Live = append(page.Live, address)
+		}
+	}
+	data, err := json.Marshal(page)
+	if err != nil {
+		return err
+	}
+	return forcePut(ctx, rollout.LivePageKey, data)
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Deployment) status(ctx context.Context, i *instanceProcess) (instance.Status, bool) {
+	var s instance.Status
+	return s, getInto(ctx, "http://"+i.admin()+"/status", &s) == nil
+}
+
+func (d *Deployment) running() []*instanceProcess {
+	var out []*instanceProcess
+	for _, i := range d.instances {
+		select {
+		case <-i.exited:
+		default:
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (d *Deployment) ready(ctx context.Context) bool {
+	for _, i := range d.running() {
+		if getStatus(ctx, "http://"+i.admin()+"/readyz") != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// owned reports whether the instances may use every slot of every upstream.
+func (d *Deployment) owned(ctx context.Context) bool {
+	room := d.Headroom(ctx)
+	for _, region := range d.set.Regions() {
+		if room[region.Name()].Slots != d.slots(region.Name()) {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Deployment) slots(region string) int {
+	n := 0
+	for _, s := range d.set.Services() {
+		for _, w := range s.Workers() {
+			if w.Region() == region {
+				n += w.Slots()
+			}
+		}
+	}
+	return n
+}
+
+// Room is the slots of a region and how many are free.
+type Room struct {
+	Slots int `json:"slots"`
+	Free  int `json:"free"`
+}
+
+// Headroom returns the slots and free slots of each region.
+func (d *Deployment) Headroom(ctx context.Context) map[string]Room {
+	out := make(map[string]Room)
+	for _, i := range d.running() {
+		s, ok := d.status(ctx, i)
+		if !ok {
+			continue
+		}
+		room := out[s.Region]
+		for _, u := range s.Uses {
+			if !u.Stopping {
+				room.Slots += u.Allowed
+				room.Free += u.Allowed - u.InFlight
+			}
+		}
+		out[s.Region] = room
+	}
+	return out
+}
+
+// Facts returns what the running workers have counted.
+func (d *Deployment) Facts(ctx context.Context) []standin.Facts {
+	var out []standin.Facts
+	for _, s := range d.set.Services() {
+		for _, w := range s.Workers() {
+			var f standin.Facts
+			if getInto(ctx, "http://"+shift(w.Address(), behindLink)+"/standin/facts", &f) == nil {
+				out = append(out, f)
+			}
+		}
+	}
+	return out
+}
+
+// Close ends every process that was started.
+func (d *Deployment) Close() error {
+	for _, p := range d.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	return d.group.Wait()
+}
+
+func waitFor(ctx context.Context, what string, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for !holds() {
+		timer := time.NewTimer(pollEvery)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return fmt.Errorf("waited too long for %s", what)
+		case <-timer.C:
+		}
+	}
+	return nil
+}
+
+var control = &http.Client{Timeout: endTimeout}
+
+func getStatus(ctx context.Context, url string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := control.Do(req)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func getInto(ctx context.Context, url string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := control.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
--- /dev/null
+++ b/trial/try.go
@@ -0,0 +1,401 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/fault"
+	"hickorydrum/platform"
+	"hickorydrum/standin"
+)
+
+const (
+	stopAt       = 0.2 // of the load's time: a planned stop of an instance
+	killAt       = 0.5 // a kill of another one
+	applyAt      = 0.75
+	rolloutLimit = 5 * time.Second
+	drainSlack   = 65 * time.Second
+	callersEach  = 8
+)
+
+// TryOptions are the flags of try.
+type TryOptions struct {
+	Profile  Profile
+	Examples string
+	For      time.Duration
+	Seed     uint64
+	JSON     bool
+	Keep     bool // keep the directory with the logs
+	Out      io.Writer
+	// Program is the program of hickorydrum; it is built when empty.
+	Program string
+}
+
+// Check is one promise and what was counted against it.
+type Check struct {
+	Promise string `json:"promise"`
+	Seen    int    `json:"seen"`
+	Broken  int    `json:"broken"`
+}
+
+// TryReport is the outcome of a try.
+type TryReport struct {
+	Deployment string          `json:"deployment"`
+	Seed       uint64          `json:"seed"`
+	Load       LoadReport      `json:"load"`
+	Headroom   map[string]Room `json:"headroom"` // the least seen, by region
+	DrainTime  float64         `json:"drainTime"`
+	DrainCut   int             `json:"drainCut"`
+	Rollout    float64         `json:"rollout"`
+	Checks     []Check         `json:"checks"`
+	Added50    float64         `json:"added50"` // milliseconds over a direct call
+	Added99    float64         `json:"added99"`
+}
+
+// Broken returns how often a promise was broken.
+func (r TryReport) Broken() int {
+	n := 0
+	for _, c := range r.Checks {
+		n += c.Broken
+	}
+	return n
+}
+
+// Try runs a whole small deployment through a planned stop and a kill.
+func Try(ctx context.Context, o TryOptions) (TryReport, error) {
+	begun := time.Now()
+	say := func(format string, args ...any) {
+		if !o.JSON {
+			_, _ = fmt.Fprintf(o.Out, "[%5.1fs] "+format+"\n", append([]any{time.Since(begun).Seconds()}, args...)...)
+		}
+	}
+	say("trying the deployment %s with seed %d", o.Profile.name, o.Seed)
+	dir, err := os.MkdirTemp("", "hickorydrum-try-")
+	if err != nil {
+		return TryReport{}, err
+	}
+	if o.Keep {
+		say("logs are kept in %s", dir)
+	} else {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return TryReport{}, err
+	}
+	if o.Program == "" {
+		o.Program = filepath.Join(dir, "hickorydrum")
+		say("building hickorydrum")
+		out, err := exec.CommandContext(ctx, "go", "build", "-o", o.Program, "./cmd/hickorydrum").CombinedOutput()
+		if err != nil {
+			return TryReport{}, fmt.Errorf("go build: %s: %w", out, err)
+		}
+	}
+	d, err := NewDeployment(o.Profile, o.Examples, dir, o.Program, self)
+	if err != nil {
+		return TryReport{}, err
+	}
+	defer func() { _ = d.Close() }()
+	if err := d.Start(ctx, say); err != nil {
+		return TryReport{}, err
+	}
+	say("every instance is ready and every upstream is owned")
+	t := &trial{Deployment: d, options: o, say: say, report: TryReport{
+		Deployment: o.Profile.name, Seed: o.Seed, Headroom: make(map[string]Room),
+	}}
+	if err := t.run(ctx); err != nil {
+		return TryReport{}, err
+	}
+	return t.report, nil
+}
+
+// trial is one run of the load with its events.
+type trial struct {
+	*Deployment
+	options TryOptions
+	say     func(format string, args ...any)
+	report  TryReport
+}
+
+func (t *trial) plan() LoadPlan {
+	plan := LoadPlan{Works: t.profile.loads, Seconds: t.options.For.Seconds(), Seed: t.options.Seed}
+	for _, i := range t.instances {
+		plan.Seeds = append(plan.Seeds, i.caller())
+	}
+	for r := range t.set.Regions() {
+		for n := range callersEach {
+			plan.Callers = append(plan.Callers, fmt.Sprintf("127.%d.%d.%d", standin.FirstCallers+r+1, n+1, 10))
+		}
+	}
+	plan.Direct = []string{directAddress}
+	return plan
+}
+
+func (t *trial) run(ctx context.Context) error {
+	data, err := json.Marshal(t.plan())
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(t.dir, "load.json")
+	if err := os.WriteFile(file, data, fileMode); err != nil {
+		return err
+	}
+	var out bytes.Buffer
+	load, err := t.start("load", t.self, &out, "load", "-plan", file)
+	if err != nil {
+		return err
+	}
+	t.say("the load runs for %s", t.options.For)
+	watched, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error { return t.watchHeadroom(watched) })
+	group.Go(func() error { return t.events(ctx, time.Now()) })
+	select {
+	case <-load.exited:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	cancel()
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	if load.err != nil {
+		return fmt.Errorf("load: %w", load.err)
+	}
+	if err := json.Unmarshal(out.Bytes(), &t.report.Load); err != nil {
+		return fmt.Errorf("the load's report is not readable: %w", err)
+	}
+	t.judge(ctx)
+	return nil
+}
+
+func (t *trial) watchHeadroom(ctx context.Context) error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for region, room := range t.Headroom(ctx) {
+			least, ok := t.report.Headroom[region]
+			if !ok || room.Free < least.Free {
+				t.report.Headroom[region] = room
+			}
+		}
+	}
+}
+
+func pauseUntil(ctx context.Context, at time.Time) error {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// events stops one instance, kills another, and applies a change.
+func (t *trial) events(ctx context.Context, begun time.Time) error {
+	at := func(part float64) time.Time {
+		return begun.Add(time.Duration(part * float64(t.options.For)))
+	}
+	if err := pauseUntil(ctx, at(stopAt)); err != nil {
+		return err
+	}
+	var group errgroup.Group
+	stopped := t.instances[int(t.options.Seed)%len(t.instances)]
+	group.Go(func() error { return t.stop(ctx, stopped) })
+	if err := pauseUntil(ctx, at(killAt)); err != nil {
+		return err
+	}
+	killed := t.instances[(int(t.options.Seed)+len(t.instances)/2)%len(t.instances)]
+	t.say("killing %s", killed.name)
+	if err := killed.cmd.Process.Kill(); err != nil {
+		return err
+	}
+	if err := pauseUntil(ctx, at(applyAt)); err != nil {
+		return err
+	}
+	group.Go(func() error { return t.change(ctx) })
+	return group.Wait()
+}
+
+// stop asks an instance to stop and measures how long that takes.
+func (t *trial) stop(ctx context.Context, i *instanceProcess) error {
+	t.say("asking %s to stop", i.name)
+	begun := time.Now()
+	if err := i.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	timer := time.NewTimer(drainSlack)
+	defer timer.Stop()
+	select {
+	case <-i.exited:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return fmt.Errorf("%s did not stop", i.name)
+	}
+	t.report.DrainTime = time.Since(begun).Seconds()
+	if i.err != nil {
+		t.report.DrainCut++
+	}
+	t.say("%s stopped after %.1f s", i.name, t.report.DrainTime)
+	return nil
+}
+
+// change drains one worker by an apply and measures until it is in force.
+func (t *trial) change(ctx context.Context) error {
+	w := t.set.Services()[0].Workers()[0].Address()
+	now := time.Now().UTC()
+	sources := make(map[string][]byte, len(t.sources)+1)
+	for name, data := range t.sources {
+		sources[name] = data
+	}
+	sources["drain.yaml"] = fmt.Appendf(nil, "kind: drain\nworker: %q\nfrom: %s\nuntil: %s\n",
+		w, now.Format(time.RFC3339), now.Add(time.Hour).Format(time.RFC3339))
+	t.say("applying a drain of %s", w)
+	if _, err := t.Apply(ctx, sources); err != nil {
+		return err
+	}
+	begun := time.Now()
+	err := waitFor(ctx, "the revision to be in force", func() bool {
+		for _, i := range t.running() {
+			if s, ok := t.status(ctx, i); !ok || s.Revision < 2 {
+				return false
+			}
+		}
+		return true
+	})
+	t.report.Rollout = time.Since(begun).Seconds()
+	t.say("the revision is in force everywhere after %.2f s", t.report.Rollout)
+	return err
+}
+
+// judge holds the facts of the workers against what the callers were told.
+func (t *trial) judge(ctx context.Context) {
+	runs := t.Runs()
+	atMostOnce := Check{Promise: "an order or upload runs at most once"}
+	notRun := Check{Promise: "told not run: was not run"}
+	done := Check{Promise: "told run: was run"}
+	for _, told := range t.report.Load.Told {
+		atMostOnce.Seen++
+		if runs[told.ID] > 1 {
+			atMostOnce.Broken++
+		}
+		switch told.Ran {
+		case string(fault.RanNo):
+			notRun.Seen++
+			if runs[told.ID] > 0 {
+				notRun.Broken++
+			}
+		case string(fault.RanYes):
+			done.Seen++
+			if runs[told.ID] == 0 {
+				done.Broken++
+			}
+		}
+	}
+	whole := Check{Promise: "answers are whole and the caller's own"}
+	for _, c := range t.report.Load.Classes {
+		whole.Seen += c.Sent
+		whole.Broken += c.Wrong
+	}
+	slots := Check{Promise: "no upstream has more requests than slots"}
+	for _, f := range t.Facts(ctx) {
+		slots.Seen += f.Served
+		slots.Broken += f.Over
+	}
+	stop := Check{Promise: "a planned stop ends cleanly", Seen: 1, Broken: t.report.DrainCut}
+	rolled := Check{Promise: "an accepted revision is in force within 5 s", Seen: 1}
+	if t.report.Rollout > rolloutLimit.Seconds() {
+		rolled.Broken++
+	}
+	t.report.Checks = []Check{whole, notRun, done, atMostOnce, slots, stop, rolled}
+	t.compare()
+}
+
+// compare sets the listings beside direct calls in the same run.
+func (t *trial) compare() {
+	byClass := make(map[Class]ClassReport)
+	for _, c := range t.report.Load.Classes {
+		byClass[c.Class] = c
+	}
+	direct, ok := byClass[ClassDirect]
+	if !ok {
+		t.report.Added50, t.report.Added99 = math.NaN(), math.NaN()
+		return
+	}
+	t.report.Added50 = byClass[ClassListing].P50 - direct.P50
+	t.report.Added99 = byClass[ClassListing].P99 - direct.P99
+}
+
+// Print writes the report as tables.
+func (r TryReport) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "\n%s, seed %d\n", r.Deployment, r.Seed)
+	fmt.Fprintln(w, "\nLATENCY (ms)\tSENT\tOK\tNOT RUN\tUNKNOWN\tWRONG\tP50\tP99\tP99.9\tMAX")
+	for _, c := range r.Load.Classes {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\n",
+			c.Class, c.Sent, c.OK, c.NotRun, c.Unknown, c.Wrong, c.P50, c.P99, c.P999, c.Max)
+	}
+	fmt.Fprintf(w, "added over a direct call\t\t\t\t\t\t%.1f\t%.1f\n", r.Added50, r.Added99)
+	fmt.Fprintln(w, "\nHEADROOM (least)\tFREE\tOF SLOTS")
+	var regions []string
+	for region := range r.Headroom {
+		regions = append(regions, region)
+	}
+	slices.Sort(regions)
+	for _, region := range regions {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", region, r.Headroom[region].Free, r.Headroom[region].Slots)
+	}
+	fmt.Fprintf(w, "\nDRAIN TIME\t%.1f s\n", r.DrainTime)
+	fmt.Fprintf(w, "ROLL-OUT\t%.2f s\n", r.Rollout)
+	fmt.Fprintln(w, "\nPROMISE\tSEEN\tBROKEN")
+	for _, c := range r.Checks {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", c.Promise, c.Seen, c.Broken)
+	}
+	_ = w.Flush()
+	for _, text := range r.Load.Errors[:min(len(r.Load.Errors), 8)] {
+		_, _ = fmt.Fprintf(out, "  seen: %s\n", strings.TrimSpace(text))
+	}
+}
+
+// forcePut writes an object whatever its version is.
+func forcePut(ctx context.Context, key string, value []byte) error {
+	client := platform.New("http://" + platformAddress)
+	defer client.Close()
+	for {
+		o, err := client.Get(ctx, key)
+		if err != nil && fault.KindOf(err) != fault.Missing {
+			return err
+		}
+		_, err = client.Put(ctx, key, value, o.Version)
+		if err == nil || fault.KindOf(err) != fault.Conflict {
+			return err
+		}
+	}
+}
+
+// ErrBroken states that a try saw a broken promise.
+var ErrBroken = errors.New("a promise was broken")
