rollout: do not list without end on an empty platform

Cause: the cursor 0 of an empty platform was taken for not listed yet, so that a relay listed again at once, without end. Ruled out: the roster's exchange and the hellos, which are paced by their ticker. Change: not listed is a state of its own.

--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -137,24 +137,24 @@
 
 func (f *Follower) watch(ctx context.Context) error {
 	failures := 0
-	var cursor uint64
+	var cursor *uint64 // nil until listed; an empty platform's cursor is 0
 	for ctx.Err() == nil {
 		if !f.relay(time.Now()) {
-			cursor = 0
+			cursor = nil
 			pause(ctx, helloEvery)
 			continue
 		}
 		next, err := f.watchOnce(ctx, cursor)
 		if err != nil {
 			f.watchFailed(ctx, err)
-			cursor = 0
+			cursor = nil
 			pause(ctx, platform.Backoff(failures))
 			failures++
 			continue
 		}
 		f.watchWorks(ctx)
 		failures = 0
-		cursor = next
+		cursor = &next
 	}
 	return nil
 }
@@ -181,11 +181,11 @@
 }
 
 // watchOnce lists at first, then waits for changes.
-func (f *Follower) watchOnce(ctx context.Context, cursor uint64) (uint64, error) {
-	if cursor == 0 {
+func (f *Follower) watchOnce(ctx context.Context, cursor *uint64) (uint64, error) {
+	if cursor == nil {
 		return f.list(ctx)
 	}
-	page, err := f.store.Watch(ctx, roster.WatchPrefix, cursor, watchWait)
+	page, err := f.store.Watch(ctx, roster.WatchPrefix, *cursor, watchWait)
 	if fault.KindOf(err) == fault.Conflict {
 		return f.list(ctx)
 	}
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,357 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hickorydrum/declaration"
+	"hickorydrum/fault"
+	"hickorydrum/peer"
+	"hickorydrum/roster"
+	"hickorydrum/standin"
+)
+
+func testSet(t testing.TB, blocks int) *declaration.Set {
+	t.Helper()
+	text := "kind: region\nname: one\ndomains: [a]\n"
+	for b := range blocks {
+		text += fmt.Sprintf("---\n{kind: block, prefix: 10.%d.%d.0/24, region: one}\n", b/256, b%256)
+	}
+	set, err := declaration.Parse(map[string][]byte{"test.yaml": []byte(text)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+func TestApplyRace(t *testing.T) {
+	s := standin.NewStore()
+	ctx := t.Context()
+	first, err := Apply(ctx, s, testSet(t, 1), 0, "ada", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Apply(ctx, s, testSet(t, 2), first, "bo", time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	_, err = Apply(ctx, s, testSet(t, 3), first, "cy", time.Now())
+	if fault.KindOf(err) != fault.Conflict {
+		t.Fatalf("the later of two racing applies gave %v", err)
+	}
+	if remedy := fault.From(err).Remedy(); remedy == "" {
+		t.Error("the loser is not told what to do")
+	}
+	set, revision, err := Load(ctx, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]any{uint64(2), testSet(t, 2).Digest()}, []any{revision, set.Digest()}); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestApplyFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault standin.StoreFault
+		calls int
+		kind  fault.Kind
+		ran   fault.Ran
+	}{
+		"platform down":                {standin.StoreDown, -1, fault.Unavailable, ""},
+		"answer of the chunk lost":     {standin.StoreLoseAnswer, 1, "", ""},
+		"answers of chunk, head lost":  {standin.StoreLoseAnswer, 2, "", ""},
+		"platform slow":                {standin.StoreSlow, -1, "", ""},
+		"head may land later: unknown": {standin.StoreLateWrite, -1, fault.Unavailable, fault.RanUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				s.Fail(test.fault, test.calls)
+				_, err := Apply(t.Context(), s, testSet(t, 3), 0, "ada", time.Now())
+				if diff := cmp.Diff(test.kind, fault.KindOf(err)); diff != "" {
+					t.Error(diff)
+				}
+				if test.ran != "" && fault.From(err).Ran() != test.ran {
+					t.Errorf("outcome %s, want %s", fault.From(err).Ran(), test.ran)
+				}
+			})
+		})
+	}
+}
+
+// TestChunksAreStable changes one record of many: nearly all chunks stay.
+func TestChunksAreStable(t *testing.T) {
+	records := testSet(t, 9000).Records()
+	before, err := split(records)
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, err := split(declaration.Patch(records, declaration.Delta{Remove: []declaration.Key{records[4000].Key()}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := 0
+	names := make(map[string]bool)
+	for _, c := range before {
+		names[chunkName(c)] = true
+	}
+	for _, c := range after {
+		if !names[chunkName(c)] {
+			changed++
+		}
+	}
+	if changed > 2 || len(before) < 4 {
+		t.Errorf("%d of %d chunks changed with one record", changed, len(before))
+	}
+}
+
+// network connects followers without sockets.
+type network struct {
+	nodes map[string]*testNode
+	down  map[string]bool
+	asked int
+}
+
+type testNode struct {
+	follower *Follower
+	state    *State
+	roster   *roster.Roster
+}
+
+// asker is the network as one instance sees it.
+type asker struct {
+	net  *network
+	from string
+}
+
+func (a asker) Ask(ctx context.Context, to peer.Target, call peer.Call, req, resp any) error {
+	a.net.asked++
+	var target *testNode
+	for name, n := range a.net.nodes {
+		if to == peer.NewTarget(name, name) {
+			target = n
+		}
+	}
+	if target == nil || a.net.down[a.from] || a.net.down[target.roster.Self().Name] {
+		return fault.New(fault.Unavailable, "cut", "")
+	}
+	var err error
+	switch call {
+	case CallHello:
+		*resp.(*helloMessage), err = target.follower.onHello(ctx, a.from, req.(helloMessage))
+	case CallUpdate:
+		*resp.(*updateMessage), err = target.follower.onUpdate(ctx, a.from, req.(updateRequest))
+	case CallRoster:
+		*resp.(*rosterMessage), err = target.follower.onRoster(ctx, a.from, req.(rosterMessage))
+	}
+	return err
+}
+
+func (n *network) add(t *testing.T, store Store, name, region, domain string) *testNode {
+	t.Helper()
+	self := roster.Member{Name: name, Run: "r", Region: region, Domain: domain, Peer: name, State: roster.Live}
+	r := roster.New(self)
+	last := uint64(0)
+	state := NewState(func(_ *declaration.Set, revision uint64) {
+		if revision <= last {
+			t.Errorf("%s went from revision %d back to %d", name, last, revision)
+		}
+		last = revision
+	})
+	f := NewFollower(state, store, r, asker{net: n, from: name}, slog.New(slog.DiscardHandler), func(LivePage) {})
+	node := &testNode{follower: f, state: state, roster: r}
+	n.nodes[name] = node
+	return node
+}
+
+// meet lets every node know every other.
+func (n *network) meet() {
+	var members []roster.Member
+	for _, node := range n.nodes {
+		members = append(members, node.roster.Self())
+	}
+	for _, node := range n.nodes {
+		node.roster.Merge(members)
+	}
+}
+
+// inForceBound is the users' bound for a revision to be in force everywhere.
+const inForceBound = 5 * time.Second
+
+func TestInForceEverywhere(t *testing.T) {
+	const perDomain, domains = 4, 3
+	tests := map[string]struct {
+		before func(s *standin.Store, n *network) // the fault, before the apply
+		after  func(s *standin.Store, n *network) // the fault, right after its acceptance
+		except []string                           // nodes that cannot hear
+		bound  time.Duration
+	}{
+		"all well": {},
+		"platform slow": {
+			before: func(s *standin.Store, _ *network) { s.Fail(standin.StoreSlow, -1) },
+		},
+		"platform down right after": {
+			after: func(s *standin.Store, _ *network) {
+				// One relay at least has read it; the rest learn from peers.
+				time.Sleep(time.Millisecond)
+				s.Fail(standin.StoreDown, -1)
+			},
+		},
+		"watches mute": {
+			before: func(s *standin.Store, _ *network) { s.Fail(standin.StoreMuteWatch, -1) },
+			after: func(s *standin.Store, _ *network) {
+				time.Sleep(4 * time.Second)
+				s.Fail(standin.StoreMuteWatch, 0)
+			},
+			bound: 2 * inForceBound,
+		},
+		"one node cut off": {
+			before: func(_ *standin.Store, n *network) { n.down["d0-0"] = true },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				n := &network{nodes: make(map[string]*testNode), down: make(map[string]bool)}
+				for d := range domains {
+					for k := range perDomain {
+						n.add(t, s, fmt.Sprintf("d%d-%d", d, k), "one", fmt.Sprintf("d%d", d))
+					}
+				}
+				n.meet()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				for _, node := range n.nodes {
+					go func() { _ = node.follower.Run(ctx) }()
+				}
+				time.Sleep(2 * time.Second)
+				if test.before != nil {
+					test.before(s, n)
+				}
+				revision, err := Apply(ctx, s, testSet(t, 2), 0, "ada", time.Now())
+				if err != nil {
+					t.Fatal(err)
+				}
+				if test.after != nil {
+					test.after(s, n)
+				}
+				bound := inForceBound
+				if test.bound > 0 {
+					bound = test.bound
+				}
+				time.Sleep(bound)
+				for name, node := range n.nodes {
+					if got := node.state.Revision(); got != revision && !slices.Contains(test.except, name) {
+						t.Errorf("%s has revision %d, want %d", name, got, revision)
+					}
+				}
+				cancel()
+			})
+		})
+	}
+}
+
+// TestRelaysOnly counts the platform's calls in calm: only the relays of each
+// failure domain watch.
+func TestRelaysOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		n := &network{nodes: make(map[string]*testNode), down: make(map[string]bool)}
+		for k := range 8 {
+			n.add(t, s, fmt.Sprintf("n%d", k), "one", "a")
+		}
+		n.meet()
+		if _, err := Apply(t.Context(), s, testSet(t, 1), 0, "ada", time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, node := range n.nodes {
+			go func() { _ = node.follower.Run(ctx) }()
+		}
+		time.Sleep(20 * time.Second)
+		before, _ := s.Calls()
+		time.Sleep(40 * time.Second)
+		after, _ := s.Calls()
+		watches := int(40 * time.Second / watchWait)
+		if got := after - before; got > relays*watches+relays {
+			t.Errorf("%d calls in 40 s by 8 instances, want at most %d", got, relays*watches+relays)
+		}
+		cancel()
+	})
+}
+
+func TestStateNeverReverts(t *testing.T) {
+	var seen []uint64
+	s := NewState(func(_ *declaration.Set, revision uint64) { seen = append(seen, revision) })
+	for _, revision := range []uint64{2, 5, 3, 5, 6, 1} {
+		if _, err := s.take(testSet(t, int(revision)).Records(), revision, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if diff := cmp.Diff([]uint64{2, 5, 6}, seen); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestUpdates(t *testing.T) {
+	source := NewState(func(*declaration.Set, uint64) {})
+	for revision := uint64(1); revision <= 4; revision++ {
+		if _, err := source.take(testSet(t, int(revision)*3).Records(), revision, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tests := map[string]struct {
+		have    uint64
+		whole   bool
+		changes int
+	}{
+		"from nothing":           {0, true, 0},
+		"one behind":             {3, false, 1},
+		"three behind":           {1, false, 3},
+		"up to date":             {4, false, 0},
+		"from an unknown before": {9, false, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			target := NewState(func(*declaration.Set, uint64) {})
+			if test.have > 0 && test.have < 4 {
+				if _, err := target.take(testSet(t, int(test.have)*3).Records(), test.have, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			m := source.since(test.have, 0)
+			if diff := cmp.Diff([]any{test.whole, test.changes}, []any{len(m.Records) > 0, len(m.Deltas)}); diff != "" {
+				t.Error(diff)
+			}
+			if m.Digest == "" {
+				return
+			}
+			records, err := target.patch(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(source.Set().Records(), records); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	damaged := source.since(3, 0)
+	damaged.Digest = "0"
+	target := NewState(func(*declaration.Set, uint64) {})
+	if _, err := target.take(testSet(t, 9).Records(), 3, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := target.patch(damaged); fault.KindOf(err) != fault.Broken {
+		t.Errorf("a damaged update gave %v", err)
+	}
+}
