matrix: break one thing at one step, and hold what callers are told against the runs

Cause: an idempotent request whose upstream crossed its answer was not tried again when one instance owned both upstreams, and went to the same upstream when it was. Change: a broken answer does not rule out its owner, and each failure doubles the cost of an upstream. The matrix runs whole instances between stand-ins.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -477,7 +477,8 @@
 		if last == nil || !x.mayRetry(ctx, ask, last) {
 			return last
 		}
-		failed[i] = true
+		// A broken answer is the upstream's fault; its owner has others.
+		failed[i] = fault.KindOf(last) != fault.Broken
 		retries.Inc()
 	}
 	return last
--- /dev/null
+++ b/matrix/cluster_test.go
@@ -0,0 +1,299 @@
+package matrix
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/declaration"
+	"hickorydrum/entry"
+	"hickorydrum/instance"
+	"hickorydrum/peer"
+	"hickorydrum/platform"
+	"hickorydrum/rollout"
+	"hickorydrum/setting"
+	"hickorydrum/standin"
+	"hickorydrum/upstream"
+)
+
+// settleLimit bounds waits for a state that must come; no verdict depends on how
+// soon it comes.
+const settleLimit = 30 * time.Second
+
+// member is one instance of the cluster.
+type member struct {
+	name     string
+	caller   string
+	settings *setting.Table
+	instance *instance.Instance
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+// cluster is a whole small deployment in one process, on real sockets.
+type cluster struct {
+	t       *testing.T
+	store   *standin.Store
+	api     *httptest.Server
+	workers []*standin.Upstream
+	servers []*httptest.Server
+	members []*member
+	client  *http.Client
+	group   errgroup.Group
+
+	mu   sync.Mutex
+	runs map[string]int
+	next int
+}
+
+// layout is the region and domain of each instance; each domain has a worker of
+// each service.
+var layout = []struct{ name, region, domain string }{
+	{"a1", "one", "a"}, {"a2", "one", "a"}, {"b1", "one", "b"}, {"c1", "two", "c"},
+}
+
+const workerSlots = 3
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: standin.NewStore(), runs: make(map[string]int), client: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 16}, Timeout: settleLimit,
+	}}
+	c.api = httptest.NewServer(standin.PlatformHandler(c.store))
+	t.Cleanup(c.close)
+	c.apply(c.declarations(""))
+	dir := t.TempDir()
+	authority, err := peer.NewAuthority("test", time.Now(), time.Now().Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, l := range layout {
+		pair, err := authority.Certify(l.name, time.Now(), time.Now().Add(time.Hour))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cert, key := filepath.Join(dir, l.name+".pem"), filepath.Join(dir, l.name+"-key.pem")
+		if err := pair.WriteFiles(cert, key); err != nil {
+			t.Fatal(err)
+		}
+		c.start(l.name, l.region, l.domain, string(authority.Cert()), cert, key)
+	}
+	c.await("every upstream owned", c.owned)
+	return c
+}
+
+// declarations returns the files of the cluster, with more documents.
+func (c *cluster) declarations(more string) string {
+	text := "kind: region\nname: one\ndomains: [a, b]\n---\nkind: region\nname: two\ndomains: [c]\n"
+	if len(c.servers) == 0 {
+		for i := range 6 {
+			w := standin.NewUpstream(workerSlots, 5*time.Millisecond, uint64(i), c.ran)
+			c.workers = append(c.workers, w)
+			c.servers = append(c.servers, httptest.NewServer(w.Handler()))
+		}
+	}
+	for s, name := range []string{"list", "orders"} {
+		text += fmt.Sprintf("---\nkind: service\nname: %s\npath: /%s\nlimit: 5s\nworkers:\n", name, name)
+		for d, domain := range []string{"a", "b", "c"} {
+			address := strings.TrimPrefix(c.servers[s*3+d].URL, "http://")
+			text += fmt.Sprintf("  - {at: %q, domain: %s, slots: %d}\n", address, domain, workerSlots)
+		}
+		text += fmt.Sprintf("---\n{kind: cap, service: %s, planned: {share: 20%%, every: 500ms}, failure: {share: 50%%, every: 200ms}}\n", name)
+	}
+	return text + "---\n{kind: block, prefix: 127.0.0.0/8, region: one}\n" + more
+}
+
+func (c *cluster) apply(text string) uint64 {
+	c.t.Helper()
+	set, err := declaration.Parse(map[string][]byte{"f.yaml": []byte(text)})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	client := platform.New(c.api.URL)
+	defer client.Close()
+	base, _, err := rollout.Current(c.t.Context(), client)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	revision, err := rollout.Apply(c.t.Context(), client, set, base, "test", time.Now())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return revision
+}
+
+// ran counts a run, as the worker itself tells it.
+func (c *cluster) ran(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[id]++
+}
+
+func (c *cluster) runsOf(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[id]
+}
+
+func (c *cluster) start(name, region, domain, ca, cert, key string) {
+	c.t.Helper()
+	table := setting.Serve()
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	table.SetFlags(flags)
+	free := func() string { return freeAddress(c.t) }
+	m := &member{name: name, caller: free(), settings: table, done: make(chan struct{})}
+	err := flags.Parse([]string{
+		"-name", name, "-region", region, "-domain", domain, "-platform", c.api.URL, "-caller", m.caller,
+		"-peer", free(), "-probe", free(), "-admin", free(), "-lookup-life", "1s", "-ca", ca, "-cert", cert, "-key", key,
+	})
+	if err == nil {
+		err = table.Check()
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	log := slog.New(slog.DiscardHandler)
+	if os.Getenv("MATRIX_LOG") != "" {
+		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("at", name)
+	}
+	if m.instance, err = instance.New(table, log); err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	c.members = append(c.members, m)
+	c.group.Go(func() error {
+		defer close(m.done)
+		return m.instance.Run(ctx)
+	})
+}
+
+// nextPort lies below the ports that the system gives out by itself, so that no
+// other test takes an address between its choice and its use.
+var nextPort atomic.Int32
+
+const firstPort = 21_000
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = listener.Close()
+			return address
+		}
+		if nextPort.Load() > 10_000 {
+			t.Fatal(err)
+		}
+	}
+}
+
+func (c *cluster) close() {
+	c.store.Fail(standin.StoreDown, 0)
+	for _, m := range c.members {
+		m.stop()
+	}
+	if err := c.group.Wait(); err != nil {
+		c.t.Errorf("an instance ended with %v", err)
+	}
+	c.client.CloseIdleConnections()
+	for _, s := range c.servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+	c.api.CloseClientConnections()
+	c.api.Close()
+}
+
+func (c *cluster) await(what string, holds func() bool) {
+	c.t.Helper()
+	for until := time.Now().Add(settleLimit); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			c.t.Fatalf("waited too long for: %s", what)
+		}
+	}
+}
+
+// owned reports whether each upstream's slots are all in the hands of the
+// running instances of its region.
+func (c *cluster) owned() bool {
+	slots := 0
+	for _, m := range c.members {
+		for _, u := range m.instance.Status().Uses {
+			slots += u.Allowed
+		}
+	}
+	return slots == workerSlots*len(c.workers)
+}
+
+// call is one request of a caller.
+type call struct {
+	method string
+	path   string
+	key    string
+	body   io.Reader
+	header http.Header
+	at     int // index of the instance
+}
+
+// reply is what the caller was told.
+type reply struct {
+	Code  int
+	Ran   string
+	Whole bool // the body came whole and belongs to the request
+	Body  string
+}
+
+func (c *cluster) id() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	return fmt.Sprintf("id-%d", c.next)
+}
+
+// send sends a request and returns what the caller was told. Code 0 stands for a
+// connection that ended before a whole answer.
+func (c *cluster) send(id string, k call) reply {
+	c.t.Helper()
+	req, err := http.NewRequestWithContext(c.t.Context(), k.method, "http://"+c.members[k.at].caller+k.path, k.body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for name, values := range k.header {
+		req.Header[name] = values
+	}
+	req.GetBody = nil
+	req.Header.Set(standin.HeaderLoadID, id)
+	if k.key != "" {
+		req.Header.Set(entry.HeaderKey, k.key)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return reply{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}
+	}
+	return reply{
+		Code: resp.StatusCode, Ran: resp.Header.Get(upstream.HeaderRan), Body: string(body),
+		Whole: resp.StatusCode == http.StatusOK && string(body) == string(standin.Content(id, len(body))) && len(body) > 0,
+	}
+}
--- /dev/null
+++ b/matrix/matrix_test.go
@@ -0,0 +1,426 @@
+package matrix
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// kind is a kind of request of the users' workloads.
+type kind string
+
+const (
+	listing kind = "listing"          // idempotent, no body
+	order   kind = "order"            // at most once, no key
+	keyed   kind = "order with a key" // at most once, may be sent again
+	upload  kind = "upload"           // at most once, with a body
+)
+
+func (k kind) call(id string) call {
+	switch k {
+	case listing:
+		return call{method: http.MethodGet, path: "/list/x"}
+	case keyed:
+		return call{method: http.MethodPost, path: "/orders/x", key: "key " + id}
+	case upload:
+		return call{method: http.MethodPost, path: "/orders/x", body: strings.NewReader(strings.Repeat("photo ", 40_000))}
+	default:
+		return call{method: http.MethodPost, path: "/orders/x"}
+	}
+}
+
+var (
+	served  = reply{Code: http.StatusOK, Ran: "yes", Whole: true}
+	refused = reply{Code: http.StatusServiceUnavailable, Ran: "no"}
+	broken  = reply{Code: http.StatusBadGateway, Ran: "unknown"}
+	cut     = reply{} // the connection ended
+)
+
+// cell is one fault at one step, and what each kind of request must be told.
+type cell struct {
+	step, fault string
+	inject      func(c *cluster)
+	heal        func(c *cluster)
+	want        map[kind]reply
+	runs        map[kind][]int // allowed numbers of runs; at most one of what is not idempotent
+}
+
+// eachWorker has every worker fail the next n requests, -1 for all, 0 for none.
+func eachWorker(f standin.UpstreamFault, n int) func(*cluster) {
+	return func(c *cluster) {
+		for _, w := range c.workers {
+			w.Fail(f, n)
+		}
+	}
+}
+
+func platformFault(f standin.StoreFault, n int) func(*cluster) {
+	return func(c *cluster) { c.store.Fail(f, n) }
+}
+
+func all(r reply) map[kind]reply {
+	return map[kind]reply{listing: r, order: r, keyed: r, upload: r}
+}
+
+func with(m map[kind]reply, k kind, r reply) map[kind]reply {
+	out := map[kind]reply{k: r}
+	for other, v := range m {
+		if other != k {
+			out[other] = v
+		}
+	}
+	return out
+}
+
+func cells() []cell {
+	none := func(*cluster) {}
+	return []cell{
+		{step: "none", fault: "none", inject: none, heal: none, want: all(served)},
+		{
+			step: "dispatch", fault: "every upstream refuses unrun",
+			inject: eachWorker(standin.UpstreamShed, -1), heal: eachWorker(standin.UpstreamShed, 0), want: all(refused),
+		},
+		{
+			step: "answer, before headers", fault: "reset after the run",
+			inject: eachWorker(standin.UpstreamReset, -1), heal: eachWorker(standin.UpstreamReset, 0), want: all(broken),
+		},
+		{
+			step: "answer, headers", fault: "crossed answer",
+			inject: eachWorker(standin.UpstreamCross, -1), heal: eachWorker(standin.UpstreamCross, 0), want: all(broken),
+		},
+		{
+			step: "answer, amid the body", fault: "truncated answer",
+			inject: eachWorker(standin.UpstreamTruncate, -1), heal: eachWorker(standin.UpstreamTruncate, 0), want: all(cut),
+		},
+		{
+			step: "answer, headers", fault: "late answer, still in time",
+			inject: eachWorker(standin.UpstreamLate, -1), heal: eachWorker(standin.UpstreamLate, 0), want: all(served),
+		},
+		{
+			step: "claim", fault: "platform down",
+			inject: platformFault(standin.StoreDown, -1), heal: platformFault(standin.StoreDown, 0),
+			want: with(all(served), keyed, refused),
+		},
+		{
+			step: "claim", fault: "answer lost after the write",
+			inject: platformFault(standin.StoreLoseAnswer, 1), heal: platformFault(standin.StoreLoseAnswer, 0), want: all(served),
+		},
+		{
+			step: "claim", fault: "platform slow",
+			inject: platformFault(standin.StoreSlow, -1), heal: platformFault(standin.StoreSlow, 0), want: all(served),
+		},
+	}
+}
+
+// TestMatrix sends each kind of request through each instance at each fault.
+func TestMatrix(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	for _, cell := range cells() {
+		t.Run(cell.step+"/"+cell.fault, func(t *testing.T) {
+			c.t = t
+			cell.inject(c)
+			defer cell.heal(c)
+			for _, k := range []kind{listing, order, keyed, upload} {
+				id := c.id()
+				got := c.send(id, k.call(id))
+				got.Body = ""
+				if diff := cmp.Diff(cell.want[k], got); diff != "" {
+					t.Errorf("%s: %s", k, diff)
+				}
+				c.checkPromises(id, k, got)
+			}
+		})
+	}
+	c.t = t
+}
+
+// checkPromises holds what was told against the workers' count.
+func (c *cluster) checkPromises(id string, k kind, r reply) {
+	c.t.Helper()
+	runs := c.runsOf(id)
+	if r.Ran == "no" && runs > 0 {
+		c.t.Errorf("%s: told not run, but was run %d times", k, runs)
+	}
+	if r.Ran == "yes" && runs == 0 {
+		c.t.Errorf("%s: told run, but was not", k)
+	}
+	if k != listing && runs > 1 {
+		c.t.Errorf("%s: run %d times", k, runs)
+	}
+	for i, w := range c.workers {
+		if f := w.Facts(); f.Over > 0 {
+			c.t.Errorf("worker %d had %d requests over its slots", i, f.Over)
+		}
+	}
+}
+
+// TestOneUpstreamFails lets one upstream of two fail: what is safe to try again
+// is served by the other.
+func TestOneUpstreamFails(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		fault standin.UpstreamFault
+		kinds []kind
+	}{
+		"refuses unrun": {standin.UpstreamShed, []kind{listing, order, keyed}},
+		"resets":        {standin.UpstreamReset, []kind{listing}},
+		"crosses":       {standin.UpstreamCross, []kind{listing}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			for _, i := range []int{0, 3} { // the workers of failure domain a
+				c.workers[i].Fail(test.fault, 1)
+			}
+			for range 6 {
+				for _, k := range test.kinds {
+					id := c.id()
+					got := c.send(id, k.call(id))
+					if got.Code != http.StatusOK && got.Ran != "no" {
+						t.Errorf("%s: got %+v", k, got)
+					}
+					c.checkPromises(id, k, got)
+				}
+			}
+		})
+	}
+}
+
+// TestResendThroughAnotherInstance sends an order again with its key elsewhere.
+func TestResendThroughAnotherInstance(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	id := c.id()
+	first := keyed.call(id)
+	again := keyed.call(id)
+	again.at = 3
+	for i, k := range []call{first, again, first} {
+		if got := c.send(id, k); got.Code != http.StatusOK || !got.Whole {
+			t.Errorf("send %d: got %+v", i, got)
+		}
+	}
+	if n := c.runsOf(id); n != 1 {
+		t.Errorf("the order was run %d times", n)
+	}
+	other := c.id()
+	k := keyed.call(id)
+	k.path = "/orders/other"
+	if got := c.send(other, k); got.Code != http.StatusBadRequest || got.Ran != "no" {
+		t.Errorf("another request under the key: got %+v", got)
+	}
+	// An answer that was cut short leaves the outcome open, not the key free.
+	lost := c.id()
+	eachWorker(standin.UpstreamReset, 1)(c)
+	for i, want := range []int{http.StatusBadGateway, http.StatusConflict} {
+		got := c.send(lost, keyed.call(lost))
+		if got.Code != want || got.Ran != "unknown" {
+			t.Errorf("send %d after a lost answer: got %+v", i, got)
+		}
+	}
+	if n := c.runsOf(lost); n != 1 {
+		t.Errorf("the order with the lost answer was run %d times", n)
+	}
+}
+
+// TestBadInput names the remedy for each malformed request.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	header := func(name, value string) http.Header { return http.Header{name: {value}} }
+	tests := map[string]struct {
+		call call
+		code int
+		text string
+	}{
+		"unknown path":       {call{method: http.MethodGet, path: "/nowhere"}, http.StatusNotFound, "declared service"},
+		"expired":            {call{method: http.MethodGet, path: "/list", header: header("Request-Timeout", "0")}, http.StatusGatewayTimeout, "more time"},
+		"timeout not number": {call{method: http.MethodGet, path: "/list", header: header("Request-Timeout", "soon")}, http.StatusBadRequest, "milliseconds"},
+		"oversized headers":  {call{method: http.MethodGet, path: "/list", header: header("X-Big", strings.Repeat("x", 1<<17))}, http.StatusRequestHeaderFieldsTooLarge, ""},
+		"upgrade":            {call{method: http.MethodGet, path: "/list", header: http.Header{"Upgrade": {"websocket"}, "Connection": {"upgrade"}}}, http.StatusBadRequest, "plain requests"},
+		"look-up, bad IP":    {call{method: http.MethodGet, path: "/.well-known/hickorydrum/lookup?address=x"}, http.StatusBadRequest, "10.7.1.2"},
+		"look-up, service":   {call{method: http.MethodGet, path: "/.well-known/hickorydrum/lookup?service=x"}, http.StatusNotFound, "declared service"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			id := c.id()
+			got := c.send(id, test.call)
+			if got.Code != test.code || !strings.Contains(got.Body, test.text) {
+				t.Errorf("got %+v, want %d and %q", got, test.code, test.text)
+			}
+			if n := c.runsOf(id); n != 0 {
+				t.Errorf("a malformed request was run %d times", n)
+			}
+		})
+	}
+}
+
+// gate is a body that waits in its middle.
+type gate struct {
+	first, rest io.Reader
+	reached     chan struct{}
+	open        chan error
+}
+
+func (g *gate) Read(p []byte) (int, error) {
+	n, err := g.first.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if g.reached != nil {
+		close(g.reached)
+		g.reached = nil
+		if err := <-g.open; err != nil {
+			return 0, err
+		}
+	}
+	return g.rest.Read(p)
+}
+
+func newGate() (*gate, chan struct{}) {
+	reached := make(chan struct{})
+	part := strings.Repeat("half ", 30_000)
+	return &gate{
+		first: strings.NewReader(part), rest: strings.NewReader(part), reached: reached, open: make(chan error, 1),
+	}, reached
+}
+
+// TestPlannedStopWithUpload stops the entry and the owner of a half-sent upload.
+func TestPlannedStopWithUpload(t *testing.T) {
+	t.Parallel()
+	for at := range 3 {
+		t.Run(layout[at].name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			body, reached := newGate()
+			id := c.id()
+			var got reply
+			var sending errgroup.Group
+			sending.Go(func() error {
+				got = c.send(id, call{method: http.MethodPost, path: "/orders/x", body: body})
+				return nil
+			})
+			<-reached
+			c.members[at].stop()
+			c.await("the stop to be known", func() bool {
+				return c.members[(at+1)%3].instance.Status().State == "live" && c.members[at].instance.Status().State != "live"
+			})
+			body.open <- nil
+			_ = sending.Wait()
+			if diff := cmp.Diff(served, reply{Code: got.Code, Ran: got.Ran, Whole: got.Whole}); diff != "" {
+				t.Error(diff)
+			}
+			c.checkPromises(id, upload, got)
+			<-c.members[at].done
+			c.members = append(c.members[:at:at], c.members[at+1:]...)
+			c.await("the others to own every upstream", c.owned)
+		})
+	}
+}
+
+// TestCallerGivesUpUpload breaks an upload in its middle: nothing is run, and
+// the slot is free again.
+func TestCallerGivesUpUpload(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	body, reached := newGate()
+	ctx, cancel := context.WithCancel(t.Context())
+	id := c.id()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.members[0].caller+"/orders/x", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(standin.HeaderLoadID, id)
+	var sending errgroup.Group
+	sending.Go(func() error {
+		resp, err := c.client.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return nil
+	})
+	<-reached
+	cancel()
+	body.open <- context.Canceled
+	_ = sending.Wait()
+	c.await("no request in flight", func() bool {
+		for _, m := range c.members {
+			for _, u := range m.instance.Status().Uses {
+				if u.InFlight > 0 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	if n := c.runsOf(id); n != 0 {
+		t.Errorf("half an upload was run %d times", n)
+	}
+}
+
+// TestDrains drains a worker by each way: no new work comes after 2 s.
+func TestDrains(t *testing.T) {
+	t.Parallel()
+	tests := map[string]func(c *cluster){
+		"its own word": func(c *cluster) { c.workers[0].Drain() },
+		"declared": func(c *cluster) {
+			c.workers[0].Drain() // starts the count
+			eachWorker(standin.UpstreamLie, -1)(c)
+			now := time.Now().UTC()
+			c.apply(c.declarations("---\nkind: drain\nworker: \"" + strings.TrimPrefix(c.servers[0].URL, "http://") +
+				"\"\nfrom: " + now.Add(-time.Minute).Format(time.RFC3339) + "\nuntil: " + now.Add(time.Hour).Format(time.RFC3339) + "\n"))
+		},
+	}
+	for name, drain := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			drain(c)
+			for until := time.Now().Add(4 * time.Second); time.Now().Before(until); {
+				id := c.id()
+				got := c.send(id, listing.call(id))
+				c.checkPromises(id, listing, got)
+			}
+			if f := c.workers[0].Facts(); f.AfterDrain > 0 {
+				t.Errorf("%d requests came 2 s or more after the drain began", f.AfterDrain)
+			}
+		})
+	}
+}
+
+// TestRegionDrain drains the home region of all callers: the traffic moves to
+// the other region, and look-ups follow.
+func TestRegionDrain(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	id := c.id()
+	c.send(id, listing.call(id))
+	now := time.Now().UTC()
+	c.apply(c.declarations("---\nkind: drain\nregion: one\nfrom: " + now.Add(-time.Minute).Format(time.RFC3339) +
+		"\nuntil: " + now.Add(time.Hour).Format(time.RFC3339) + "\n"))
+	c.await("the listings to be served by region two", func() bool {
+		before := c.workers[2].Facts().Served
+		for range 5 {
+			id := c.id()
+			got := c.send(id, listing.call(id))
+			c.checkPromises(id, listing, got)
+		}
+		return c.workers[2].Facts().Served == before+5
+	})
+	c.await("look-ups to name region two", func() bool {
+		got := c.send(c.id(), call{method: http.MethodGet, path: "/.well-known/hickorydrum/lookup?service=list"})
+		return strings.Contains(got.Body, `"region":"two"`)
+	})
+}
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -249,6 +249,7 @@
 	c.Response().WriteHeader(http.StatusOK)
 	if u.hit(UpstreamTruncate) {
 		_, _ = c.Response().Write(body[:len(body)/2])
+		c.Response().Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, err := c.Response().Write(body)
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -51,9 +51,11 @@
 
 func (w *worker) ejected(now time.Time) bool { return now.Before(w.ejectedTill) }
 
-// cost is the expected time until a new request would be served.
+// cost is the expected time until a new request would be served. Each failure
+// since the last answer doubles it, so that a retry goes elsewhere.
 func (w *worker) cost() float64 {
-	return float64(w.inFlight+1) / float64(w.tenure.Slots()) * float64(w.serviceTime)
+	cost := float64(w.inFlight+1) / float64(w.tenure.Slots()) * float64(w.serviceTime)
+	return cost * float64(int(1)<<w.failures)
 }
 
 // succeeded takes in an answer that took the given time.
