--- /dev/null
+++ b/fault/fault_test.go
@@ -0,0 +1,95 @@
+package fault
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestProgress decides the outcome of every set of facts.
+func TestProgress(t *testing.T) {
+	tests := map[string]struct {
+		sent, refused, answered bool
+		want                    Ran
+	}{
+		"nothing happened":       {false, false, false, RanNo},
+		"a byte was sent":        {true, false, false, RanUnknown},
+		"refused by upstream":    {true, true, false, RanNo},
+		"answered":               {true, false, true, RanYes},
+		"answered after refusal": {true, true, true, RanYes},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var p Progress
+			if test.sent {
+				p.MarkSent()
+			}
+			if test.refused {
+				p.MarkRefused()
+			}
+			if test.answered {
+				p.MarkAnswered()
+			}
+			if got := p.Ran(); got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+func TestFromAssumesTheWorst(t *testing.T) {
+	e := From(errors.New("anything"))
+	if e.Ran() != RanUnknown || NotRun(e) {
+		t.Errorf("an unknown error has the outcome %s", e.Ran())
+	}
+}
+
+func TestWire(t *testing.T) {
+	now := time.Unix(100, 0)
+	there := now.Add(time.Hour) // the other clock is an hour ahead
+	tests := map[string]struct {
+		fault *Error
+		want  *Error
+	}{
+		"whole": {
+			New(Overloaded, "full", "wait", WithRetryAt(now.Add(2*time.Second))),
+			New(Overloaded, "full", "wait", WithRetryAt(there.Add(2*time.Second))),
+		},
+		"unknown outcome": {New(Broken, "cut", "", WithRan(RanUnknown)), New(Broken, "cut", "", WithRan(RanUnknown))},
+		"cause in text":   {New(Broken, "cut", "x", WithCause(errors.New("eof"))), New(Broken, "cut: eof", "x")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := test.fault.ToWire(now).Err(there)
+			if diff := cmp.Diff(test.want, got, cmp.AllowUnexported(Error{})); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	if got := (Wire{Kind: Broken, Ran: "maybe"}).Err(now).Ran(); got != RanUnknown {
+		t.Errorf("an outcome that nobody knows became %s", got)
+	}
+}
+
+func TestStatus(t *testing.T) {
+	tests := map[string]struct {
+		fault *Error
+		want  int
+	}{
+		"refused":              {New(Overloaded, "", ""), http.StatusServiceUnavailable},
+		"unreachable, not run": {New(Unavailable, "", ""), http.StatusServiceUnavailable},
+		"unreachable, unknown": {New(Unavailable, "", "", WithRan(RanUnknown)), http.StatusBadGateway},
+		"too late":             {New(Expired, "", "", WithRan(RanUnknown)), http.StatusGatewayTimeout},
+		"another kind":         {New("strange", "", ""), http.StatusInternalServerError},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := test.fault.Status(); got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
