rollout, roster, declaration: carry changes at the target size

Cause: worked out for 6,400 instances, the exchange of whole rosters took 768 KB a change, every member of a failure domain told all others of each change, a new connection to a random instance each second was kept for 30 s, and a change of one of 120,000 blocks checked all of them. A restarted process at the same address was not seen as the proof that the old run is gone, since its connection stays. Change: rosters are compared by failure domain; only relays tell their domain, each its half; the farther neighbour stays the same; sets are patched; digests are sums. The probe compares the run first. A command measures the slopes.

--- a/declaration/check.go
+++ b/declaration/check.go
@@ -55,7 +55,10 @@
 		return nil, c.problems
 	}
 	Sort(c.set.records)
-	c.set.digest = Digest(c.set.records)
+	for i := range c.set.records {
+		c.set.digest.add(&c.set.records[i])
+	}
+	slices.SortFunc(c.set.blocks, func(a, b Block) int { return strings.Compare(a.name, b.name) })
 	slices.SortFunc(c.set.regions, func(a, b *Region) int { return strings.Compare(a.name, b.name) })
 	slices.SortFunc(c.set.services, func(a, b *Service) int { return strings.Compare(a.name, b.name) })
 	return c.set, nil
@@ -355,8 +358,9 @@
 	if !c.knownRegion(at, "region", d.Region) {
 		return ""
 	}
-	c.set.blocks = append(c.set.blocks, Block{prefix: prefix, region: d.Region})
-	return prefix.String()
+	block := Block{name: prefix.String(), prefix: prefix, region: d.Region}
+	c.set.blocks = append(c.set.blocks, block)
+	return block.name
 }
 
 // checkPaths refuses two services with the same path.
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
 const base = `kind: region
@@ -133,6 +135,48 @@
 	}
 }
 
+// TestSetPatch holds a patched set against one that was checked whole.
+func TestSetPatch(t *testing.T) {
+	parse := func(text string) *Set {
+		set, err := Parse(map[string][]byte{"f.yaml": []byte(base + text)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return set
+	}
+	blocks := "---\n{kind: block, prefix: 10.1.0.0/16, region: one}\n---\n{kind: block, prefix: 10.3.0.0/16, region: one}\n"
+	two := "---\n{kind: region, name: two, domains: [c]}\n"
+	tests := map[string]struct{ from, to string }{
+		"nothing":        {blocks, blocks},
+		"block added":    {two + blocks, two + blocks + "---\n{kind: block, prefix: 10.2.0.0/16, region: two}\n"},
+		"block removed":  {blocks, ""},
+		"block changed":  {two + blocks, two + strings.Replace(blocks, "region: one", "region: two", 1)},
+		"region added":   {blocks, two + blocks},
+		"all blocks new": {"", blocks},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			from, to := parse(test.from), parse(test.to)
+			got, err := from.Patch(Compare(from.Records(), to.Records()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(to.Digest(), got.Digest()); diff != "" {
+				t.Error(diff)
+			}
+			samePrefix := cmp.Comparer(func(a, b netip.Prefix) bool { return a == b })
+			opts := cmp.Options{cmp.AllowUnexported(Block{}), cmpopts.EquateEmpty(), samePrefix}
+			if diff := cmp.Diff(to.blocks, got.blocks, opts); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	bad := Delta{Put: []Record{{Kind: KindBlock, Name: "10.9.0.0/16", Body: []byte(`{"kind":"block","prefix":"10.9.0.0/16","region":"nowhere"}`)}}}
+	if _, err := parse(blocks).Patch(bad); err == nil {
+		t.Error("a block of an unknown region was taken in")
+	}
+}
+
 func TestDrains(t *testing.T) {
 	set, err := Parse(map[string][]byte{"f.yaml": []byte(base + `---
 {kind: drain, domain: a, from: 2026-12-07T21:00:00Z, until: 2026-12-08T05:00:00Z}
--- a/declaration/parse.go
+++ b/declaration/parse.go
@@ -141,16 +141,11 @@
 func FromRecords(records []Record) (*Set, error) {
 	docs := make([]document, 0, len(records))
 	for _, r := range records {
-		body := newBody(r.Kind)
-		if body == nil {
-			return nil, fault.New(fault.Invalid, fmt.Sprintf("record of unknown kind %q", r.Kind),
-				"upgrade this instance")
-		}
-		if err := json.Unmarshal(r.Body, body); err != nil {
-			return nil, fault.New(fault.Invalid, fmt.Sprintf("record %s/%s is damaged", r.Kind, r.Name),
-				"apply the files again", fault.WithCause(err))
+		doc, err := fromRecord(r)
+		if err != nil {
+			return nil, err
 		}
-		docs = append(docs, document{kind: r.Kind, body: body})
+		docs = append(docs, doc)
 	}
 	set, problems := compile(docs)
 	if len(problems) > 0 {
@@ -159,6 +154,19 @@
 	return set, nil
 }
 
+func fromRecord(r Record) (document, error) {
+	body := newBody(r.Kind)
+	if body == nil {
+		return document{}, fault.New(fault.Invalid, fmt.Sprintf("record of unknown kind %q", r.Kind),
+			"upgrade this instance")
+	}
+	if err := json.Unmarshal(r.Body, body); err != nil {
+		return document{}, fault.New(fault.Invalid, fmt.Sprintf("record %s/%s is damaged", r.Kind, r.Name),
+			"apply the files again", fault.WithCause(err))
+	}
+	return document{kind: r.Kind, body: body}, nil
+}
+
 func parseFile(name string, data []byte) ([]document, Problems) {
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
--- a/declaration/record.go
+++ b/declaration/record.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"cmp"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
+	"math/bits"
 	"slices"
 )
 
@@ -38,25 +40,65 @@
 // Key returns the identity of the record.
 func (r Record) Key() Key { return Key{Kind: r.Kind, Name: r.Name} }
 
-func compareRecords(a, b Record) int {
-	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
-}
+func compareRecords(a, b Record) int { return compareKeys(a.Key(), b.Key()) }
 
-// Sort orders records by kind and name, the order in which they are digested.
-func Sort(records []Record) { slices.SortFunc(records, compareRecords) }
+// Sort orders records by kind and name.
+func Sort(records []Record) {
+	if !slices.IsSortedFunc(records, compareRecords) {
+		slices.SortFunc(records, compareRecords)
+	}
+}
 
-// Digest returns the SHA-256 of sorted records in hexadecimal.
+// Digest returns the digest of a set of records in hexadecimal. It does not
+// depend on their order.
 func Digest(records []Record) string {
-	h := sha256.New()
-	for _, r := range records {
-		h.Write([]byte(r.Kind))
-		h.Write([]byte{0})
-		h.Write([]byte(r.Name))
-		h.Write([]byte{0})
-		h.Write(r.Body)
-		h.Write([]byte{0})
+	var sum digest
+	for i := range records {
+		sum.add(&records[i])
+	}
+	return sum.String()
+}
+
+// digest is the sum of the records' SHA-256 hashes modulo 2^256, so that one
+// changed record does not cost the hash of all others. It guards against damage,
+// not against an operator who crafts a set.
+type digest [4]uint64
+
+func (d *digest) add(r *Record) {
+	var carry uint64
+	for i, word := range r.hash() {
+		d[i], carry = bits.Add64(d[i], word, carry)
+	}
+}
+
+func (d *digest) remove(r *Record) {
+	var borrow uint64
+	for i, word := range r.hash() {
+		d[i], borrow = bits.Sub64(d[i], word, borrow)
+	}
+}
+
+// String returns the digest in hexadecimal.
+func (d *digest) String() string {
+	var out [32]byte
+	for i, word := range d {
+		binary.BigEndian.PutUint64(out[i*8:], word)
+	}
+	return hex.EncodeToString(out[:])
+}
+
+func (r *Record) hash() (words [4]uint64) {
+	data := make([]byte, 0, len(r.Kind)+len(r.Name)+len(r.Body)+2)
+	data = append(data, r.Kind...)
+	data = append(data, 0)
+	data = append(data, r.Name...)
+	data = append(data, 0)
+	data = append(data, r.Body...)
+	sum := sha256.Sum256(data)
+	for i := range words {
+		words[i] = binary.BigEndian.Uint64(sum[i*8:])
 	}
-	return hex.EncodeToString(h.Sum(nil))
+	return words
 }
 
 // Delta holds what turns one set of records into another.
@@ -91,23 +133,46 @@
 	return d
 }
 
-// Patch returns the records with the delta applied, sorted. The argument is
+// Patch returns sorted records with the delta applied, sorted. The argument is
 // left as it was.
 func Patch(records []Record, d Delta) []Record {
-	changed := make(map[Key]*Record, len(d.Put)+len(d.Remove))
+	out := make([]Record, 0, len(records)+len(d.Put))
+	rest := records
+	for _, c := range d.changes() {
+		i, found := slices.BinarySearchFunc(rest, c.key, compareKey)
+		out = append(out, rest[:i]...)
+		if found {
+			i++
+		}
+		rest = rest[i:]
+		if c.put != nil {
+			out = append(out, *c.put)
+		}
+	}
+	return append(out, rest...)
+}
+
+// change is one changed record; put is nil when it is removed.
+type change struct {
+	key Key
+	put *Record
+}
+
+// changes returns the delta's changes in the order of records.
+func (d Delta) changes() []change {
+	out := make([]change, 0, len(d.Put)+len(d.Remove))
 	for i := range d.Put {
-		changed[d.Put[i].Key()] = &d.Put[i]
+		out = append(out, change{key: d.Put[i].Key(), put: &d.Put[i]})
 	}
 	for _, key := range d.Remove {
-		changed[key] = nil
-	}
-	out := make([]Record, 0, len(records)+len(d.Put))
-	for _, r := range records {
-		if _, ok := changed[r.Key()]; !ok {
-			out = append(out, r)
-		}
+		out = append(out, change{key: key})
 	}
-	out = append(out, d.Put...)
-	Sort(out)
+	slices.SortFunc(out, func(a, b change) int { return compareKeys(a.key, b.key) })
 	return out
 }
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+}
+
+func compareKey(r Record, key Key) int { return compareKeys(r.Key(), key) }
--- a/declaration/set.go
+++ b/declaration/set.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -135,6 +136,7 @@
 
 // Block is a range of caller addresses and the region nearest to it.
 type Block struct {
+	name   string // of its record
 	prefix netip.Prefix
 	region string
 }
@@ -148,7 +150,7 @@
 // Set is a checked set of declarations. It never changes.
 type Set struct {
 	records  []Record
-	digest   string
+	digest   digest
 	regions  []*Region
 	services []*Service
 	caps     map[string]Cap
@@ -161,7 +163,7 @@
 func (s *Set) Records() []Record { return s.records }
 
 // Digest returns the digest of the records.
-func (s *Set) Digest() string { return s.digest }
+func (s *Set) Digest() string { return s.digest.String() }
 
 // Regions returns the regions, sorted by name.
 func (s *Set) Regions() []*Region { return s.regions }
@@ -206,3 +208,62 @@
 		return d.Active(now) && (d.worker == w.address || d.domain == w.domain)
 	})
 }
+
+// Patch returns the set with a delta applied. A delta of blocks alone, by far the
+// most frequent, costs no check of the records that it leaves as they are.
+func (s *Set) Patch(d Delta) (*Set, error) {
+	onlyBlocks := !slices.ContainsFunc(d.changes(), func(c change) bool { return c.key.Kind != KindBlock })
+	if !onlyBlocks {
+		return FromRecords(Patch(s.records, d))
+	}
+	next := *s
+	next.records = Patch(s.records, d)
+	next.blocks = make([]Block, 0, len(s.blocks)+len(d.Put))
+	rest := s.blocks
+	for _, c := range d.changes() {
+		i, found := slices.BinarySearchFunc(rest, c.key.Name, func(b Block, name string) int {
+			return strings.Compare(b.name, name)
+		})
+		next.blocks = append(next.blocks, rest[:i]...)
+		if found {
+			i++
+		}
+		rest = rest[i:]
+		if c.put == nil {
+			continue
+		}
+		block, err := s.block(c.put)
+		if err != nil {
+			return nil, err
+		}
+		next.blocks = append(next.blocks, block)
+	}
+	next.blocks = append(next.blocks, rest...)
+	next.digest = s.digest
+	for _, c := range d.changes() {
+		if i, found := slices.BinarySearchFunc(s.records, c.key, compareKey); found {
+			next.digest.remove(&s.records[i])
+		}
+		if c.put != nil {
+			next.digest.add(c.put)
+		}
+	}
+	return &next, nil
+}
+
+// block checks the record of a block against the set's regions.
+func (s *Set) block(r *Record) (Block, error) {
+	c := &compiler{set: &Set{}, seen: make(map[Key]place), regions: make(map[string]*Region, len(s.regions))}
+	for _, region := range s.regions {
+		c.regions[region.name] = region
+	}
+	doc, err := fromRecord(*r)
+	if err != nil {
+		return Block{}, err
+	}
+	c.add(doc)
+	if len(c.problems) > 0 {
+		return Block{}, c.problems
+	}
+	return c.set.blocks[0], nil
+}
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -32,13 +31,12 @@
 	// LivePageKey is the platform's lagging list of live and leaving instances.
 	LivePageKey = roster.WatchPrefix + "instances"
 
-	watchWait    = 4 * time.Second
-	helloEvery   = time.Second
-	callTimeout  = 2 * time.Second
-	updateLimit  = 10 * time.Second
-	relays       = 2 // of each failure domain watch the platform
-	helloOthers  = 2 // neighbours in the region
-	helloFarther = 1 // instances of other regions
+	watchWait   = 4 * time.Second
+	helloEvery  = time.Second
+	callTimeout = 2 * time.Second
+	updateLimit = 10 * time.Second
+	relays      = 2 // of each failure domain watch the platform
+	helloOthers = 2 // neighbours in the region
 )
 
 type helloMessage struct {
@@ -63,8 +61,11 @@
 	More bool `cbor:"6,keyasint,omitempty"`
 }
 
+// rosterMessage names members, and tells what the sender has of each failure
+// domain, so that only those that differ travel.
 type rosterMessage struct {
-	Members []roster.Member `cbor:"1,keyasint"`
+	Members []roster.Member   `cbor:"1,keyasint,omitempty"`
+	Digests map[string]uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // LivePage is the platform's lagging list.
@@ -125,14 +126,21 @@
 // relay reports whether this instance watches the platform for its failure
 // domain. An instance that cannot confirm its revision with a peer watches too.
 func (f *Follower) relay(now time.Time) bool {
+	rank := f.relayRank()
+	return rank < relays || now.Sub(f.state.ConfirmedAt()) > watchWait
+}
+
+// relayRank returns the place of this instance in the order of relays of its
+// failure domain.
+func (f *Follower) relayRank() int {
 	self := f.roster.Self()
 	order := roster.Rank("relay", f.roster.View().Domain(self.Domain))
 	for i, m := range order {
 		if m.ID() == self.ID() {
-			return i < relays || now.Sub(f.state.ConfirmedAt()) > watchWait
+			return i
 		}
 	}
-	return true
+	return 0
 }
 
 func (f *Follower) watch(ctx context.Context) error {
@@ -271,8 +279,8 @@
 	}
 }
 
-// spread says hello to the own failure domain and the neighbours at once when
-// there are news.
+// spread says hello to the neighbours at once when there are news. Relays tell
+// their failure domain too, each its part.
 func (f *Follower) spread(ctx context.Context) error {
 	for {
 		select {
@@ -282,7 +290,14 @@
 		}
 		self := f.roster.Self()
 		view := f.roster.View()
-		to := append(view.Domain(self.Domain), f.neighbours(view, self)...)
+		to := f.neighbours(view, self)
+		if rank := f.relayRank(); rank < relays {
+			for i, m := range view.Domain(self.Domain) {
+				if i%relays == rank {
+					to = append(to, m)
+				}
+			}
+		}
 		f.helloAll(ctx, without(to, self))
 	}
 }
@@ -326,14 +341,16 @@
 			out = append(out, ring[(i+k)%len(ring)])
 		}
 	}
+	// The farther one stays the same, since a new connection costs more than many
+	// hellos.
 	var far []roster.Member
 	for _, m := range view.All() {
 		if m.Region != self.Region {
 			far = append(far, m)
 		}
 	}
-	for range min(helloFarther, len(far)) {
-		out = append(out, far[rand.IntN(len(far))])
+	if first, _ := roster.First(self.ID(), far); first.Name != "" {
+		out = append(out, first)
 	}
 	return out
 }
@@ -424,11 +441,17 @@
 	}
 }
 
+// swapRosters brings both sides to the same roster. Only the failure domains that
+// differ travel.
 func (f *Follower) swapRosters(ctx context.Context, with roster.Member) {
 	var theirs rosterMessage
-	mine := rosterMessage{Members: f.roster.View().Members()}
-	if err := f.asker.Ask(ctx, target(with), CallRoster, mine, &theirs); err == nil {
-		f.roster.Merge(theirs.Members)
+	mine := rosterMessage{Digests: f.roster.View().Digests()}
+	if err := f.asker.Ask(ctx, target(with), CallRoster, mine, &theirs); err != nil {
+		return
+	}
+	f.roster.Merge(theirs.Members)
+	if lacks := f.roster.View().Differing(theirs.Digests); len(lacks) > 0 {
+		_ = f.asker.Ask(ctx, target(with), CallRoster, rosterMessage{Members: lacks}, &theirs)
 	}
 }
 
@@ -460,7 +483,11 @@
 
 func (f *Follower) onRoster(_ context.Context, _ string, theirs rosterMessage) (rosterMessage, error) {
 	f.roster.Merge(theirs.Members)
-	return rosterMessage{Members: f.roster.View().Members()}, nil
+	if theirs.Digests == nil {
+		return rosterMessage{}, nil
+	}
+	view := f.roster.View()
+	return rosterMessage{Members: view.Differing(theirs.Digests), Digests: view.Digests()}, nil
 }
 
 // Spread tells the neighbours of a change of this instance and returns when
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -77,13 +77,10 @@
 	if revision <= s.revision {
 		return false, nil
 	}
-	set, err := declaration.FromRecords(records)
+	set, err := s.next(records, revision)
 	if err != nil {
 		return false, err
 	}
-	if s.set != nil {
-		s.remember(change{from: s.revision, to: revision, delta: declaration.Compare(s.set.Records(), set.Records())})
-	}
 	s.set, s.revision = set, revision
 	if now.After(s.confirmed) {
 		s.confirmed = now
@@ -92,6 +89,21 @@
 	return true, nil
 }
 
+// next returns the set of the records. The set in force is patched, since most of
+// it stays. The lock is held.
+func (s *State) next(records []declaration.Record, revision uint64) (*declaration.Set, error) {
+	if s.set == nil {
+		return declaration.FromRecords(records)
+	}
+	delta := declaration.Compare(s.set.Records(), records)
+	set, err := s.set.Patch(delta)
+	if err != nil {
+		return nil, err
+	}
+	s.remember(change{from: s.revision, to: revision, delta: delta})
+	return set, nil
+}
+
 func (s *State) remember(c change) {
 	s.deltas = append(s.deltas, c)
 	if len(s.deltas) > keptDeltas {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -60,6 +60,7 @@
 type View struct {
 	members []Member
 	byID    map[string]Member
+	digests map[string]uint64 // by failure domain
 	digest  uint64
 }
 
@@ -69,17 +70,28 @@
 		v.members = append(v.members, m)
 	}
 	slices.SortFunc(v.members, func(a, b Member) int { return cmp.Compare(a.ID(), b.ID()) })
-	h := xxhash.New()
+	v.digests = make(map[string]uint64)
 	for _, m := range v.members {
-		_, _ = h.WriteString(m.ID() + strconv.Itoa(int(m.State)) + ";")
+		// Sums do not depend on the order.
+		h := xxhash.Sum64String(m.ID() + "/" + strconv.Itoa(int(m.State)))
+		v.digests[m.Domain] += h
+		v.digest += h
 	}
-	v.digest = h.Sum64()
 	return v
 }
 
 // Digest returns a hash of all members and their states.
 func (v *View) Digest() uint64 { return v.digest }
 
+// Digests returns the hash of the members of each failure domain.
+func (v *View) Digests() map[string]uint64 { return v.digests }
+
+// Differing returns the members of the failure domains whose digests differ from
+// the given ones, which another instance has.
+func (v *View) Differing(theirs map[string]uint64) []Member {
+	return v.filter(func(m Member) bool { return v.digests[m.Domain] != theirs[m.Domain] })
+}
+
 // Members returns every member, also those that are gone, sorted.
 func (v *View) Members() []Member { return v.members }
 
--- a/roster/watch.go
+++ b/roster/watch.go
@@ -213,7 +213,7 @@
 		if err != nil {
 			return found
 		}
-		run, ended := w.attend(ctx, conn)
+		run, ended := w.attend(ctx, conn, m.Run)
 		switch {
 		case run != "" && run != m.Run:
 			return provenGone // another process has the address now
@@ -232,9 +232,10 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-// attend reads the run that answers and waits for the end of the connection.
-// ended is false when the connection broke before the run was told.
-func (w *Watcher) attend(ctx context.Context, conn net.Conn) (run string, ended bool) {
+// attend reads the run that answers and, if it is the wanted one, waits for the
+// end of the connection. ended is false when the connection broke before the run
+// was told.
+func (w *Watcher) attend(ctx context.Context, conn net.Conn, want string) (run string, ended bool) {
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -243,8 +244,11 @@
 	if err != nil {
 		return "", false
 	}
+	if run = strings.TrimSpace(line); run != want {
+		return run, true
+	}
 	_ = conn.SetReadDeadline(time.Time{})
 	var one [1]byte
 	_, _ = conn.Read(one[:])
-	return strings.TrimSpace(line), true
+	return run, true
 }
--- a/trial/command.go
+++ b/trial/command.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -31,7 +32,7 @@
 	commander.Output, commander.Error = out, errOut
 	commander.Register(commander.HelpCommand(), "")
 	for _, c := range []*command{
-		platformCommand(), upstreamCommand(out), linkCommand(), loadCommand(out), tryCommand(out),
+		platformCommand(), upstreamCommand(out), linkCommand(), loadCommand(out), tryCommand(out), slopeCommand(out),
 	} {
 		c.err = errOut
 		commander.Register(c, "")
@@ -222,3 +223,14 @@
 	slices.Sort(names)
 	return names
 }
+
+func slopeCommand(out io.Writer) *command {
+	var page string
+	return &command{
+		name: "slope", synopsis: "measure how state, messages and processor time grow, and rewrite the tables of a page",
+		flags: func(f *flag.FlagSet) { f.StringVar(&page, "page", "", "page to rewrite, such as docs/CAPACITY.md") },
+		run:   func(ctx context.Context) error { return RunSlope(ctx, page, out) },
+	}
+}
+
+var discard = slog.New(slog.DiscardHandler)
--- /dev/null
+++ b/trial/slope.go
@@ -0,0 +1,493 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"hickorydrum/declaration"
+	"hickorydrum/entry"
+	"hickorydrum/lease"
+	"hickorydrum/peer"
+	"hickorydrum/roster"
+	"hickorydrum/steering"
+	"hickorydrum/upstream"
+)
+
+const (
+	slopeRounds   = 5
+	slopeCalls    = 2000
+	slopeLookups  = 2 * time.Second
+	slopeRegions  = 47
+	slopeConns    = 64
+	pageBegin     = "<!-- slopes begin -->"
+	pageEnd       = "<!-- slopes end -->"
+	plotWidth     = 14 * vg.Centimeter
+	plotHeight    = 8 * vg.Centimeter
+	kiB           = 1024.0
+	loopbackBytes = "/sys/class/net/lo/statistics/tx_bytes"
+)
+
+// Slope is a figure that grows with a size, as measured at several sizes.
+type Slope struct {
+	name  string
+	per   string // what the size counts
+	unit  string
+	file  string // of the plot, or ""
+	sizes []float64
+	found []float64
+}
+
+// fit returns the line through the points and the standard error of its slope.
+func (s Slope) fit() (base, slope, err float64) {
+	base, slope = stat.LinearRegression(s.sizes, s.found, nil, false)
+	if len(s.sizes) < 3 {
+		return base, slope, 0
+	}
+	var residual, spread float64
+	mean := stat.Mean(s.sizes, nil)
+	for i, x := range s.sizes {
+		d := s.found[i] - base - slope*x
+		residual += d * d
+		spread += (x - mean) * (x - mean)
+	}
+	return base, slope, math.Sqrt(residual / float64(len(s.sizes)-2) / spread)
+}
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// median returns the median of several measurements.
+func median(rounds int, measure func() float64) float64 {
+	found := make([]float64, rounds)
+	for i := range found {
+		found[i] = measure()
+	}
+	return medianOf(found)
+}
+
+func medianOf(found []float64) float64 {
+	sorted := append([]float64(nil), found...)
+	for i := range sorted {
+		for j := i; j > 0 && sorted[j] < sorted[j-1]; j-- {
+			sorted[j], sorted[j-1] = sorted[j-1], sorted[j]
+		}
+	}
+	return sorted[len(sorted)/2]
+}
+
+func slopeRecords(blocks int) []declaration.Record {
+	var records []declaration.Record
+	for r := range slopeRegions {
+		name := fmt.Sprintf("r%02d", r)
+		records = append(records, declaration.Record{
+			Kind: declaration.KindRegion, Name: name,
+			Body: fmt.Appendf(nil, `{"kind":"region","name":%q,"domains":["d%d"]}`, name, r),
+		})
+	}
+	for k := range blocks {
+		prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(10 + k>>16), byte(k >> 8), byte(k), 0}), 24).String()
+		records = append(records, slopeBlock(prefix, k%slopeRegions))
+	}
+	declaration.Sort(records)
+	return records
+}
+
+func slopeBlock(prefix string, region int) declaration.Record {
+	return declaration.Record{
+		Kind: declaration.KindBlock, Name: prefix,
+		Body: fmt.Appendf(nil, `{"kind":"block","prefix":%q,"region":"r%02d"}`, prefix, region),
+	}
+}
+
+// held keeps what is measured from being collected.
+var held any
+
+// measureBlocks measures memory and processor time against the count of blocks.
+func measureBlocks() ([]Slope, error) {
+	memory := Slope{name: "set and table in memory", per: "block", unit: "KiB", file: "slope-memory.svg"}
+	change := Slope{name: "taking a change of one record", per: "block", unit: "ms CPU", file: "slope-change.svg"}
+	for _, blocks := range []int{15_000, 30_000, 60_000, 120_000} {
+		held = nil
+		before := heap()
+		set, err := declaration.FromRecords(slopeRecords(blocks))
+		if err != nil {
+			return nil, err
+		}
+		table := steering.NewTable(set, 1)
+		held = table
+		memory.add(blocks, (heap()-before)/kiB)
+		round := 0
+		change.add(blocks, median(slopeRounds, func() float64 {
+			round++
+			delta := declaration.Delta{Put: []declaration.Record{slopeBlock("10.0.0.0/24", round%slopeRegions)}}
+			begun := cpuTime()
+			next, err := set.Patch(delta)
+			if err == nil {
+				set = next
+				table = steering.NewTable(next, uint64(round)+1)
+			}
+			return float64(cpuTime()-begun) / float64(time.Millisecond)
+		}))
+		held = table
+	}
+	return []Slope{memory, change}, nil
+}
+
+func (s *Slope) add(size int, found float64) {
+	s.sizes = append(s.sizes, float64(size))
+	s.found = append(s.found, found)
+}
+
+// measureRoster measures a change of the roster against its members.
+func measureRoster() Slope {
+	s := Slope{name: "taking a change of the roster", per: "member", unit: "ms CPU"}
+	for _, members := range []int{800, 1600, 3200, 6400} {
+		r := roster.New(roster.Member{Name: "self", Run: "r", Region: "r0", State: roster.Live})
+		var list []roster.Member
+		for m := range members {
+			list = append(list, roster.Member{
+				Name: fmt.Sprintf("m%d", m), Run: "r", Region: fmt.Sprintf("r%d", m%slopeRegions), State: roster.Live,
+			})
+		}
+		r.Merge(list)
+		round := 0
+		s.add(members, median(slopeRounds, func() float64 {
+			round++
+			begun := cpuTime()
+			r.MarkGone(fmt.Sprintf("m%d/r", round))
+			return float64(cpuTime()-begun) / float64(time.Millisecond)
+		}))
+		held = r
+	}
+	return s
+}
+
+// measureLeases measures a round of renewals against the upstreams owned.
+func measureLeases() Slope {
+	s := Slope{name: "renewing leases once, both sides", per: "upstream", unit: "µs CPU"}
+	for _, upstreams := range []int{1000, 2000, 4000, 8000} {
+		owners, heirs := make([]*lease.Tenure, upstreams), make([]*lease.Tenure, upstreams)
+		for i := range owners {
+			owners[i] = lease.New(strconv.Itoa(i), 4, time.Second)
+			owners[i].Start(nil)
+			owners[i].Complete(1, nil)
+			heirs[i] = lease.New(strconv.Itoa(i), 4, time.Second)
+		}
+		now := time.Now()
+		s.add(upstreams, median(slopeRounds*3, func() float64 {
+			now = now.Add(time.Second)
+			begun := cpuTime()
+			for i, owner := range owners {
+				if _, beat, ok := owner.Beat(now, "heir"); ok {
+					owner.OnAck("heir", now, beat, heirs[i].OnBeat(now, "owner", beat, 0))
+				}
+			}
+			return float64(cpuTime()-begun) / float64(time.Microsecond)
+		}))
+	}
+	return s
+}
+
+// fixture is two connected nodes.
+type fixture struct {
+	client, server *peer.Node
+	to             peer.Target
+}
+
+type noteMessage struct {
+	From     roster.Member `cbor:"1,keyasint"`
+	Revision uint64        `cbor:"2,keyasint"`
+	Roster   uint64        `cbor:"3,keyasint"`
+}
+
+const slopeCall peer.Call = "slope"
+
+func newFixture() (*fixture, error) {
+	now := time.Now()
+	authority, err := peer.NewAuthority("slope", now, now.Add(time.Hour))
+	if err != nil {
+		return nil, err
+	}
+	node := func(name string) (*peer.Node, error) {
+		pair, err := authority.Certify(name, now, now.Add(time.Hour))
+		if err != nil {
+			return nil, err
+		}
+		keys, err := peer.NewKeys(string(authority.Cert()), string(pair.Cert()), string(pair.Key()))
+		if err != nil {
+			return nil, err
+		}
+		n, err := peer.Listen("127.0.0.1:0", keys)
+		if err != nil {
+			return nil, err
+		}
+		n.Handle(slopeCall, peer.Unary(func(_ context.Context, _ string, m noteMessage) (noteMessage, error) { return m, nil }))
+		n.Serve()
+		return n, nil
+	}
+	f := &fixture{}
+	if f.client, err = node("client"); err != nil {
+		return nil, err
+	}
+	if f.server, err = node("server"); err != nil {
+		return nil, err
+	}
+	f.to = peer.NewTarget("server", f.server.Addr().String())
+	return f, nil
+}
+
+func (f *fixture) close() {
+	_ = f.client.Close()
+	_ = f.server.Close()
+}
+
+func loopback() float64 {
+	data, err := os.ReadFile(loopbackBytes)
+	if err != nil {
+		return math.NaN()
+	}
+	n, err := strconv.ParseFloat(strings.TrimSpace(string(data)), 64)
+	if err != nil {
+		return math.NaN()
+	}
+	return n
+}
+
+// measureCalls measures unary calls between instances, both sides.
+func measureCalls(ctx context.Context) ([]Slope, error) {
+	f, err := newFixture()
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	note := noteMessage{From: roster.Member{
+		Name: "ct-1-a", Run: "d0a1b2c3d4e5f6g7h8i9", Region: "catania", Domain: "ct-1", Caller: "10.1.1.11:8080",
+		Peer: "10.1.1.11:7070", Probe: "10.1.1.11:7071", State: roster.Live,
+	}, Revision: 1, Roster: 1}
+	cpu := Slope{name: "comparing notes with a peer, both sides", per: "call", unit: "µs CPU"}
+	bytes := Slope{name: "comparing notes with a peer, both ways", per: "call", unit: "bytes"}
+	for _, calls := range []int{slopeCalls / 4, slopeCalls / 2, slopeCalls * 3 / 4, slopeCalls} {
+		before, sent := cpuTime(), loopback()
+		for range calls {
+			var resp noteMessage
+			if err := f.client.Ask(ctx, f.to, slopeCall, note, &resp); err != nil {
+				return nil, err
+			}
+		}
+		cpu.add(calls, float64(cpuTime()-before)/float64(time.Microsecond))
+		bytes.add(calls, loopback()-sent)
+	}
+	return []Slope{cpu, bytes}, nil
+}
+
+// measureConnections measures idle connections, both ends.
+func measureConnections(ctx context.Context) ([]Slope, error) {
+	f, err := newFixture()
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	memory := Slope{name: "open connection between instances, both ends", per: "connection", unit: "KiB"}
+	traffic := Slope{name: "keeping a connection open, both ways", per: "connection", unit: "bytes a second"}
+	opened := 0
+	before := heap()
+	for _, conns := range []int{slopeConns / 4, slopeConns / 2, slopeConns} {
+		for ; opened < conns; opened++ {
+			var resp noteMessage
+			if err := f.client.Ask(ctx, f.to, slopeCall, noteMessage{}, &resp); err != nil {
+				return nil, err
+			}
+			f.client.Renew(f.to)
+		}
+		memory.add(conns, (heap()-before)/kiB)
+		sent, begun := loopback(), time.Now()
+		time.Sleep(2 * time.Second)
+		traffic.add(conns, (loopback()-sent)/time.Since(begun).Seconds())
+	}
+	return []Slope{memory, traffic}, nil
+}
+
+// measureLookups measures look-ups over HTTP at one instance.
+func measureLookups(ctx context.Context) (perSecond, microseconds float64, err error) {
+	self := roster.Member{Name: "a", Run: "r", Region: "r00", Domain: "d0", Caller: "10.0.0.1:80", State: roster.Live}
+	r := roster.New(self)
+	e := entry.New(r.Self, upstream.NewPool("r00"), nil, nil, discard)
+	set, err := declaration.FromRecords(slopeRecords(120_000))
+	if err != nil {
+		return 0, 0, err
+	}
+	e.SetTable(steering.NewTable(set, 1))
+	e.SetView(r.View())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, 0, err
+	}
+	server := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: time.Second}
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	ctx, cancel := context.WithTimeout(ctx, slopeLookups)
+	defer cancel()
+	begun, cpu := time.Now(), cpuTime()
+	var clients errgroup.Group
+	counts := make([]int, runtime.NumCPU())
+	for i := range counts {
+		clients.Go(func() error { return lookupLoop(ctx, listener.Addr().String(), &counts[i]) })
+	}
+	err = clients.Wait()
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	used := cpuTime() - cpu
+	perSecond = float64(total) / time.Since(begun).Seconds()
+	_ = server.Close()
+	_ = group.Wait()
+	return perSecond, float64(used.Microseconds()) / float64(total), err
+}
+
+// lookupLoop asks look-ups over one raw connection, so that the asking side
+// costs little of what is measured.
+func lookupLoop(ctx context.Context, address string, count *int) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	const pipelined = 16
+	var request strings.Builder
+	for i := range pipelined {
+		fmt.Fprintf(&request, "GET %s?address=10.%d.%d.1 HTTP/1.1\r\nHost: x\r\n\r\n", entry.LookupPath, xxhash.Sum64String(address)%200, i)
+	}
+	text := []byte(request.String())
+	buf := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		if _, err := conn.Write(text); err != nil {
+			return err
+		}
+		for answers := 0; answers < pipelined; {
+			n, err := conn.Read(buf)
+			if err != nil {
+				return err
+			}
+			answers += strings.Count(string(buf[:n]), `"until":"`)
+		}
+		*count += pipelined
+	}
+	return nil
+}
+
+// RunSlope measures all slopes, rewrites the tables of the page and draws plots
+// beside it.
+func RunSlope(ctx context.Context, page string, out io.Writer) error {
+	slopes, err := measureBlocks()
+	if err != nil {
+		return err
+	}
+	held = nil
+	slopes = append(slopes, measureRoster(), measureLeases())
+	for _, measure := range []func(context.Context) ([]Slope, error){measureCalls, measureConnections} {
+		found, err := measure(ctx)
+		if err != nil {
+			return err
+		}
+		slopes = append(slopes, found...)
+	}
+	perSecond, micros, err := measureLookups(ctx)
+	if err != nil {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n\n%d cores, Go %s. Medians of %d rounds; a fit by least squares over the sizes named.\n\n",
+		pageBegin, runtime.NumCPU(), strings.TrimPrefix(runtime.Version(), "go"), slopeRounds)
+	b.WriteString("| what | sizes | at the largest | slope | standard error |\n| --- | --- | --- | --- | --- |\n")
+	for _, s := range slopes {
+		_, slope, fitErr := s.fit()
+		fmt.Fprintf(&b, "| %s | %.0f to %.0f | %.4g %s | %.3g %s per %s | %.1g |\n", s.name,
+			s.sizes[0], s.sizes[len(s.sizes)-1], s.found[len(s.found)-1], s.unit, slope, s.unit, s.per, fitErr)
+	}
+	fmt.Fprintf(&b, "| look-ups over HTTP, asking side included | 120000 blocks | %.0f a second | %.3g µs CPU per look-up | |\n\n%s",
+		perSecond, micros, pageEnd)
+	_, _ = fmt.Fprintln(out, b.String())
+	if page == "" {
+		return nil
+	}
+	if err := rewrite(page, b.String()); err != nil {
+		return err
+	}
+	return draw(filepath.Dir(page), slopes)
+}
+
+// rewrite replaces the part of the page between the marks.
+func rewrite(page, table string) error {
+	data, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	before, rest, ok := strings.Cut(string(data), pageBegin)
+	_, after, ok2 := strings.Cut(rest, pageEnd)
+	if !ok || !ok2 {
+		return fmt.Errorf("%s has no marks %q and %q", page, pageBegin, pageEnd)
+	}
+	return os.WriteFile(page, []byte(before+table+after), 0o644)
+}
+
+// draw writes the plots of the slopes that name a file.
+func draw(dir string, slopes []Slope) error {
+	for _, s := range slopes {
+		if s.file == "" {
+			continue
+		}
+		p := plot.New()
+		p.Title.Text = s.name
+		p.X.Label.Text = s.per + "s"
+		p.Y.Label.Text = s.unit
+		points := make(plotter.XYs, len(s.sizes))
+		for i := range points {
+			points[i].X, points[i].Y = s.sizes[i], s.found[i]
+		}
+		scatter, err := plotter.NewScatter(points)
+		if err != nil {
+			return err
+		}
+		base, slope, _ := s.fit()
+		p.Add(scatter, plotter.NewFunction(func(x float64) float64 { return base + slope*x }), plotter.NewGrid())
+		p.X.Min, p.Y.Min = 0, 0
+		if err := p.Save(plotWidth, plotHeight, filepath.Join(dir, s.file)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
