upstream: look at the socket before a kept connection is used again

Cause: the check for silence read with a deadline that had passed, which Go answers without looking, so that closed connections and stray answers went unseen. An answer that came before the request was sent was told as not run while the request still went out. Ruled out: a short read deadline, which delays each request. Change: a peek at the socket without waiting; the outcome is decided after nothing more can be sent.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -49,20 +48,29 @@
 	return m.c.Conn.Write(p)
 }
 
-// fresh reports whether nothing but silence is on the connection, so that the
-// next bytes from the upstream answer the next request.
+// silent reports whether nothing but silence is on the connection, so that the
+// next bytes from the upstream answer the next request. It looks at the socket
+// itself: a read with a deadline that has passed does not.
 func (c *conn) silent() bool {
-	if c.r.Buffered() > 0 {
+	if c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		return false
 	}
-	if err := c.SetReadDeadline(time.Now().Add(-time.Second)); err != nil {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
 		return false
 	}
-	_, err := c.r.Peek(1)
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	raw, err := socket.SyscallConn()
+	if err != nil {
 		return false
 	}
-	return c.SetDeadline(time.Time{}) == nil
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && silent
 }
 
 // dialer makes and keeps the connections to one upstream.
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -59,12 +59,12 @@
 
 // failed returns the fault of the exchange, with the outcome that its progress
 // proves.
-func (x *exchange) failed(kind fault.Kind, text string, cause error) *fault.Error {
+func (x *exchange) failed(kind fault.Kind, text string, cause error, opts ...fault.Option) *fault.Error {
 	remedy := "retry only if the request is idempotent"
 	if x.progress.Ran() == fault.RanNo {
 		remedy = "retry later"
 	}
-	return fault.New(kind, text, remedy, fault.WithRan(x.progress.Ran()), fault.WithCause(cause))
+	return fault.New(kind, text, remedy, append(opts, fault.WithRan(x.progress.Ran()), fault.WithCause(cause))...)
 }
 
 // trackedBody remembers that reading the body failed.
@@ -166,22 +166,37 @@
 		}
 		return err
 	})
-	resp, err := x.receive()
-	if err != nil {
-		x.stopSending(body)
-		if sendErr := group.Wait(); sendErr != nil && fault.KindOf(sendErr) != "" {
-			err = sendErr // the body broke on its way here
-		}
-		return false, x.lost(ctx, err)
-	}
-	// An answer before the end of the body ends the use of the connection.
-	reusable, err = x.answer(resp, sink)
-	if !reusable || err != nil || !x.bodyRead.Load() {
+	reusable, bad := x.finish(ctx, sink)
+	if !reusable || bad != nil || !x.bodyRead.Load() {
 		reusable = false
 		x.stopSending(body)
 	}
 	sendErr := group.Wait()
-	return reusable && sendErr == nil, err
+	if bad == nil {
+		return reusable && sendErr == nil, nil
+	}
+	if sendErr != nil && fault.KindOf(sendErr) != "" {
+		bad.cause = sendErr // the body broke on its way here
+	}
+	// The outcome is known only now that nothing more can be sent.
+	return false, x.failed(bad.kind, bad.text, bad.cause, bad.opts...)
+}
+
+// failure is what went wrong with an exchange, before its outcome is known.
+type failure struct {
+	kind  fault.Kind
+	text  string
+	cause error
+	opts  []fault.Option
+}
+
+// finish receives the answer and passes it on.
+func (x *exchange) finish(ctx context.Context, sink Sink) (reusable bool, bad *failure) {
+	resp, err := x.receive()
+	if err != nil {
+		return false, x.lost(ctx, err)
+	}
+	return x.answer(resp, sink)
 }
 
 // stopSending ends a send that may wait for the caller or for the upstream.
@@ -192,32 +207,32 @@
 	}
 }
 
-func (x *exchange) lost(ctx context.Context, err error) error {
+func (x *exchange) lost(ctx context.Context, err error) *failure {
 	if time.Until(x.deadline) <= 0 || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return x.failed(fault.Expired, "the upstream did not answer in time", err)
+		return &failure{kind: fault.Expired, text: "the upstream did not answer in time", cause: err}
 	}
-	return x.failed(fault.Broken, "the connection to the upstream ended without an answer", err)
+	return &failure{kind: fault.Broken, text: "the connection to the upstream ended without an answer", cause: err}
 }
 
 // answer checks that the answer belongs to the request and passes it on whole.
-func (x *exchange) answer(resp *http.Response, sink Sink) (bool, error) {
+func (x *exchange) answer(resp *http.Response, sink Sink) (bool, *failure) {
 	defer func() { _ = resp.Body.Close() }()
 	if id := resp.Header.Get(HeaderRequestID); id != "" && id != x.ask.ID {
-		return false, x.failed(fault.Broken, "the upstream answered another request", nil)
+		return false, &failure{kind: fault.Broken, text: "the upstream answered another request"}
 	}
 	if refusal(resp) {
 		x.progress.MarkRefused()
-		return false, x.shed(resp)
+		return false, shed(resp)
 	}
 	header := resp.Header
 	StripHop(header)
 	if err := sink.Head(Head{Status: resp.StatusCode, Header: header, Length: resp.ContentLength}); err != nil {
-		return false, x.failed(fault.Broken, "the caller is gone", err)
+		return false, &failure{kind: fault.Broken, text: "the caller is gone", cause: err}
 	}
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	if _, err := io.CopyBuffer(sink, struct{ io.Reader }{resp.Body}, *buf); err != nil {
-		return false, x.failed(fault.Broken, "the answer was cut short", err)
+		return false, &failure{kind: fault.Broken, text: "the answer was cut short", cause: err}
 	}
 	x.progress.MarkAnswered()
 	return !resp.Close, nil
@@ -229,11 +244,13 @@
 	return shed && resp.Header.Get(HeaderRan) == string(fault.RanNo)
 }
 
-func (x *exchange) shed(resp *http.Response) error {
+func shed(resp *http.Response) *failure {
 	wait := defaultShed
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds >= 0 {
 		wait = min(time.Duration(seconds)*time.Second, retryAfterMax)
 	}
-	return fault.New(fault.Overloaded, "the upstream sheds load", "retry later",
-		fault.WithRan(x.progress.Ran()), fault.WithRetryAt(time.Now().Add(wait)))
+	return &failure{
+		kind: fault.Overloaded, text: "the upstream sheds load",
+		opts: []fault.Option{fault.WithRetryAt(time.Now().Add(wait))},
+	}
 }
--- /dev/null
+++ b/upstream/dispatch_test.go
@@ -0,0 +1,316 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/declaration"
+	"hickorydrum/fault"
+	"hickorydrum/steering"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script is an upstream that answers each request on a connection with the next
+// line of a script. %ID% stands for the request's id.
+type script struct {
+	listener net.Listener
+	answers  []string
+	after    func(conn net.Conn) // what follows the last answer
+	requests atomic.Int32
+	conns    atomic.Int32
+	group    errgroup.Group
+
+	mu   sync.Mutex
+	open []net.Conn
+}
+
+func newScript(t *testing.T, answers []string, after func(net.Conn)) *script {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: listener, answers: answers, after: after}
+	s.group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			s.conns.Add(1)
+			s.mu.Lock()
+			s.open = append(s.open, conn)
+			s.mu.Unlock()
+			s.group.Go(func() error { return s.serve(conn) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.mu.Lock()
+		for _, conn := range s.open {
+			_ = conn.Close()
+		}
+		s.mu.Unlock()
+		_ = s.group.Wait()
+	})
+	return s
+}
+
+func (s *script) serve(conn net.Conn) error {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for _, answer := range s.answers {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return nil
+		}
+		s.requests.Add(1)
+		if !strings.HasPrefix(answer, "early ") {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		answer = strings.TrimPrefix(answer, "early ")
+		_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "%ID%", req.Header.Get(HeaderRequestID)))
+	}
+	if s.after != nil {
+		s.after(conn)
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, conn)
+	return nil
+}
+
+// sink keeps an answer.
+type sink struct {
+	head Head
+	body bytes.Buffer
+}
+
+func (s *sink) Head(h Head) error {
+	s.head = h
+	return nil
+}
+
+func (s *sink) Write(p []byte) (int, error) { return s.body.Write(p) }
+
+// poolAt returns a pool that owns the upstreams at the addresses.
+func poolAt(t *testing.T, addresses ...string) *Pool {
+	t.Helper()
+	text := "kind: region\nname: one\ndomains: [a]\n---\nkind: service\nname: list\npath: /list\nlimit: 10s\nworkers:\n"
+	for _, address := range addresses {
+		text += fmt.Sprintf("  - {at: %q, domain: a, slots: 2}\n", address)
+	}
+	set, err := declaration.Parse(map[string][]byte{"f.yaml": []byte(text)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPool("one")
+	p.SetTable(steering.NewTable(set, 1), time.Now())
+	for _, w := range p.workers {
+		w.tenure.Start(nil)
+		w.tenure.Complete(1, nil)
+		w.ramp = w.tenure.Slots()
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+func serve(p *Pool, ask Ask, body io.Reader) (*sink, error) {
+	s := &sink{}
+	if ask.Header == nil {
+		ask.Header = http.Header{}
+	}
+	ask.Service, ask.Target, ask.Host = "list", "/list/x", "test"
+	if ask.Remaining == 0 {
+		ask.Remaining = 5000
+	}
+	err := p.Serve(context.Background(), &ask, func() (io.ReadCloser, error) { return io.NopCloser(body), nil }, s)
+	return s, err
+}
+
+const (
+	okAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nContent-Length: 5\r\n\r\nhello"
+	noAnswer = ""
+)
+
+func closeNow(conn net.Conn) { _ = conn.Close() }
+
+// TestAnswers is the contract with upstreams: each kind of answer to an order, and
+// what is known of its run.
+func TestAnswers(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		after  func(net.Conn)
+		length int64
+		body   string
+		status int
+		want   string
+		kind   fault.Kind
+		ran    fault.Ran
+	}{
+		"whole":                 {answer: okAnswer, status: 200, want: "hello"},
+		"without the id":        {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", status: 200, want: "hi"},
+		"chunked":               {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", status: 200, want: "hi"},
+		"until the end":         {answer: "HTTP/1.0 200 OK\r\n\r\nhi", after: closeNow, status: 200, want: "hi"},
+		"after interim answers": {answer: "HTTP/1.1 103 Early Hints\r\n\r\n" + okAnswer, status: 200, want: "hello"},
+		"an error of its own":   {answer: "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", status: 500},
+		"503 without a word":    {answer: "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", status: 503},
+		"refused unrun": {
+			answer: "HTTP/1.1 503 Busy\r\nRan: no\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n",
+			kind:   fault.Overloaded, ran: fault.RanNo,
+		},
+		"another's answer": {
+			answer: "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n", kind: fault.Broken, ran: fault.RanUnknown,
+		},
+		"cut short": {
+			answer: "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello", after: closeNow, status: 200, want: "hello",
+			kind: fault.Broken, ran: fault.RanUnknown,
+		},
+		"chunks cut short": {
+			answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", after: closeNow, status: 200, want: "hello",
+			kind: fault.Broken, ran: fault.RanUnknown,
+		},
+		"no answer":         {answer: noAnswer, after: closeNow, kind: fault.Broken, ran: fault.RanUnknown},
+		"not HTTP":          {answer: "220 smtp ready\r\n\r\n", kind: fault.Broken, ran: fault.RanUnknown},
+		"before the body":   {answer: "early " + okAnswer, length: 1 << 22, body: strings.Repeat("x", 1<<22), status: 200, want: "hello"},
+		"body is cut short": {answer: okAnswer, length: 100, body: "short", kind: fault.Broken, ran: fault.RanUnknown},
+		"body of no length": {answer: okAnswer, length: -1, body: "some", status: 200, want: "hello"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, []string{test.answer}, test.after)
+			p := poolAt(t, s.listener.Addr().String())
+			got, err := serve(p, Ask{ID: "id-1", Method: http.MethodPost, Length: test.length}, strings.NewReader(test.body))
+			if diff := cmp.Diff([]any{test.status, test.want, test.kind}, []any{got.head.Status, got.body.String(), fault.KindOf(err)}); diff != "" {
+				t.Errorf("%s\n%v", diff, err)
+			}
+			if err != nil && fault.From(err).Ran() != test.ran {
+				t.Errorf("outcome %s, want %s: %v", fault.From(err).Ran(), test.ran, err)
+			}
+		})
+	}
+}
+
+// TestReuse sends a request on a kept connection in each state that it may be in.
+func TestReuse(t *testing.T) {
+	stray := func(conn net.Conn) { _, _ = io.WriteString(conn, okAnswer); _, _ = io.Copy(io.Discard, conn) }
+	tests := map[string]struct {
+		answers    []string
+		after      func(net.Conn)
+		idempotent bool
+		age        time.Duration // of the last answer on the kept connection
+		conns      int32         // opened in all
+	}{
+		"proven":                         {[]string{okAnswer, okAnswer}, nil, false, 0, 1},
+		"not proven, may not run twice":  {[]string{okAnswer, okAnswer}, nil, false, 2 * provenRecency, 2},
+		"not proven, idempotent":         {[]string{okAnswer, okAnswer}, nil, true, 2 * provenRecency, 1},
+		"too old":                        {[]string{okAnswer, okAnswer}, nil, true, 2 * idleKeep, 2},
+		"closed by the upstream":         {[]string{okAnswer}, closeNow, false, 0, 2},
+		"stray bytes after the answer":   {[]string{okAnswer}, stray, false, 0, 2},
+		"second answer with the first":   {[]string{okAnswer + okAnswer, okAnswer}, nil, false, 0, 2},
+		"the upstream closes after each": {[]string{strings.Replace(okAnswer, "\r\n", "\r\nConnection: close\r\n", 1)}, nil, false, 0, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, test.answers, test.after)
+			p := poolAt(t, s.listener.Addr().String())
+			for i := range 2 {
+				ask := Ask{ID: fmt.Sprintf("id-%d", i), Method: http.MethodPost, Idempotent: test.idempotent}
+				got, err := serve(p, ask, strings.NewReader(""))
+				if err != nil || got.body.String() != "hello" {
+					t.Fatalf("request %d: %q, %v", i, got.body.String(), err)
+				}
+				for _, w := range p.workers {
+					for _, c := range w.dialer.idle {
+						c.answered = c.answered.Add(-test.age)
+					}
+				}
+				if i == 0 {
+					// What follows the answer is on its way through the kernel.
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+			if n := s.conns.Load(); n != test.conns {
+				t.Errorf("%d connections, want %d", n, test.conns)
+			}
+		})
+	}
+}
+
+// TestSilentConnection lets a kept connection fall silent for good: an idempotent
+// request is raced on a new one, and is answered once.
+func TestSilentConnection(t *testing.T) {
+	var mute atomic.Bool
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if mute.Swap(false) {
+			<-r.Context().Done()
+			return
+		}
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		_, _ = io.WriteString(w, "hello")
+	}))
+	defer backend.Close()
+	p := poolAt(t, backend.Listener.Addr().String())
+	for i := range 3 {
+		mute.Store(i == 1)
+		got, err := serve(p, Ask{ID: fmt.Sprintf("id-%d", i), Method: http.MethodGet, Idempotent: true}, nil)
+		if err != nil || got.body.String() != "hello" {
+			t.Errorf("request %d: %q, %v", i, got.body.String(), err)
+		}
+	}
+	mute.Store(true)
+	_, err := serve(p, Ask{ID: "order", Method: http.MethodPost, Remaining: 700}, strings.NewReader(""))
+	if fault.From(err).Ran() != fault.RanUnknown || fault.KindOf(err) != fault.Expired {
+		t.Errorf("an order on a silent connection ended with %v", err)
+	}
+}
+
+func TestStripHop(t *testing.T) {
+	h := http.Header{
+		"Connection": {"close, X-Private"}, "X-Private": {"1"}, "Transfer-Encoding": {"chunked"}, "Te": {"x"}, "X-Kept": {"1"},
+	}
+	StripHop(h)
+	if diff := cmp.Diff(http.Header{"X-Kept": {"1"}}, h); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(strings.ReplaceAll(okAnswer, "%ID%", "id-1")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 503 x\r\nRan: no\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		var group errgroup.Group
+		group.Go(func() error {
+			_, _ = http.ReadRequest(bufio.NewReader(far))
+			_, _ = far.Write(data)
+			return far.Close()
+		})
+		deadline := time.Now().Add(5 * time.Second)
+		ask := &Ask{ID: "id-1", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}}
+		x := &exchange{ask: ask, deadline: deadline, conn: newConn(near)}
+		s := &sink{}
+		_, err := x.run(context.Background(), noBody{}, s)
+		_ = near.Close()
+		_ = group.Wait()
+		if err == nil && s.head.Length >= 0 && s.head.Length != int64(s.body.Len()) {
+			t.Errorf("an answer of %d bytes passed for one of %d", s.body.Len(), s.head.Length)
+		}
+	})
+}
