entry, trial: avoid owners that fall silent; more faults for try

Cause: while an owner was paused, its last report of room expired and it counted as free, so that each request could wait its whole time there: p99 of listings 6.5 s. Change: an owner without a word for 700 ms on an idempotent request is given up once, and silent owners come last and are not named in look-ups until they speak. Small answers travel in one write; an instance serves itself first while 40% of its slots are free. try pauses, cuts, silences, takes the platform down, kills an upstream.

--- a/entry/directory.go
+++ b/entry/directory.go
@@ -6,14 +6,17 @@
 	"sync"
 	"time"
 
-	"hickorydrum/declaration"
 	"hickorydrum/roster"
 	"hickorydrum/steering"
 	"hickorydrum/upstream"
 )
 
-// roomLife is how long a report of room guides choices.
-const roomLife = 2 * time.Second
+const (
+	// roomLife is how long a report of room guides choices.
+	roomLife   = 2 * time.Second
+	firstDoubt = time.Second
+	maxDoubt   = 8 * time.Second
+)
 
 // owner is an instance that owns upstreams of a service in a region.
 type owner struct {
@@ -111,6 +114,9 @@
 	until    time.Time
 	inFlight int
 	sent     int // since the report
+	// doubtTill is set while the member is silent; every word of it ends that.
+	doubtTill time.Time
+	doubts    int // in a row
 }
 
 func newRooms() *rooms { return &rooms{last: make(map[roomKey]*report)} }
@@ -129,6 +135,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entry(k)
+	if now.Before(e.doubtTill) {
+		return steering.NewCandidate(slots, -slots, e.inFlight, failed)
+	}
 	if now.After(e.until) {
 		return steering.NewCandidate(slots, slots, e.inFlight, failed)
 	}
@@ -162,10 +171,35 @@
 	defer r.mu.Unlock()
 	e := r.entry(k)
 	e.room = room
+	e.doubtTill, e.doubts = time.Time{}, 0
 	e.until = now.Add(roomLife)
 	e.sent = 0
 }
 
+// doubt notes that a member did not answer. It then comes last for a while, which
+// grows with each doubt.
+func (r *rooms) doubt(k roomKey, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entry(k)
+	e.doubtTill = now.Add(min(firstDoubt<<min(e.doubts, 4), maxDoubt))
+	e.doubts++
+}
+
+// silent returns the members that are in doubt for some service and have no
+// word newer than that.
+func (r *rooms) silent(now time.Time) map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]bool)
+	for k, e := range r.last {
+		if now.Before(e.doubtTill) {
+			out[k.member] = true
+		}
+	}
+	return out
+}
+
 // busy returns the part of the slots in use among the owners of a place, as
 // last told, and whether anything is known.
 func (r *rooms) busy(service string, owners []owner, now time.Time) (float64, bool) {
@@ -197,8 +231,3 @@
 		}
 	}
 }
-
-// drained reports whether a declared drain empties the region.
-func drained(set *declaration.Set, region string, now time.Time) bool {
-	return set.RegionDrained(region, now)
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -41,6 +42,9 @@
 	retryShare  = 0.1
 	maxTokens   = 20.0
 	writeMargin = time.Second
+	// localShare is the free part of this instance's own slots from which it
+	// serves a request itself, without asking other owners.
+	localShare = 0.4
 )
 
 var (
@@ -85,9 +89,10 @@
 	budget  budget
 	leaving atomic.Bool
 
-	mu    sync.Mutex // held while scope is replaced
-	table *steering.Table
-	view  *roster.View
+	mu     sync.Mutex // held while scope is replaced
+	table  *steering.Table
+	view   *roster.View
+	silent map[string]bool // members that are in doubt
 }
 
 // scope is what one request sees: a table and a roster that fit.
@@ -154,7 +159,7 @@
 	e.scope.Store(&scope{
 		table:     e.table,
 		directory: newDirectory(e.table, e.view),
-		lookups:   newLookups(e.table, e.view),
+		lookups:   newLookups(e.table, e.view, e.silent),
 		home:      home,
 	})
 }
@@ -171,6 +176,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			e.noteSilent(now)
 			if s := e.scope.Load(); s != nil && !e.frozen(now) {
 				e.flows.advance(ctx, s.directory, e.rooms, now)
 			}
@@ -178,6 +184,17 @@
 	}
 }
 
+// noteSilent keeps members that do not answer out of look-ups.
+func (e *Entry) noteSilent(now time.Time) {
+	silent := e.rooms.silent(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !maps.Equal(silent, e.silent) {
+		e.silent = silent
+		e.rescope()
+	}
+}
+
 // Shares returns where traffic is served that has left its home region.
 func (e *Entry) Shares() []Share { return e.flows.shares() }
 
@@ -473,7 +490,10 @@
 		if i < 0 {
 			break
 		}
-		last = x.serveAt(ctx, p, owners[i], ask)
+		// The first owner must begin to answer soon if another could serve the
+		// request as well.
+		hurry := try == 0 && ask.Idempotent && ask.Length == 0 && len(owners) > 1
+		last = x.serveAt(ctx, p, owners[i], ask, hurry)
 		if last == nil || !x.mayRetry(ctx, ask, last) {
 			return last
 		}
@@ -484,10 +504,19 @@
 	return last
 }
 
+// choose returns the index of the owner that should serve next, or -1. What this
+// instance owns itself comes first while much of it is free: that saves a hop.
 func (x *exchange) choose(p place, owners []owner, failed []bool) int {
 	now := time.Now()
+	self := x.entry.self().ID()
 	candidates := make([]steering.Candidate, len(owners))
 	for i, o := range owners {
+		if o.member.ID() == self && !failed[i] {
+			room := x.entry.local.Room(p.service)
+			if room.Slots > 0 && float64(room.Free) >= localShare*float64(room.Slots) {
+				return i
+			}
+		}
 		k := roomKey{service: p.service, member: o.member.ID()}
 		candidates[i] = x.entry.rooms.candidate(k, o.slots, failed[i], now)
 	}
@@ -512,7 +541,11 @@
 	}
 }
 
-func (x *exchange) serveAt(ctx context.Context, p place, o owner, ask *upstream.Ask) error {
+// headWait is how long the first owner of a request may stay without a word.
+const headWait = 700 * time.Millisecond
+
+// serveAt has one owner serve the request.
+func (x *exchange) serveAt(ctx context.Context, p place, o owner, ask *upstream.Ask, hurry bool) error {
 	e := x.entry
 	k := roomKey{service: p.service, member: o.member.ID()}
 	e.rooms.begin(k)
@@ -524,14 +557,50 @@
 		e.rooms.told(k, e.local.Room(p.service), time.Now())
 		return err
 	}
+	tryCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if hurry {
+		timer := time.AfterFunc(headWait, func() { cancel(errSilent) })
+		defer timer.Stop()
+		sink = &hurriedSink{Sink: sink, timer: timer}
+	}
 	to := peer.NewTarget(o.member.Name, o.member.Peer)
-	err := e.remote.Serve(ctx, to, ask, open, sink, func(room upstream.Room) { e.rooms.told(k, room, time.Now()) })
-	if ctx.Err() == nil {
-		e.flows.reached(ctx, p.region, !peer.Unreachable(err), time.Now())
+	err := e.remote.Serve(tryCtx, to, ask, open, sink, func(room upstream.Room) { e.rooms.told(k, room, time.Now()) })
+	x.noteReach(ctx, p, k, err, errors.Is(context.Cause(tryCtx), errSilent))
+	if errors.Is(context.Cause(tryCtx), errSilent) && ctx.Err() == nil && err != nil {
+		return fault.New(fault.Unavailable, "the owner did not begin to answer", "retry", fault.WithRan(fault.From(err).Ran()))
 	}
 	return err
 }
 
+var errSilent = errors.New("no word from the owner")
+
+// noteReach notes whether an owner and its region could be reached.
+func (x *exchange) noteReach(ctx context.Context, p place, k roomKey, err error, silent bool) {
+	if ctx.Err() != nil {
+		return
+	}
+	lost := fault.KindOf(err) == fault.Unavailable && fault.From(err).Ran() == fault.RanUnknown
+	if silent || lost || peer.Unreachable(err) {
+		x.entry.rooms.doubt(k, time.Now())
+	}
+	x.entry.flows.reached(ctx, p.region, !peer.Unreachable(err), time.Now())
+}
+
+// hurriedSink ends the hurry once the answer begins.
+type hurriedSink struct {
+	upstream.Sink
+	timer *time.Timer
+}
+
+// Head passes the head on, unless the try was given up in the same moment.
+func (s *hurriedSink) Head(h upstream.Head) error {
+	if !s.timer.Stop() {
+		return errSilent
+	}
+	return s.Sink.Head(h)
+}
+
 func (x *exchange) openBody() (io.ReadCloser, error) { return x.body, nil }
 
 // budget limits retries to a share of first tries, so that they cannot multiply
--- a/entry/flows.go
+++ b/entry/flows.go
@@ -228,7 +228,7 @@
 		}
 		busy, _ := rooms.busy(service, owners, now)
 		out[i] = steering.NewHealth(d.slots(p, now), served, refused, busy).
-			Drain(drained(d.table.Set(), name, now)).
+			Drain(d.table.Set().RegionDrained(name, now)).
 			Die(len(owners) == 0 || f.dead(i, now))
 	}
 	return out
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -39,11 +39,13 @@
 	all     []int      // the regions with live instances
 }
 
-func newLookups(table *steering.Table, view *roster.View) *lookups {
+// newLookups renders the answers. Silent members are named only where a region
+// has no others.
+func newLookups(table *steering.Table, view *roster.View, silent map[string]bool) *lookups {
 	n := len(table.Regions())
 	l := &lookups{table: table, serving: make([]bool, n), answers: make([][][]byte, n)}
 	for i, name := range table.Regions() {
-		members := view.Serving(name)
+		members := audible(view.Serving(name), silent)
 		if len(members) == 0 {
 			continue
 		}
@@ -56,6 +58,19 @@
 	return l
 }
 
+func audible(members []roster.Member, silent map[string]bool) []roster.Member {
+	var out []roster.Member
+	for _, m := range members {
+		if !silent[m.ID()] {
+			out = append(out, m)
+		}
+	}
+	if len(out) == 0 {
+		return members
+	}
+	return out
+}
+
 // variantOf returns the instances that one of the answers names: a few, from
 // different failure domains where there are, beginning at the variant's.
 func variantOf(members []roster.Member, variant int) []Named {
--- a/matrix/cluster_test.go
+++ b/matrix/cluster_test.go
@@ -46,7 +46,7 @@
 
 // cluster is a whole small deployment in one process, on real sockets.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	store   *standin.Store
 	api     *httptest.Server
 	workers []*standin.Upstream
@@ -68,7 +68,7 @@
 
 const workerSlots = 3
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: standin.NewStore(), runs: make(map[string]int), client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 16}, Timeout: settleLimit,
@@ -189,7 +189,7 @@
 const firstPort = 21_000
 
 // freeAddress returns a loopback address that nobody listens on.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
--- a/peer/node.go
+++ b/peer/node.go
@@ -184,8 +184,8 @@
 	s.raw.CancelRead(resetByError)
 }
 
-// Open begins a call to a peer. Nothing of it was run when Open fails. The
-// caller ends the stream with Abort once it needs nothing more of it.
+// Open begins a call to a peer, which sees it with the first message. The caller
+// ends the stream with Abort once it needs nothing more of it.
 func (n *Node) Open(ctx context.Context, to Target, call Call) (*Stream, error) {
 	p, err := n.connect(ctx, to)
 	if err != nil {
@@ -198,7 +198,7 @@
 	}
 	s := newStream(raw, to.name)
 	s.release = func() { n.release(p) }
-	if err := s.Send(FrameCall, callMessage{Call: call}); err != nil {
+	if err := s.Hold(FrameCall, callMessage{Call: call}); err != nil {
 		s.Abort()
 		return nil, unreachable(err)
 	}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -125,12 +125,46 @@
 	return s.Send(FrameFault, fault.From(err).ToWire(time.Now()))
 }
 
+// write sends a frame, after the ones that were held back.
 func (s *Stream) write(frame Frame, data []byte) error {
-	// One write for header and payload saves a packet on small frames.
-	s.out = append(s.out[:0], byte(frame), 0, 0, 0, 0)
-	binary.BigEndian.PutUint32(s.out[1:], uint32(len(data)))
+	s.append(frame, data)
+	return s.Flush()
+}
+
+// append puts a frame behind those that are held back.
+func (s *Stream) append(frame Frame, data []byte) {
+	var header [frameHeader]byte
+	header[0] = byte(frame)
+	binary.BigEndian.PutUint32(header[1:], uint32(len(data)))
+	s.out = append(s.out, header[:]...)
 	s.out = append(s.out, data...)
-	if _, err := s.raw.Write(s.out); err != nil {
+}
+
+// Hold puts a message behind those that are held back until the next send or
+// flush: one write for several small frames saves packets and wake-ups.
+func (s *Stream) Hold(frame Frame, msg any) error {
+	data, err := Encode(msg)
+	if err != nil {
+		return err
+	}
+	s.append(frame, data)
+	return nil
+}
+
+// HoldData puts a part of a body behind those that are held back.
+func (s *Stream) HoldData(part []byte) { s.append(FrameData, part) }
+
+// Held returns how many bytes are held back.
+func (s *Stream) Held() int { return len(s.out) }
+
+// Flush sends what is held back.
+func (s *Stream) Flush() error {
+	if len(s.out) == 0 {
+		return nil
+	}
+	_, err := s.raw.Write(s.out)
+	s.out = s.out[:0]
+	if err != nil {
 		return lost(err)
 	}
 	return nil
--- a/trial/command.go
+++ b/trial/command.go
@@ -188,6 +188,7 @@
 			f.StringVar(&o.Examples, "examples", "examples", "directory of the examples")
 			f.DurationVar(&o.For, "for", 20*time.Second, "how long the load runs")
 			f.Uint64Var(&o.Seed, "seed", 1, "seed of the load and of the events")
+			f.StringVar((*string)(&o.Fault), "fault", string(FaultKill), fmt.Sprint("what is done beside the planned stop: one of ", Faults))
 			f.BoolVar(&o.JSON, "json", false, "print the report as JSON only")
 			f.BoolVar(&o.Keep, "keep", false, "keep the logs")
 			f.StringVar(&o.Program, "program", "", "program of hickorydrum; built when empty")
@@ -197,6 +198,9 @@
 			if !ok {
 				return fmt.Errorf("deployment %q is not known; use one of %s", name, strings.Join(profileNames(), ", "))
 			}
+			if !slices.Contains(Faults, o.Fault) {
+				return fmt.Errorf("fault %q is not known; use one of %v", o.Fault, Faults)
+			}
 			o.Profile = profile
 			report, err := Try(ctx, o)
 			if err != nil {
--- a/trial/deploy.go
+++ b/trial/deploy.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -109,6 +110,7 @@
 	set       *declaration.Set
 	processes []*process
 	instances []*instanceProcess
+	upstreams []*process
 	group     errgroup.Group
 
 	mu   sync.Mutex
@@ -252,11 +254,12 @@
 	for _, s := range d.set.Services() {
 		for _, w := range s.Workers() {
 			name := "upstream-" + strings.NewReplacer(".", "-", ":", "-").Replace(w.Address())
-			_, err := d.start(name, d.self, &runWriter{d: d}, "upstream", "-listen", shift(w.Address(), behindLink),
+			p, err := d.start(name, d.self, &runWriter{d: d}, "upstream", "-listen", shift(w.Address(), behindLink),
 				"-slots", strconv.Itoa(w.Slots()), "-work", d.profile.work[s.Name()].String())
 			if err != nil {
 				return err
 			}
+			d.upstreams = append(d.upstreams, p)
 		}
 	}
 	_, err := d.start("direct", d.self, nil, "upstream", "-listen", shift(directAddress, behindLink),
@@ -515,3 +518,20 @@
 	defer func() { _ = resp.Body.Close() }()
 	return json.NewDecoder(resp.Body).Decode(into)
 }
+
+func post(ctx context.Context, url string, data []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := control.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return nil
+}
--- a/trial/try.go
+++ b/trial/try.go
@@ -26,8 +26,9 @@
 
 const (
 	stopAt       = 0.2 // of the load's time: a planned stop of an instance
-	killAt       = 0.5 // a kill of another one
-	applyAt      = 0.75
+	killAt       = 0.4 // the fault
+	healAt       = 0.7 // its end
+	applyAt      = 0.8
 	rolloutLimit = 5 * time.Second
 	drainSlack   = 65 * time.Second
 	callersEach  = 8
@@ -42,10 +43,28 @@
 	JSON     bool
 	Keep     bool // keep the directory with the logs
 	Out      io.Writer
+	Fault    Fault
 	// Program is the program of hickorydrum; it is built when empty.
 	Program string
 }
 
+// Fault is what a try does to the deployment beside the planned stop.
+type Fault string
+
+// The faults of a try.
+const (
+	FaultKill     Fault = "kill"     // SIGKILL to an instance
+	FaultPause    Fault = "pause"    // SIGSTOP to an instance, beyond every lease, then SIGCONT
+	FaultCut      Fault = "cut"      // one region loses the others, both ways, then heals
+	FaultOneWay   Fault = "one-way"  // packets from one region to another are lost, then heals
+	FaultSilent   Fault = "silent"   // open connections to upstreams fall silent for good
+	FaultPlatform Fault = "platform" // the platform is down, then back
+	FaultUpstream Fault = "upstream" // SIGKILL to an upstream
+)
+
+// Faults lists the faults of a try.
+var Faults = []Fault{FaultKill, FaultPause, FaultCut, FaultOneWay, FaultSilent, FaultPlatform, FaultUpstream}
+
 // Check is one promise and what was counted against it.
 type Check struct {
 	Promise string `json:"promise"`
@@ -228,9 +247,14 @@
 	if err := pauseUntil(ctx, at(killAt)); err != nil {
 		return err
 	}
-	killed := t.instances[(int(t.options.Seed)+len(t.instances)/2)%len(t.instances)]
-	t.say("killing %s", killed.name)
-	if err := killed.cmd.Process.Kill(); err != nil {
+	heal, err := t.inject(ctx)
+	if err != nil {
+		return err
+	}
+	if err := pauseUntil(ctx, at(healAt)); err != nil {
+		return err
+	}
+	if err := heal(); err != nil {
 		return err
 	}
 	if err := pauseUntil(ctx, at(applyAt)); err != nil {
@@ -240,6 +264,58 @@
 	return group.Wait()
 }
 
+// inject begins the fault and returns what ends it.
+func (t *trial) inject(ctx context.Context) (heal func() error, err error) {
+	victim := t.instances[(int(t.options.Seed)+len(t.instances)/2)%len(t.instances)]
+	nothing := func() error { return nil }
+	ways := func(cuts ...standin.Cut) (func() error, error) {
+		for _, c := range cuts {
+			data, err := json.Marshal(c)
+			if err != nil {
+				return nil, err
+			}
+			if err := post(ctx, "http://"+linkControl+"/cut", data); err != nil {
+				return nil, err
+			}
+		}
+		return func() error { return post(ctx, "http://"+linkControl+"/heal", nil) }, nil
+	}
+	switch t.options.Fault {
+	case FaultPause:
+		t.say("pausing %s", victim.name)
+		resume := func() error {
+			t.say("resuming %s", victim.name)
+			return victim.cmd.Process.Signal(syscall.SIGCONT)
+		}
+		return resume, victim.cmd.Process.Signal(syscall.SIGSTOP)
+	case FaultCut:
+		t.say("cutting region 2 off")
+		return ways(
+			standin.Cut{From: "127.2.", To: "127.1."}, standin.Cut{From: "127.1.", To: "127.2."},
+			standin.Cut{From: "127.2.", To: "127.3."}, standin.Cut{From: "127.3.", To: "127.2."})
+	case FaultOneWay:
+		t.say("losing what goes from region 2 to region 1")
+		return ways(standin.Cut{From: "127.2.", To: "127.1."})
+	case FaultSilent:
+		t.say("silencing the open connections within region 1")
+		return ways(standin.Cut{From: "127.1.", To: "127.1.", Silent: true})
+	case FaultPlatform:
+		t.say("the platform goes down")
+		down := func(calls int) error {
+			url := fmt.Sprintf("http://%s/standin/fault?kind=%s&calls=%d", platformAddress, standin.StoreDown, calls)
+			return post(ctx, url, nil)
+		}
+		return func() error { return down(0) }, down(-1)
+	case FaultUpstream:
+		p := t.upstreams[int(t.options.Seed)%len(t.upstreams)]
+		t.say("killing %s", p.name)
+		return nothing, p.cmd.Process.Kill()
+	default:
+		t.say("killing %s", victim.name)
+		return nothing, victim.cmd.Process.Kill()
+	}
+}
+
 // stop asks an instance to stop and measures how long that takes.
 func (t *trial) stop(ctx context.Context, i *instanceProcess) error {
 	t.say("asking %s to stop", i.name)
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -158,14 +158,20 @@
 		return false, x.failed(fault.Unavailable, "the connection to the upstream was lost", err)
 	}
 	var group errgroup.Group
-	group.Go(func() error {
+	send := func() error {
 		tracked := &trackedBody{Reader: body}
 		err := x.send(tracked)
 		if err != nil && tracked.err != nil {
 			_ = x.conn.Close() // the rest of the body will never come
 		}
 		return err
-	})
+	}
+	if x.ask.Length != 0 {
+		group.Go(send)
+	} else if err := send(); err != nil {
+		_ = x.conn.Close()
+		return false, x.failed(fault.Broken, "the request could not be sent", err)
+	}
 	reusable, bad := x.finish(ctx, sink)
 	if !reusable || bad != nil || !x.bodyRead.Load() {
 		reusable = false
--- a/upstream/remote.go
+++ b/upstream/remote.go
@@ -82,21 +82,33 @@
 	return nil
 }
 
+// holdBytes is how much of a short answer is held back to be sent at once.
+const holdBytes = 16 << 10
+
 // streamSink sends an answer to the asking instance.
 type streamSink struct {
 	stream  *peer.Stream
 	pool    *Pool
 	service string
+	short   bool // the whole answer is sent at once
 }
 
 // Head sends the beginning of the answer.
 func (k *streamSink) Head(h Head) error {
 	h.Room = k.pool.Room(k.service)
+	k.short = h.Length >= 0 && h.Length <= holdBytes
+	if k.short {
+		return k.stream.Hold(frameHead, h)
+	}
 	return k.stream.Send(frameHead, h)
 }
 
 // Write sends a part of the body.
 func (k *streamSink) Write(p []byte) (int, error) {
+	if k.short && k.stream.Held()+len(p) <= 2*holdBytes {
+		k.stream.HoldData(p)
+		return len(p), nil
+	}
 	if err := k.stream.SendData(p); err != nil {
 		return 0, err
 	}
