steering, entry: shares without traffic, and tests of the callers' side

Cause: a flow without recent traffic had no shares at all, so that it counted as moved away and its adopted placement did not show. Change: without traffic buckets count alike. Tables for look-ups, rooms, the budget of retries, placements across revisions; fuzzing of look-up queries.

--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,253 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hickorydrum/declaration"
+	"hickorydrum/roster"
+	"hickorydrum/steering"
+	"hickorydrum/upstream"
+)
+
+const testFiles = `
+{kind: region, name: one, domains: [a, b]}
+---
+{kind: region, name: two, domains: [c]}
+---
+{kind: service, name: list, path: /list, limit: 2s, workers: [{at: "10.0.0.1:80", domain: a, slots: 2}, {at: "10.0.0.2:80", domain: c, slots: 2}]}
+---
+{kind: cap, service: list, planned: {share: 25%, every: 1s}, failure: {share: 50%, every: 1s}}
+---
+{kind: block, prefix: 10.1.0.0/16, region: one}
+---
+{kind: block, prefix: 10.2.0.0/16, region: two}
+`
+
+func testTable(t testing.TB, more string) *steering.Table {
+	t.Helper()
+	set, err := declaration.Parse(map[string][]byte{"f.yaml": []byte(testFiles + more)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return steering.NewTable(set, 7)
+}
+
+func testMember(name, region, domain string, state roster.State) roster.Member {
+	return roster.Member{Name: name, Run: "1", Region: region, Domain: domain, Caller: name + ":80", State: state}
+}
+
+func testView(members ...roster.Member) *roster.View {
+	r := roster.New(members[0])
+	r.Merge(members[1:])
+	return r.View()
+}
+
+func TestLookupNames(t *testing.T) {
+	live := []roster.Member{
+		testMember("a1", "one", "a", roster.Live), testMember("a2", "one", "a", roster.Live),
+		testMember("b1", "one", "b", roster.Live), testMember("c1", "two", "c", roster.Live),
+	}
+	with := func(i int, state roster.State) []roster.Member {
+		out := append([]roster.Member(nil), live...)
+		out[i].State = state
+		return out
+	}
+	tests := map[string]struct {
+		members []roster.Member
+		silent  map[string]bool
+		address string
+		region  string
+		without string
+		count   int
+	}{
+		"home":               {live, nil, "10.1.0.1", "one", "", 3},
+		"other home":         {live, nil, "10.2.0.1", "two", "", 1},
+		"unknown block":      {live, nil, "192.0.2.1", "one", "", 3},
+		"leaving":            {with(1, roster.Leaving), nil, "10.1.0.1", "one", "a2:80", 2},
+		"gone":               {with(1, roster.Gone), nil, "10.1.0.1", "one", "a2:80", 2},
+		"joining":            {with(1, roster.Joining), nil, "10.1.0.1", "one", "a2:80", 2},
+		"silent":             {live, map[string]bool{"a2/1": true}, "10.1.0.1", "one", "a2:80", 2},
+		"all silent":         {live, map[string]bool{"c1/1": true}, "10.2.0.1", "two", "", 1},
+		"no instance left":   {with(3, roster.Gone), nil, "10.2.0.1", "one", "c1:80", 3},
+		"last one is leavin": {with(3, roster.Leaving), nil, "10.2.0.1", "two", "", 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLookups(testTable(t, ""), testView(test.members...), test.silent)
+			until := time.Now().Add(3 * time.Second)
+			data, ok := l.append(nil, netip.MustParseAddr(test.address), "", 0, nil, until)
+			if !ok {
+				t.Fatal("no answer")
+			}
+			var got Lookup
+			if err := json.Unmarshal(data, &got); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]any{test.region, uint64(7), test.count}, []any{got.Region, got.Revision, len(got.Instances)}); diff != "" {
+				t.Error(diff)
+			}
+			if !got.Until.Equal(until) {
+				t.Errorf("until %s, want %s", got.Until, until)
+			}
+			for _, n := range got.Instances {
+				if n.Address == test.without {
+					t.Errorf("%s is named", n.Address)
+				}
+			}
+		})
+	}
+}
+
+// TestLookupSpreadsDomains names instances of different failure domains first.
+func TestLookupSpreadsDomains(t *testing.T) {
+	var members []roster.Member
+	for i := range 6 {
+		members = append(members, testMember(fmt.Sprintf("m%d", i), "one", string("ab"[i%2]), roster.Live))
+	}
+	for variant := range members {
+		named := variantOf(members, variant)
+		if named[0].Domain == named[1].Domain {
+			t.Errorf("variant %d names %v", variant, named)
+		}
+	}
+}
+
+func TestBudget(t *testing.T) {
+	var b budget
+	for range 100 {
+		b.earn()
+	}
+	spent := 0
+	for b.spend() {
+		spent++
+	}
+	if spent < 9 || spent > 10 {
+		t.Errorf("100 first tries allow %d retries, want 10", spent)
+	}
+}
+
+func TestRooms(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := roomKey{service: "list", member: "a"}
+	best := func(r *rooms, other steering.Candidate) int {
+		wins := 0
+		for i := range uint64(64) {
+			if steering.Choose([]steering.Candidate{r.candidate(k, 4, false, now), other}, i*0x9e3779b97f4a7c15) == 0 {
+				wins++
+			}
+		}
+		return wins
+	}
+	half := steering.NewCandidate(4, 2, 0, false)
+	tests := map[string]struct {
+		prepare func(r *rooms)
+		better  bool // than an owner with half its slots free
+	}{
+		"nothing known":   {func(*rooms) {}, true},
+		"told free":       {func(r *rooms) { r.told(k, upstream.Room{Slots: 4, Free: 4}, now) }, true},
+		"told full":       {func(r *rooms) { r.told(k, upstream.Room{Slots: 4, Free: 0}, now) }, false},
+		"told none":       {func(r *rooms) { r.told(k, upstream.Room{}, now) }, false},
+		"sent much since": {func(r *rooms) { r.told(k, upstream.Room{Slots: 4, Free: 4}, now); r.begin(k); r.begin(k); r.begin(k) }, false},
+		"silent":          {func(r *rooms) { r.doubt(k, now) }, false},
+		"silent, spoke":   {func(r *rooms) { r.doubt(k, now); r.told(k, upstream.Room{Slots: 4, Free: 4}, now) }, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRooms()
+			test.prepare(r)
+			if got := best(r, half) > 32; got != test.better {
+				t.Errorf("preferred: %v, want %v", got, test.better)
+			}
+		})
+	}
+}
+
+// TestFlowsFollowRegions changes the list of regions while traffic is away.
+func TestFlowsFollowRegions(t *testing.T) {
+	f := newFlows(slog.New(slog.DiscardHandler))
+	f.setTable(testTable(t, ""))
+	now := time.Unix(1000, 0)
+	flow := f.flow(place{service: "list", region: 0}, now)
+	step := declaration.NewStep(1, time.Second)
+	flow.Advance(now, []float64{0, 1}, step)
+	sent := f.placements()
+	next := testTable(t, "---\n{kind: region, name: new, domains: [z]}\n") // sorts before "one"
+	f.setTable(next)
+	home, _ := next.RegionIndex("one")
+	away, _ := next.RegionIndex("two")
+	shares := f.flow(place{service: "list", region: home}, now).Shares()
+	if shares[away] < 0.99 {
+		t.Errorf("shares after the change of regions: %v", shares)
+	}
+	// Another instance adopts what this one had in force.
+	other := newFlows(slog.New(slog.DiscardHandler))
+	other.setTable(next)
+	other.adopt(sent, now)
+	if got := other.flow(place{service: "list", region: home}, now).Shares(); got[away] < 0.99 {
+		t.Errorf("adopted shares: %v", got)
+	}
+	sent[0].Regions = []string{"nowhere"}
+	other = newFlows(slog.New(slog.DiscardHandler))
+	other.setTable(next)
+	other.adopt(sent, now)
+	if got := other.flow(place{service: "list", region: home}, now).Shares(); got[home] < 0.99 {
+		t.Errorf("a placement with unknown regions was adopted: %v", got)
+	}
+}
+
+func TestTimeLimit(t *testing.T) {
+	service := testTable(t, "").ServiceNamed("list")
+	tests := map[string]struct {
+		header string
+		want   time.Duration
+		fails  bool
+	}{
+		"none":         {"", 2 * time.Second, false},
+		"less":         {"500", 500 * time.Millisecond, false},
+		"more":         {"9000", 2 * time.Second, false},
+		"over":         {"0", 0, true},
+		"past":         {"-5", 0, true},
+		"not a number": {"1s", 0, true},
+		"huge":         {"99999999999999999", 0, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := timeLimit(http.Header{upstream.HeaderTimeout: {test.header}}, service)
+			if got != test.want || (err != nil) != test.fails {
+				t.Errorf("got %s, %v", got, err)
+			}
+		})
+	}
+}
+
+func FuzzLookup(f *testing.F) {
+	r := roster.New(testMember("a1", "one", "a", roster.Live))
+	e := New(r.Self, upstream.NewPool("one"), nil, nil, slog.New(slog.DiscardHandler))
+	e.SetTable(testTable(f, ""))
+	e.SetView(r.View())
+	handler := e.Handler()
+	f.Add("address=10.1.0.1&service=list")
+	f.Add("address=%zz")
+	f.Fuzz(func(t *testing.T, query string) {
+		if strings.ContainsAny(query, " \r\n\x00\x7f") {
+			t.Skip("not a request line")
+		}
+		req := httptest.NewRequest(http.MethodGet, LookupPath, nil)
+		req.URL.RawQuery = query
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, req)
+		if w.Code != http.StatusOK && w.Header().Get(upstream.HeaderRan) == "" {
+			t.Errorf("%q was answered with %d and no outcome", query, w.Code)
+		}
+	})
+}
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -205,9 +205,18 @@
 	return shares
 }
 
+// masses adds up the share of each region. Without any traffic, buckets count
+// alike.
 func (p *Placement) masses(weights *[Buckets]weight, masses []float64) {
+	sum := 0.0
+	for b := range weights {
+		sum += weights[b][byRequests]
+	}
 	for b := range weights {
 		w, part := weights[b][byRequests], float64(p.part[b])
+		if sum == 0 {
+			w = 1.0 / Buckets
+		}
 		masses[p.assign[b]] += w * part
 		masses[p.old[b]] += w * (1 - part)
 	}
