instance, matrix: start with the platform down, and survive a dead region

Cause: an instance registered before it asked its seeds, so that one that started while the platform was down never had a revision. Ruled out: the seeds themselves; they answered once asked. Change: the seeds come first. Cells for the start with the platform down and for a region that dies, seen from its callers.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -50,6 +50,7 @@
 	stopPoll        = 20 * time.Millisecond
 	stopSlack       = 5 * time.Second
 	seedWait        = 300 * time.Millisecond
+	seedTries       = 10
 )
 
 // Instance is one running instance.
@@ -299,10 +300,15 @@
 // join takes over what the peers know, then registers; only a registered
 // instance owns upstreams and is named to callers.
 func (i *Instance) join(ctx context.Context) error {
+	// What the peers know comes first: it needs no platform, and an instance that
+	// cannot register yet serves callers who ask it all the same.
+	i.bootstrap(ctx)
 	if !i.register(ctx, withState(i.roster.Self(), roster.Joining)) {
 		return nil
 	}
-	i.bootstrap(ctx)
+	if members, err := i.registry.Read(ctx); err == nil {
+		i.roster.Merge(members)
+	}
 	i.adopt(ctx)
 	if !i.register(ctx, withState(i.roster.Self(), roster.Live)) {
 		return nil
@@ -321,16 +327,13 @@
 	return m
 }
 
-// bootstrap waits for a first revision, from the platform or from the seeds.
+// bootstrap asks the seeds for a first revision, for a while.
 func (i *Instance) bootstrap(ctx context.Context) {
 	var seeds []peer.Target
 	for _, address := range i.settings.List("seeds") {
 		seeds = append(seeds, peer.NewTarget("", address))
 	}
-	if members, err := i.registry.Read(ctx); err == nil {
-		i.roster.Merge(members)
-	}
-	for try := 0; ctx.Err() == nil && i.state.Revision() == 0 && try < 10; try++ {
+	for try := 0; ctx.Err() == nil && i.state.Revision() == 0 && len(seeds) > 0 && try < seedTries; try++ {
 		i.follower.Bootstrap(ctx, seeds)
 		timer := time.NewTimer(seedWait)
 		select {
--- a/matrix/cluster_test.go
+++ b/matrix/cluster_test.go
@@ -38,6 +38,7 @@
 type member struct {
 	name     string
 	caller   string
+	peer     string
 	settings *setting.Table
 	instance *instance.Instance
 	stop     context.CancelFunc
@@ -53,6 +54,7 @@
 	servers []*httptest.Server
 	members []*member
 	client  *http.Client
+	keys    func(name string) []string // flags with a member's keys
 	group   errgroup.Group
 
 	mu   sync.Mutex
@@ -81,16 +83,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, l := range layout {
-		pair, err := authority.Certify(l.name, time.Now(), time.Now().Add(time.Hour))
+	c.keys = func(name string) []string {
+		pair, err := authority.Certify(name, time.Now(), time.Now().Add(time.Hour))
 		if err != nil {
 			t.Fatal(err)
 		}
-		cert, key := filepath.Join(dir, l.name+".pem"), filepath.Join(dir, l.name+"-key.pem")
+		cert, key := filepath.Join(dir, name+".pem"), filepath.Join(dir, name+"-key.pem")
 		if err := pair.WriteFiles(cert, key); err != nil {
 			t.Fatal(err)
 		}
-		c.start(l.name, l.region, l.domain, string(authority.Cert()), cert, key)
+		return []string{"-ca", string(authority.Cert()), "-cert", cert, "-key", key}
+	}
+	for _, l := range layout {
+		c.start(l.name, l.region, l.domain)
 	}
 	c.await("every upstream owned", c.owned)
 	return c
@@ -114,7 +119,7 @@
 		}
 		text += fmt.Sprintf("---\n{kind: cap, service: %s, planned: {share: 20%%, every: 500ms}, failure: {share: 50%%, every: 200ms}}\n", name)
 	}
-	return text + "---\n{kind: block, prefix: 127.0.0.0/8, region: one}\n" + more
+	return text + "---\n{kind: block, prefix: 127.0.0.0/8, region: one}\n---\n{kind: block, prefix: 127.0.2.0/24, region: two}\n" + more
 }
 
 func (c *cluster) apply(text string) uint64 {
@@ -149,17 +154,20 @@
 	return c.runs[id]
 }
 
-func (c *cluster) start(name, region, domain, ca, cert, key string) {
+func (c *cluster) start(name, region, domain string) *member {
 	c.t.Helper()
 	table := setting.Serve()
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	table.SetFlags(flags)
 	free := func() string { return freeAddress(c.t) }
-	m := &member{name: name, caller: free(), settings: table, done: make(chan struct{})}
-	err := flags.Parse([]string{
+	m := &member{name: name, caller: free(), peer: free(), settings: table, done: make(chan struct{})}
+	args := append(c.keys(name),
 		"-name", name, "-region", region, "-domain", domain, "-platform", c.api.URL, "-caller", m.caller,
-		"-peer", free(), "-probe", free(), "-admin", free(), "-lookup-life", "1s", "-ca", ca, "-cert", cert, "-key", key,
-	})
+		"-peer", m.peer, "-probe", free(), "-admin", free(), "-lookup-life", "1s")
+	if len(c.members) > 0 {
+		args = append(args, "-seeds", c.members[0].peer)
+	}
+	err := flags.Parse(args)
 	if err == nil {
 		err = table.Check()
 	}
@@ -180,27 +188,39 @@
 		defer close(m.done)
 		return m.instance.Run(ctx)
 	})
+	return m
 }
 
-// nextPort lies below the ports that the system gives out by itself, so that no
-// other test takes an address between its choice and its use.
+// nextPort counts the ports given out. They lie below those that the system gives
+// out by itself, in a range of each process's own, so that no other test takes one
+// between its choice and its use.
 var nextPort atomic.Int32
 
-const firstPort = 21_000
+const (
+	firstPort  = 21_000
+	portRanges = 20
+	portRange  = 500
+)
 
-// freeAddress returns a loopback address that nobody listens on.
+// freeAddress returns a loopback address that nobody listens on, over TCP or UDP.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		n := nextPort.Add(1)
+		if n > portRange {
+			t.Fatal("the ports of this process are used up")
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%portRanges*portRange+int(n))
 		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		packets, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
 		if err == nil {
-			_ = listener.Close()
+			_ = packets.Close()
 			return address
 		}
-		if nextPort.Load() > 10_000 {
-			t.Fatal(err)
-		}
 	}
 }
 
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -423,3 +424,57 @@
 		return strings.Contains(got.Body, `"region":"two"`)
 	})
 }
+
+// TestStartWithPlatformDown starts an instance while the platform is down: it takes
+// the revision from a peer and serves callers, but owns nothing until it can
+// register.
+func TestStartWithPlatformDown(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.store.Fail(standin.StoreDown, -1)
+	late := c.start("b2", "one", "b")
+	c.await("a revision from a peer", func() bool { return late.instance.Status().Revision == 1 })
+	c.await("an answer through the late instance", func() bool {
+		id := c.id()
+		k := listing.call(id)
+		k.at = len(c.members) - 1
+		got := c.send(id, k)
+		c.checkPromises(id, listing, got)
+		return got.Code == http.StatusOK
+	})
+	if s := late.instance.Status(); s.State != "joining" {
+		t.Errorf("without a platform the instance is %s", s.State)
+	}
+	c.store.Fail(standin.StoreDown, 0)
+	c.await("the late instance to be live", func() bool { return late.instance.Status().State == "live" })
+	c.await("every upstream owned", c.owned)
+}
+
+// TestRegionDies stops the only instance of region two. Its callers, who ask an
+// instance of region one now, are served there by steps of the failure cap; until
+// then they are told that nothing was run.
+func TestRegionDies(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.client.Transport = &http.Transport{DialContext: (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 2, 1)}}).DialContext}
+	c.members[3].stop()
+	<-c.members[3].done
+	c.members = c.members[:3]
+	streak := 0
+	c.await("the callers of region two to be served by region one", func() bool {
+		id := c.id()
+		got := c.send(id, listing.call(id))
+		c.checkPromises(id, listing, got)
+		if got.Code != http.StatusOK && got.Ran != "no" {
+			t.Errorf("while traffic moves a caller was told %+v", got)
+		}
+		streak++
+		if got.Code != http.StatusOK {
+			streak = 0
+		}
+		return streak == 10
+	})
+	if n := c.workers[2].Facts().Served; n != 0 {
+		t.Errorf("the upstream of the dead region served %d requests", n)
+	}
+}
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -32,8 +32,9 @@
 	LivePageKey = roster.WatchPrefix + "instances"
 
 	watchWait   = 4 * time.Second
-	helloEvery  = time.Second
+	helloEvery  = 2 * time.Second
 	callTimeout = 2 * time.Second
+	relayCheck  = time.Second
 	updateLimit = 10 * time.Second
 	relays      = 2 // of each failure domain watch the platform
 	helloOthers = 2 // neighbours in the region
@@ -149,7 +150,7 @@
 	for ctx.Err() == nil {
 		if !f.relay(time.Now()) {
 			cursor = nil
-			pause(ctx, helloEvery)
+			pause(ctx, relayCheck)
 			continue
 		}
 		next, err := f.watchOnce(ctx, cursor)
--- a/upstream/ownership.go
+++ b/upstream/ownership.go
@@ -267,16 +267,16 @@
 	self := o.roster.Self()
 	view := o.roster.View()
 	others := slices.DeleteFunc(view.Serving(self.Region), func(m roster.Member) bool { return m.ID() == self.ID() })
+	// One heir for all that this instance owns: each heir costs a call.
+	want := ""
+	if heir, _ := roster.First(self.ID(), others); heir.Name != "" {
+		want = heir.ID()
+	}
 	now := o.now()
 	byMember := make(map[string][]lease.Beat)
 	o.pool.mu.Lock()
 	defer o.pool.mu.Unlock()
-	for address, w := range o.pool.workers {
-		heir, _ := roster.First(address, others)
-		want := ""
-		if heir.Name != "" {
-			want = heir.ID()
-		}
+	for _, w := range o.pool.workers {
 		if to, beat, ok := w.tenure.Beat(now, want); ok {
 			byMember[to] = append(byMember[to], beat)
 		}
