steering, entry: move no traffic for a moment's refusals, and leave a dead region fast

Cause: under a cut, listings of a whole region failed: upstreams that start cold had refused for a moment, 25% of the traffic had moved by the failure cap and went back by 5% every 5 s, so that a part was served beyond the cut; and what a dead region served went home by the planned cap. Ruled out: ownership and look-ups, which stayed within the region. Change: refusals count once they have lasted 3 s; what a dead region serves goes home by the failure cap.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -205,6 +205,37 @@
 	}
 }
 
+// TestOutcomesLast moves no traffic for refusals that last a moment.
+func TestOutcomesLast(t *testing.T) {
+	tests := map[string]struct {
+		refusing time.Duration
+		counts   bool
+	}{
+		"a moment": {time.Second, false},
+		"lasting":  {refusingFor + time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := &outcomes{}
+			now := time.Unix(1000, 0)
+			for until := now.Add(test.refusing); now.Before(until); now = now.Add(advanceEvery) {
+				o.served += 10
+				o.refused += 5
+				o.decay(now)
+			}
+			if _, refused := o.seen(now); (refused > 0) != test.counts {
+				t.Errorf("%d refusals count after %s", refused, test.refusing)
+			}
+			for range 100 {
+				o.decay(now)
+			}
+			if _, refused := o.seen(now); refused > 0 {
+				t.Error("refusals are never forgotten")
+			}
+		})
+	}
+}
+
 func TestTimeLimit(t *testing.T) {
 	service := testTable(t, "").ServiceNamed("list")
 	tests := map[string]struct {
--- a/entry/flows.go
+++ b/entry/flows.go
@@ -21,14 +21,41 @@
 	// deadFor is how long a region counts as dead before it is tried again.
 	deadFor = 2 * time.Second
 	minSeen = 0.5
+	// refusingFor is how long a region must refuse before its traffic moves.
+	refusingFor = 3 * time.Second
 	// minShare is the share under which a region serves nothing of a flow.
 	minShare = 1e-6
 )
 
 // outcomes counts what became of the requests to one place.
 type outcomes struct {
-	served  float64
-	refused float64
+	served     float64
+	refused    float64
+	refusingAt time.Time // since when it refuses without a break; zero if it does not
+}
+
+// seen returns the counts that a decision may rest on. Refusals count once they
+// have lasted: upstreams that start cold refuse for a moment.
+func (o *outcomes) seen(now time.Time) (served, refused int) {
+	if o.served+o.refused <= minSeen {
+		return 0, 0
+	}
+	if o.refusingAt.IsZero() || now.Sub(o.refusingAt) < refusingFor {
+		return int(o.served + minSeen), 0
+	}
+	return int(o.served + minSeen), int(o.refused + minSeen)
+}
+
+// decay forgets a part of the counts.
+func (o *outcomes) decay(now time.Time) {
+	o.served *= outcomeDecay
+	o.refused *= outcomeDecay
+	switch {
+	case o.refused < minSeen:
+		o.refusingAt = time.Time{}
+	case o.refusingAt.IsZero():
+		o.refusingAt = now
+	}
 }
 
 // reach is what is known of the way to one region.
@@ -211,8 +238,7 @@
 	}
 	f.away.Store(&away)
 	for _, o := range f.outcomes {
-		o.served *= outcomeDecay
-		o.refused *= outcomeDecay
+		o.decay(now)
 	}
 }
 
@@ -223,8 +249,8 @@
 		p := place{service: service, region: i}
 		owners := d.at(p)
 		var served, refused int
-		if o, ok := f.outcomes[p]; ok && o.served+o.refused > minSeen {
-			served, refused = int(o.served+minSeen), int(o.refused+minSeen)
+		if o, ok := f.outcomes[p]; ok {
+			served, refused = o.seen(now)
 		}
 		busy, _ := rooms.busy(service, owners, now)
 		out[i] = steering.NewHealth(d.slots(p, now), served, refused, busy).
--- a/steering/goal.go
+++ b/steering/goal.go
@@ -98,8 +98,22 @@
 		return Plan{goal: goal, step: limit.Planned()}
 	default:
 		goal[home] = 1
-		return Plan{goal: goal, step: limit.Planned()}
+		step := limit.Planned()
+		if servedByDead(home, health, shares) {
+			step = limit.Failure()
+		}
+		return Plan{goal: goal, step: step}
+	}
+}
+
+// servedByDead reports whether a region that serves a part is dead.
+func servedByDead(home int, health []Health, shares []float64) bool {
+	for r, share := range shares {
+		if r != home && share > epsilon && health[r].dead {
+			return true
+		}
 	}
+	return false
 }
 
 // servedElsewhere reports whether every region that serves a part is usable.
