entry: a gone instance is not a dead region, and a burst of refusals is not lasting

Cause: under a cut 124 of 8,090 listings were refused and 47 left unknown, since traffic had moved beyond the cut for no reason: a burst of refusals at the cold start decayed so slowly that it looked as if it lasted 3 s, and three failed tries of one gone instance made its region dead. The race detector found the declaration of an upstream read while a new set replaced it. Ruled out: ownership; the instances' logs showed moves 1 s after the load began. Change: refusals last only while they go on; a region is dead when nobody there was reached for 1 s; a slot keeps its address.

--- a/entry/flows.go
+++ b/entry/flows.go
@@ -18,11 +18,15 @@
 	// deadAfter is how many requests in a row must fail to reach a region before
 	// it counts as dead.
 	deadAfter = 3
+	// deadSilence is how long no owner there must have been reached.
+	deadSilence = time.Second
 	// deadFor is how long a region counts as dead before it is tried again.
 	deadFor = 2 * time.Second
 	minSeen = 0.5
 	// refusingFor is how long a region must refuse before its traffic moves.
 	refusingFor = 3 * time.Second
+	// refusalBreak is how long without a refusal ends that.
+	refusalBreak = 500 * time.Millisecond
 	// minShare is the share under which a region serves nothing of a flow.
 	minShare = 1e-6
 )
@@ -32,6 +36,19 @@
 	served     float64
 	refused    float64
 	refusingAt time.Time // since when it refuses without a break; zero if it does not
+	refusedAt  time.Time // the last refusal
+}
+
+func (o *outcomes) add(served bool, now time.Time) {
+	if served {
+		o.served++
+		return
+	}
+	o.refused++
+	o.refusedAt = now
+	if o.refusingAt.IsZero() {
+		o.refusingAt = now
+	}
 }
 
 // seen returns the counts that a decision may rest on. Refusals count once they
@@ -50,18 +67,16 @@
 func (o *outcomes) decay(now time.Time) {
 	o.served *= outcomeDecay
 	o.refused *= outcomeDecay
-	switch {
-	case o.refused < minSeen:
+	if now.Sub(o.refusedAt) > refusalBreak {
 		o.refusingAt = time.Time{}
-	case o.refusingAt.IsZero():
-		o.refusingAt = now
 	}
 }
 
 // reach is what is known of the way to one region.
 type reach struct {
-	failures int
-	deadTill time.Time
+	failures int       // in a row
+	okAt     time.Time // when an owner there was last reached
+	deadTill time.Time // zero while it is not dead
 }
 
 // flows holds the shares of this instance's traffic and moves them.
@@ -171,7 +186,7 @@
 }
 
 // note counts the outcome of a request to a place.
-func (f *flows) note(p place, served bool) {
+func (f *flows) note(p place, served bool, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	o, ok := f.outcomes[p]
@@ -179,40 +194,36 @@
 		o = &outcomes{}
 		f.outcomes[p] = o
 	}
-	if served {
-		o.served++
-	} else {
-		o.refused++
-	}
+	o.add(served, now)
 }
 
-// reached notes whether a region could be reached.
+// reached notes whether an owner in a region could be reached. A region is dead
+// when several could not and none could for a while: one instance that is gone
+// says nothing about the others.
 func (f *flows) reached(ctx context.Context, region int, ok bool, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r, known := f.reach[region]
 	if !known {
-		if ok {
-			return
-		}
-		r = &reach{}
+		r = &reach{okAt: now}
 		f.reach[region] = r
 	}
 	name := slog.String("region", f.table.Regions()[region])
 	if ok {
-		if r.failures >= deadAfter {
+		if !r.deadTill.IsZero() {
 			event.RegionBack.Log(ctx, f.log, name)
 		}
-		delete(f.reach, region)
+		*r = reach{okAt: now}
 		return
 	}
 	r.failures++
-	if r.failures >= deadAfter {
-		if r.failures == deadAfter {
-			event.RegionDead.Log(ctx, f.log, name)
-		}
-		r.deadTill = now.Add(deadFor)
+	if r.failures < deadAfter || now.Sub(r.okAt) < deadSilence {
+		return
+	}
+	if r.deadTill.IsZero() {
+		event.RegionDead.Log(ctx, f.log, name)
 	}
+	r.deadTill = now.Add(deadFor)
 }
 
 func (f *flows) dead(region int, now time.Time) bool {
@@ -230,7 +241,7 @@
 		plan := steering.NewPlan(p.region, health, flow.Shares(), d.table.Set().Cap(p.service))
 		if flow.Advance(now, plan.Goal(), plan.Step()) {
 			event.TrafficMoved.Log(ctx, f.log, slog.String("service", p.service),
-				slog.String("home", f.table.Regions()[p.region]), slog.Any("shares", flow.Shares()))
+				slog.String("home", f.table.Regions()[p.region]), slog.Any("shares", flow.Shares()), slog.Any("goal", plan.Goal()))
 		}
 		if flow.Placement() != nil && flow.Shares()[p.region] < minShare {
 			away[p] = flow
--- a/entry/request.go
+++ b/entry/request.go
@@ -208,11 +208,11 @@
 	switch fault.KindOf(err) {
 	case "":
 		if err == nil {
-			x.entry.flows.note(p, true)
+			x.entry.flows.note(p, true, time.Now())
 		}
 	case fault.Overloaded, fault.Unavailable:
 		if ctx.Err() == nil {
-			x.entry.flows.note(p, false)
+			x.entry.flows.note(p, false, time.Now())
 		}
 	}
 }
@@ -298,6 +298,7 @@
 	if o.member.ID() == e.self().ID() {
 		err := e.local.Serve(ctx, ask, open, sink)
 		e.rooms.told(k, e.local.Room(p.service), time.Now())
+		e.flows.reached(ctx, p.region, true, time.Now())
 		return err
 	}
 	tryCtx, cancel := context.WithCancelCause(ctx)
--- a/trial/try.go
+++ b/trial/try.go
@@ -161,7 +161,7 @@
 			plan.Callers = append(plan.Callers, fmt.Sprintf("127.%d.%d.%d", standin.FirstCallers+r+1, n+1, 10))
 		}
 	}
-	plan.Direct = []string{directAddress}
+	plan.Direct = t.direct()
 	return plan
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -168,12 +168,14 @@
 
 // Slot is the right to have one request in flight at an upstream.
 type Slot struct {
-	pool   *Pool
-	worker *worker
+	pool    *Pool
+	worker  *worker
+	address string
+	slots   int // of the upstream
 }
 
 // Address returns the address of the slot's upstream.
-func (s *Slot) Address() string { return s.worker.decl.Address() }
+func (s *Slot) Address() string { return s.address }
 
 // Acquire admits a request of a caller, at once or after a bounded wait. The
 // fault states that the request was not run.
@@ -311,7 +313,7 @@
 		return nil
 	}
 	best.inFlight++
-	return &Slot{pool: p, worker: best}
+	return &Slot{pool: p, worker: best, address: best.decl.Address(), slots: best.decl.Slots()}
 }
 
 func (g *group) cheapest(now time.Time, ejectedToo bool) *worker {
--- a/upstream/serve.go
+++ b/upstream/serve.go
@@ -112,7 +112,7 @@
 	x := &exchange{ask: &traced, deadline: deadline, conn: c}
 	reusable, err := x.run(ctx, body, sink)
 	if reusable && err == nil {
-		s.worker.dialer.put(c, time.Now(), s.worker.decl.Slots())
+		s.worker.dialer.put(c, time.Now(), s.slots)
 	}
 	s.finish(begun, err, ctx.Err() != nil)
 	return err
