roster, lease: forget members that are gone; say successor

Change: digests leave gone members out, an unknown gone member is not taken in, and one is forgotten an hour after it was learned; heir is successor throughout. Ruled out: forgetting alone, after which two instances would exchange their rosters at each hello for good. Conclusion: tests of the roster and the walks as before.

--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -45,7 +45,7 @@
 	n := len(table.Regions())
 	l := &lookups{table: table, serving: make([]bool, n), answers: make([][][]byte, n)}
 	for i, name := range table.Regions() {
-		members := audible(view.Serving(name), silent)
+		members := answering(view.Serving(name), silent)
 		if len(members) == 0 {
 			continue
 		}
@@ -58,7 +58,7 @@
 	return l
 }
 
-func audible(members []roster.Member, silent map[string]bool) []roster.Member {
+func answering(members []roster.Member, silent map[string]bool) []roster.Member {
 	var out []roster.Member
 	for _, m := range members {
 		if !silent[m.ID()] {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -412,9 +412,11 @@
 	return times
 }
 
-// clean deletes old claims. One instance of the whole does it at a time.
+// clean forgets members that are long gone, and deletes old claims; the latter
+// one instance does for all.
 func (i *Instance) clean(ctx context.Context) error {
-	return period.Each(ctx, cleanEvery, func(time.Time) {
+	return period.Each(ctx, cleanEvery, func(now time.Time) {
+		i.roster.Forget(now.Add(-cleanEvery))
 		first, _ := roster.First("clean", i.roster.View().All())
 		if first.ID() == i.roster.Self().ID() {
 			_ = i.orders.Clean(ctx)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -6,8 +6,8 @@
 // One instance of a region owns an upstream. An instance becomes the owner by
 // taking: it asks every other instance of the region to yield, and may use the
 // slots less the requests that they still have in flight. The owner renews its
-// lease with one heir. When an owner falls silent, it limits itself to the
-// larger half of the slots, and its heir may use the other half after a longer
+// lease with one successor. When an owner falls silent, it limits itself to the
+// larger half of the slots, and its successor may use the other half after a longer
 // time.
 package lease
 
@@ -20,9 +20,9 @@
 	// OwnerTerm is how long after sending the last acknowledged heartbeat an
 	// owner may use all slots.
 	OwnerTerm = 2 * time.Second
-	// HeirTerm is how long after receiving the last heartbeat an heir believes
+	// SuccessorTerm is how long after receiving the last heartbeat a successor believes
 	// the owner, before it waits for the owner's requests to end.
-	HeirTerm = 3 * time.Second
+	SuccessorTerm = 3 * time.Second
 )
 
 type role uint8
@@ -46,21 +46,21 @@
 	Denied bool `cbor:"2,keyasint,omitempty"`
 	// Rest is the number of requests that it still has in flight.
 	Rest int `cbor:"3,keyasint,omitempty"`
-	// Sole states that, beside the answering instance and the heir, no instance
+	// Sole states that, beside the answering instance and the successor, no instance
 	// could use slots when it yielded.
 	Sole bool `cbor:"4,keyasint,omitempty"`
-	// Heir names the heir that it had, or "".
-	Heir string `cbor:"5,keyasint,omitempty"`
+	// Successor names the successor that it had, or "".
+	Successor string `cbor:"5,keyasint,omitempty"`
 	// Owner names the taker it had yielded to before, or "".
 	Owner string `cbor:"6,keyasint,omitempty"`
 	// Round repeats that of the Take.
 	Round uint64 `cbor:"7,keyasint"`
 }
 
-// Beat renews the lease of one upstream with the heir.
+// Beat renews the lease of one upstream with the successor.
 type Beat struct {
 	Upstream string `cbor:"1,keyasint"`
-	// Release ends the heir's part.
+	// Release ends the successor's part.
 	Release bool `cbor:"2,keyasint,omitempty"`
 	// Sole states that no other instance holds slots.
 	Sole bool `cbor:"3,keyasint,omitempty"`
@@ -71,9 +71,9 @@
 // Ack answers a Beat.
 type Ack struct {
 	Upstream string `cbor:"1,keyasint"`
-	// Borrowed is the number of requests that the heir still has in flight.
+	// Borrowed is the number of requests that the successor still has in flight.
 	Borrowed int `cbor:"2,keyasint,omitempty"`
-	// Refused states that the heir does not know the sender as the owner.
+	// Refused states that the successor does not know the sender as the owner.
 	Refused bool `cbor:"3,keyasint,omitempty"`
 }
 
@@ -87,18 +87,18 @@
 	owner string // as follower: whom this instance yielded to
 
 	// As taker.
-	round    uint64
-	rest     map[string]int // requests that each other instance may have in flight
-	answered map[string]bool
-	heir     string
-	ackedAt  time.Time // when the last acknowledged heartbeat was sent
-	succeeds bool      // it was the heir of an owner that is gone
-	complete bool      // rest names every instance that may hold slots
-
-	// As heir.
-	heirOf string
-	heard  time.Time
-	sole   bool
+	round     uint64
+	rest      map[string]int // requests that each other instance may have in flight
+	answered  map[string]bool
+	successor string
+	ackedAt   time.Time // when the last acknowledged heartbeat was sent
+	succeeds  bool      // it was the successor of an owner that is gone
+	complete  bool      // rest names every instance that may hold slots
+
+	// As successor.
+	successorOf string
+	heard       time.Time
+	sole        bool
 }
 
 // New returns the state of an instance that holds no slot.
@@ -115,8 +115,8 @@
 // Owner returns whom this instance yielded to, or "".
 func (t *Tenure) Owner() string { return t.owner }
 
-// Heir returns the heir of this owner, or "".
-func (t *Tenure) Heir() string { return t.heir }
+// Successor returns the successor of this owner, or "".
+func (t *Tenure) Successor() string { return t.successor }
 
 // Settled reports whether this instance owns every slot.
 func (t *Tenure) Settled() bool { return t.role == taker && t.complete && t.othersRest() == 0 }
@@ -139,14 +139,14 @@
 			allowed = max(0, t.slots-t.othersRest())
 		}
 		if t.succeeds {
-			// Whoever took from the late owner left the heir its half.
+			// Whoever took from the late owner left the successor its half.
 			allowed = max(allowed, t.smallerHalf())
 		}
-		if t.heir != "" && !now.Before(t.ackedAt.Add(OwnerTerm)) {
+		if t.successor != "" && !now.Before(t.ackedAt.Add(OwnerTerm)) {
 			allowed = min(allowed, t.largerHalf())
 		}
 		return allowed
-	case t.heirOf != "" && t.sole && !now.Before(t.heard.Add(HeirTerm+t.limit)):
+	case t.successorOf != "" && t.sole && !now.Before(t.heard.Add(SuccessorTerm+t.limit)):
 		// Without the owner's word that it is the only one, a third instance
 		// could hold the other half.
 		return t.smallerHalf()
@@ -168,11 +168,11 @@
 	if t.role == taker {
 		return
 	}
-	t.succeeds = t.heirOf != "" && t.sole && !slices.Contains(others, t.heirOf)
+	t.succeeds = t.successorOf != "" && t.sole && !slices.Contains(others, t.successorOf)
 	t.role = taker
 	t.round++
 	t.complete = false
-	t.owner, t.heirOf, t.heir = "", "", ""
+	t.owner, t.successorOf, t.successor = "", "", ""
 	t.ackedAt = time.Time{}
 	t.rest = make(map[string]int, len(others))
 	t.answered = make(map[string]bool, len(others))
@@ -227,12 +227,12 @@
 	}
 	switch {
 	case t.role == taker:
-		reply.Sole = t.complete && t.onlyRestOf(t.heir)
-		if t.heir != from {
-			reply.Heir = t.heir
+		reply.Sole = t.complete && t.onlyRestOf(t.successor)
+		if t.successor != from {
+			reply.Successor = t.successor
 		}
-	case t.heirOf != "" && t.heirOf != from:
-		reply.Owner = t.heirOf
+	case t.successorOf != "" && t.successorOf != from:
+		reply.Owner = t.successorOf
 	case t.owner != from:
 		reply.Owner = t.owner
 	}
@@ -243,7 +243,7 @@
 func (t *Tenure) follow(owner string) {
 	t.role = follower
 	t.owner = owner
-	t.heirOf, t.heir = "", ""
+	t.successorOf, t.successor = "", ""
 	t.rest, t.answered = nil, nil
 	t.succeeds = false
 }
@@ -272,8 +272,8 @@
 	t.rest[from] = min(y.Rest, t.slots)
 	t.succeeds = t.succeeds && !y.Sole
 	other := y.Owner
-	if y.Heir != "" {
-		other = y.Heir
+	if y.Successor != "" {
+		other = y.Successor
 	}
 	_, known := t.rest[other]
 	if other != "" && !known {
@@ -281,7 +281,7 @@
 	}
 	if y.Sole {
 		t.complete = true
-		t.trustSole(from, y.Heir)
+		t.trustSole(from, y.Successor)
 	}
 	if other == "" || known {
 		return ""
@@ -290,12 +290,12 @@
 }
 
 // trustSole lowers what instances without an answer may hold: nothing, but for
-// the heir, which may use the smaller half.
-func (t *Tenure) trustSole(owner, heir string) {
+// the successor, which may use the smaller half.
+func (t *Tenure) trustSole(owner, successor string) {
 	for member := range t.rest {
 		switch {
 		case member == owner || t.answered[member]:
-		case member == heir:
+		case member == successor:
 			t.rest[member] = min(t.rest[member], t.smallerHalf())
 		default:
 			t.rest[member] = 0
@@ -312,8 +312,8 @@
 func (t *Tenure) Gone(member string) {
 	delete(t.rest, member)
 	delete(t.answered, member)
-	if t.heir == member {
-		t.heir = ""
+	if t.successor == member {
+		t.successor = ""
 	}
 	if t.owner == member {
 		t.owner = ""
@@ -321,48 +321,48 @@
 }
 
 // Beat returns the heartbeat that an owner sends, and to whom. want is the
-// instance that should be the heir. An heir is replaced only after it
+// instance that should be the successor. A successor is replaced only after it
 // acknowledged its release.
 func (t *Tenure) Beat(now time.Time, want string) (string, Beat, bool) {
 	if t.role != taker {
 		return "", Beat{}, false
 	}
-	if t.heir == "" {
+	if t.successor == "" {
 		if want == "" {
 			return "", Beat{}, false
 		}
 		// No instance may borrow yet, so the first term begins now; the new
-		// heir counts from its receipt, which is later.
-		t.heir = want
+		// successor counts from its receipt, which is later.
+		t.successor = want
 		t.ackedAt = now
 	}
-	beat := Beat{Upstream: t.upstream, Round: t.round, Release: t.heir != want, Sole: t.complete && t.onlyRestOf("")}
-	return t.heir, beat, true
+	beat := Beat{Upstream: t.upstream, Round: t.round, Release: t.successor != want, Sole: t.complete && t.onlyRestOf("")}
+	return t.successor, beat, true
 }
 
 // OnBeat takes in a heartbeat of the owner and returns the answer.
 func (t *Tenure) OnBeat(now time.Time, from string, b Beat, inFlight int) Ack {
-	if t.role == taker || t.owner != "" && t.owner != from && t.heirOf != from {
+	if t.role == taker || t.owner != "" && t.owner != from && t.successorOf != from {
 		return Ack{Upstream: t.upstream, Refused: true}
 	}
-	t.heirOf = from
+	t.successorOf = from
 	t.heard = now
 	t.sole = b.Sole
 	if b.Release {
-		t.heirOf = ""
+		t.successorOf = ""
 	}
 	return Ack{Upstream: t.upstream, Borrowed: inFlight}
 }
 
 // OnAck takes in the answer to a heartbeat that was sent at the instant.
 func (t *Tenure) OnAck(from string, sent time.Time, b Beat, a Ack) {
-	if t.role != taker || b.Round != t.round || t.heir != from || a.Refused || a.Borrowed > 0 {
+	if t.role != taker || b.Round != t.round || t.successor != from || a.Refused || a.Borrowed > 0 {
 		return
 	}
 	if sent.After(t.ackedAt) {
 		t.ackedAt = sent
 	}
 	if b.Release {
-		t.heir = ""
+		t.successor = ""
 	}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -40,40 +40,40 @@
 	}
 }
 
-// TestDoubt follows owner and heir through a silence and its end.
+// TestDoubt follows owner and successor through a silence and its end.
 func TestDoubt(t *testing.T) {
 	const limit = 10 * time.Second
-	owner, heir := New("u", 5, limit), New("u", 5, limit)
+	owner, successor := New("u", 5, limit), New("u", 5, limit)
 	owner.Start([]string{"h"})
 	owner.Complete(1, []string{"h"})
-	owner.OnYield("h", heir.OnTake("o", owner.Take(), true, 0))
+	owner.OnYield("h", successor.OnTake("o", owner.Take(), true, 0))
 	beat := func(at time.Duration, borrowed int) {
 		_, b, ok := owner.Beat(leaseStart.Add(at), "h")
 		if ok {
-			owner.OnAck("h", leaseStart.Add(at), b, heir.OnBeat(leaseStart.Add(at), "o", b, borrowed))
+			owner.OnAck("h", leaseStart.Add(at), b, successor.OnBeat(leaseStart.Add(at), "o", b, borrowed))
 		}
 	}
 	beat(0, 0)
 	steps := []struct {
-		name        string
-		at          time.Duration
-		before      func()
-		owner, heir int
+		name             string
+		at               time.Duration
+		before           func()
+		owner, successor int
 	}{
 		{"renewed", time.Second, nil, 5, 0},
 		{"owner lapsed", OwnerTerm, nil, 3, 0},
-		{"heir believes no more", HeirTerm, nil, 3, 0},
-		{"owner's requests have ended", HeirTerm + limit, nil, 3, 2},
-		{"heard again, heir's requests last", 20 * time.Second, func() { beat(20*time.Second, 2) }, 3, 0},
-		{"heir's requests have ended", 21 * time.Second, func() { beat(21*time.Second, 0) }, 5, 0},
+		{"successor believes no more", SuccessorTerm, nil, 3, 0},
+		{"owner's requests have ended", SuccessorTerm + limit, nil, 3, 2},
+		{"heard again, successor's requests last", 20 * time.Second, func() { beat(20*time.Second, 2) }, 3, 0},
+		{"successor's requests have ended", 21 * time.Second, func() { beat(21*time.Second, 0) }, 5, 0},
 	}
 	for _, s := range steps {
 		if s.before != nil {
 			s.before()
 		}
 		now := leaseStart.Add(s.at)
-		if owner.Allowed(now) != s.owner || heir.Allowed(now) != s.heir {
-			t.Errorf("%s: owner %d, heir %d, want %d, %d", s.name, owner.Allowed(now), heir.Allowed(now), s.owner, s.heir)
+		if owner.Allowed(now) != s.owner || successor.Allowed(now) != s.successor {
+			t.Errorf("%s: owner %d, successor %d, want %d, %d", s.name, owner.Allowed(now), successor.Allowed(now), s.owner, s.successor)
 		}
 	}
 }
--- a/lease/walk_test.go
+++ b/lease/walk_test.go
@@ -105,7 +105,7 @@
 		k.ints(len(m.running))
 		k.ints(m.running...)
 		k.ints(int(t.role), int(t.round), s.ago(t.ackedAt, 3), s.ago(t.heard, 9))
-		k.names(t.owner, t.heir, t.heirOf)
+		k.names(t.owner, t.successor, t.successorOf)
 		for _, name := range walkNames {
 			rest, ok := t.rest[name]
 			k.bools(ok, t.answered[name])
@@ -113,7 +113,7 @@
 		}
 	}
 	for _, m := range s.messages {
-		k.names(m.kind, m.yield.Heir, m.yield.Owner)
+		k.names(m.kind, m.yield.Successor, m.yield.Owner)
 		k.bools(m.yield.Denied, m.yield.Sole, m.beat.Release, m.beat.Sole, m.ack.Refused)
 		k.ints(m.from, m.to, m.sent, int(m.take.Round), int(m.yield.Round), m.yield.Rest, int(m.beat.Round), m.ack.Borrowed)
 	}
@@ -202,7 +202,7 @@
 	return true
 }
 
-// want returns the heir that member i would choose.
+// want returns the successor that member i would choose.
 func (s *walkState) want(i int) string {
 	for j := len(s.members) - 1; j >= 0; j-- {
 		if j != i && s.members[i].knows[j] && !s.members[i].gone[j] {
@@ -389,7 +389,7 @@
 	return s
 }
 
-// renewed returns the state in which b owns every slot, a is its heir and has
+// renewed returns the state in which b owns every slot, a is its successor and has
 // just acknowledged a heartbeat.
 func renewed(b walkBounds) *walkState {
 	s := settled(b)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -72,6 +73,9 @@
 	slices.SortFunc(v.members, func(a, b Member) int { return cmp.Compare(a.ID(), b.ID()) })
 	v.digests = make(map[string]uint64)
 	for _, m := range v.members {
+		if m.State == Gone {
+			continue // forgotten by some before others
+		}
 		// Sums do not depend on the order.
 		h := xxhash.Sum64String(m.ID() + "/" + strconv.Itoa(int(m.State)))
 		v.digests[m.Domain] += h
@@ -80,7 +84,7 @@
 	return v
 }
 
-// Digest returns a hash of all members and their states.
+// Digest returns a hash of the members that are not gone, and their states.
 func (v *View) Digest() uint64 { return v.digest }
 
 // Digests returns the hash of the members of each failure domain.
@@ -142,7 +146,7 @@
 }
 
 // Rank orders members for a key, such as the address of an upstream: the first
-// owns it, the second is the heir. The order of the others does not change when
+// owns it, the second is the successor. The order of the others does not change when
 // one leaves.
 func Rank(key string, members []Member) []Member {
 	type ranked struct {
@@ -165,24 +169,25 @@
 
 // First returns the members that come first and second for a key. It is Rank
 // without the sorting, for the many keys of a region.
-func First(key string, members []Member) (owner, heir Member) {
-	var ownerRank, heirRank uint64
+func First(key string, members []Member) (owner, successor Member) {
+	var ownerRank, successorRank uint64
 	for _, m := range members {
 		rank := steering.Rank(key, m.ID())
 		switch {
 		case owner.Name == "" || rank > ownerRank:
-			heir, heirRank = owner, ownerRank
+			successor, successorRank = owner, ownerRank
 			owner, ownerRank = m, rank
-		case heir.Name == "" || rank > heirRank:
-			heir, heirRank = m, rank
+		case successor.Name == "" || rank > successorRank:
+			successor, successorRank = m, rank
 		}
 	}
-	return owner, heir
+	return owner, successor
 }
 
 // Roster holds the current view and tells listeners of changes.
 type Roster struct {
 	mu        sync.Mutex
+	goneAt    map[string]time.Time // when this instance learned of it
 	self      Member
 	view      *View
 	listeners []func(*View)
@@ -190,7 +195,9 @@
 
 // New returns a roster that knows only the instance itself.
 func New(self Member) *Roster {
-	return &Roster{self: self, view: newView(map[string]Member{self.ID(): self})}
+	return &Roster{
+		self: self, view: newView(map[string]Member{self.ID(): self}), goneAt: make(map[string]time.Time),
+	}
 }
 
 // Self returns the member that stands for this instance.
@@ -216,8 +223,8 @@
 }
 
 // Merge takes in members that others know; of two states the later one stays.
-// An instance alone decides about its own state. It reports whether anything
-// changed.
+// An instance alone decides about its own state. A member that was never known
+// and is gone is of no interest. It reports whether anything changed.
 func (r *Roster) Merge(members []Member) bool {
 	r.mu.Lock()
 	next := maps.Clone(r.view.byID)
@@ -225,9 +232,12 @@
 	for _, m := range members {
 		id := m.ID()
 		known, ok := next[id]
-		if id == r.self.ID() || ok && known.State >= m.State || m.Name == "" || m.Run == "" {
+		if id == r.self.ID() || ok && known.State >= m.State || m.Name == "" || m.Run == "" || !ok && m.State == Gone {
 			continue
 		}
+		if m.State == Gone {
+			r.goneAt[id] = time.Now()
+		}
 		next[id] = m
 		changed = true
 	}
@@ -268,14 +278,15 @@
 	return r.Merge([]Member{m})
 }
 
-// Forget drops members that are gone and no longer registered, so that the list
-// does not grow without end.
-func (r *Roster) Forget(ids []string) {
+// Forget drops the members that were known to be gone before the instant, so that
+// the list does not grow without end.
+func (r *Roster) Forget(before time.Time) {
 	r.mu.Lock()
 	next := maps.Clone(r.view.byID)
-	for _, id := range ids {
-		if next[id].State == Gone {
+	for id, at := range r.goneAt {
+		if at.Before(before) {
 			delete(next, id)
+			delete(r.goneAt, id)
 		}
 	}
 	r.publish(next)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -29,11 +29,13 @@
 		"older":        {Gone, Live, Gone},
 		"same":         {Leaving, Leaving, Leaving},
 		"not seen yet": {0, Live, Live},
+		"never seen":   {0, Gone, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := New(testMember("self", Live))
 			if test.known != 0 {
+				r.Merge([]Member{testMember("a", Joining)})
 				r.Merge([]Member{testMember("a", test.known)})
 			}
 			r.Merge([]Member{testMember("a", test.told)})
@@ -44,6 +46,14 @@
 		})
 	}
 	r := New(testMember("self", Live))
+	r.Merge([]Member{testMember("b", Live)})
+	r.MarkGone("b/1")
+	for before, known := range map[time.Duration]bool{-time.Hour: true, time.Hour: false} {
+		r.Forget(time.Now().Add(before))
+		if _, ok := r.View().Member("b/1"); ok && !known {
+			t.Error("a member that is long gone is not forgotten")
+		}
+	}
 	r.Merge([]Member{testMember("self", Gone)})
 	if r.Self().State != Live {
 		t.Error("others decided that this instance is gone")
@@ -59,9 +69,9 @@
 	owned := make(map[string]int)
 	for k := range 2000 {
 		key := fmt.Sprintf("10.0.%d.%d:80", k/256, k%256)
-		owner, heir := First(key, members)
+		owner, successor := First(key, members)
 		order := Rank(key, members)
-		if owner.ID() != order[0].ID() || heir.ID() != order[1].ID() {
+		if owner.ID() != order[0].ID() || successor.ID() != order[1].ID() {
 			t.Fatalf("First and Rank disagree on %s", key)
 		}
 		owned[owner.Name]++
@@ -69,8 +79,8 @@
 		if owner.Name != "m0" && after.ID() != owner.ID() {
 			t.Errorf("%s went from %s to %s although m0 left", key, owner.Name, after.Name)
 		}
-		if owner.Name == "m0" && after.ID() != heir.ID() {
-			t.Errorf("%s went to %s, not to its heir %s", key, after.Name, heir.Name)
+		if owner.Name == "m0" && after.ID() != successor.ID() {
+			t.Errorf("%s went to %s, not to its successor %s", key, after.Name, successor.Name)
 		}
 	}
 	for name, n := range owned {
--- a/trial/slope.go
+++ b/trial/slope.go
@@ -199,20 +199,20 @@
 func measureLeases() Slope {
 	s := Slope{name: "renewing leases once, both sides", per: "upstream", unit: "µs CPU"}
 	for _, upstreams := range []int{1000, 2000, 4000, 8000} {
-		owners, heirs := make([]*lease.Tenure, upstreams), make([]*lease.Tenure, upstreams)
+		owners, successors := make([]*lease.Tenure, upstreams), make([]*lease.Tenure, upstreams)
 		for i := range owners {
 			owners[i] = lease.New(strconv.Itoa(i), 4, time.Second)
 			owners[i].Start(nil)
 			owners[i].Complete(1, nil)
-			heirs[i] = lease.New(strconv.Itoa(i), 4, time.Second)
+			successors[i] = lease.New(strconv.Itoa(i), 4, time.Second)
 		}
 		now := time.Now()
 		s.add(upstreams, median(slopeRounds*3, func() float64 {
 			now = now.Add(time.Second)
 			begun := cpuTime()
 			for i, owner := range owners {
-				if _, beat, ok := owner.Beat(now, "heir"); ok {
-					owner.OnAck("heir", now, beat, heirs[i].OnBeat(now, "owner", beat, 0))
+				if _, beat, ok := owner.Beat(now, "successor"); ok {
+					owner.OnAck("successor", now, beat, successors[i].OnBeat(now, "owner", beat, 0))
 				}
 			}
 			return float64(cpuTime()-begun) / float64(time.Microsecond)
--- a/upstream/ownership.go
+++ b/upstream/ownership.go
@@ -249,7 +249,7 @@
 	return steering.Rank(key, a.ID()) > steering.Rank(key, b.ID())
 }
 
-// Beat renews the leases of this instance with their heirs.
+// Beat renews the leases of this instance with their successors.
 func (o *Ownership) Beat(ctx context.Context) {
 	byMember := o.pendingBeats()
 	var group errgroup.Group
@@ -267,10 +267,10 @@
 	self := o.roster.Self()
 	view := o.roster.View()
 	others := slices.DeleteFunc(view.Serving(self.Region), func(m roster.Member) bool { return m.ID() == self.ID() })
-	// One heir for all that this instance owns: each heir costs a call.
+	// One successor for all that this instance owns: each successor costs a call.
 	want := ""
-	if heir, _ := roster.First(self.ID(), others); heir.Name != "" {
-		want = heir.ID()
+	if successor, _ := roster.First(self.ID(), others); successor.Name != "" {
+		want = successor.ID()
 	}
 	now := o.now()
 	byMember := make(map[string][]lease.Beat)
