order: do not call a re-send not run when its claim cannot be read

Cause: a try that took the platform down and killed an instance told a re-send ran: no, while the first send with its key had been run by the killed instance. Ruled out: a second run; the worker counted one.

--- a/order/order.go
+++ b/order/order.go
@@ -140,7 +140,7 @@
 	}
 	found, err := b.store.Get(ctx, c.object)
 	if err != nil {
-		return nil, nil, unreachable(err)
+		return nil, nil, b.unreachable(err)
 	}
 	var old record
 	if err := json.Unmarshal(found.Value, &old); err != nil {
@@ -172,12 +172,15 @@
 			return nil
 		})
 	}
-	return nil, nil, unreachable(err)
+	return nil, nil, c.book.unreachable(err)
 }
 
-func unreachable(err error) error {
-	return fault.New(fault.Unavailable, "the claim of the key cannot be made", "retry with the same key",
-		fault.WithCause(err))
+// unreachable refuses a request whose claim cannot be made or read. It is not run,
+// but an earlier send with the key may have been: the outcome that the caller asks
+// about is unknown.
+func (b *Book) unreachable(err error) error {
+	return fault.New(fault.Unavailable, "the claim of the key cannot be made or read", "retry with the same key",
+		fault.WithRan(fault.RanUnknown), fault.WithRetryAt(b.now().Add(retryIn)), fault.WithCause(err))
 }
 
 func underWay(now time.Time) error {
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -288,6 +288,7 @@
 				}
 			}
 			best := math.Ceil(1 / share)
+			t.Logf("%d steps, %.0f at best", steps, best)
 			if float64(steps) > math.Ceil(best*1.1) {
 				t.Errorf("%d steps, the cap allows %.0f at best", steps, best)
 			}
