peer, rollout: keep only connections with calls under way open

Cause: pings kept six idle connections of each instance open, 4.4 KB/s of control at the target. The race detector found the test network of the roll-out unguarded. Change: connections that carry requests are kept open by datagrams for 30 s after their last one; unary calls repeat often enough by themselves. Handlers of tests are registered before the node serves.

--- a/peer/node.go
+++ b/peer/node.go
@@ -13,11 +13,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/fault"
+	"hickorydrum/period"
 )
 
 const (
 	idleTimeout      = 3 * time.Second
-	keepAlive        = time.Second
+	keepAliveEvery   = time.Second
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 8192
 	streamWindow     = 512 << 10
@@ -25,7 +26,6 @@
 	maxWindow        = 16 << 20
 	// unusedTimeout is how long a connection is kept that nobody uses.
 	unusedTimeout = 30 * time.Second
-	sweepEvery    = 10 * time.Second
 	closeCode     = quic.ApplicationErrorCode(0)
 )
 
@@ -77,6 +77,9 @@
 	err    error
 	usedAt time.Time
 	active int // streams that this side opened and has not aborted
+	// keepTill is until when the connection is kept open although nobody uses it.
+	// Unary calls do not set it: those that need the connection repeat often.
+	keepTill time.Time
 }
 
 // Listen opens the end point on a UDP address. Handlers must be registered
@@ -99,7 +102,7 @@
 		conns:     make(map[Target]*pooled),
 		config: &quic.Config{
 			MaxIdleTimeout:                 idleTimeout,
-			KeepAlivePeriod:                keepAlive,
+			EnableDatagrams:                true, // as keep-alives
 			HandshakeIdleTimeout:           handshakeTimeout,
 			MaxIncomingStreams:             maxStreams,
 			MaxIncomingUniStreams:          -1,
@@ -187,7 +190,12 @@
 // Open begins a call to a peer, which sees it with the first message. The caller
 // ends the stream with Abort once it needs nothing more of it.
 func (n *Node) Open(ctx context.Context, to Target, call Call) (*Stream, error) {
-	p, err := n.connect(ctx, to)
+	return n.open(ctx, to, call, unusedTimeout)
+}
+
+// open begins a call and has the connection kept open for a time.
+func (n *Node) open(ctx context.Context, to Target, call Call, keep time.Duration) (*Stream, error) {
+	p, err := n.connect(ctx, to, time.Now().Add(keep))
 	if err != nil {
 		return nil, err
 	}
@@ -225,7 +233,7 @@
 
 // Ask makes a unary call: one message there, one back.
 func (n *Node) Ask(ctx context.Context, to Target, call Call, req, resp any) error {
-	s, err := n.Open(ctx, to, call)
+	s, err := n.open(ctx, to, call, 0)
 	if err != nil {
 		return err
 	}
@@ -255,7 +263,7 @@
 	}
 }
 
-func (n *Node) connect(ctx context.Context, to Target) (*pooled, error) {
+func (n *Node) connect(ctx context.Context, to Target, keepTill time.Time) (*pooled, error) {
 	n.mu.Lock()
 	p, ok := n.conns[to]
 	if !ok || p.broken() {
@@ -267,6 +275,9 @@
 		})
 	}
 	p.active++
+	if keepTill.After(p.keepTill) {
+		p.keepTill = keepTill
+	}
 	n.mu.Unlock()
 	err := error(nil)
 	select {
@@ -325,20 +336,43 @@
 	}
 }
 
-// sweep closes connections that nobody used for some time.
+// sweep keeps the connections open that are in use, and closes those that nobody
+// used for some time.
 func (n *Node) sweep() error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
+	return period.Each(n.ctx, keepAliveEvery, func(now time.Time) {
+		for _, p := range n.inUse(now) {
+			_ = p.conn.SendDatagram([]byte{0})
+		}
+		for _, p := range n.unused(now) {
+			p.close()
+		}
+	})
+}
+
+// inUse returns the connections that must not fall idle. A service may work for
+// longer than the idle timeout without a byte.
+func (n *Node) inUse(now time.Time) []*pooled {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []*pooled
+	add := func(p *pooled) {
+		ready := false
 		select {
-		case <-n.ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			for _, p := range n.unused(now) {
-				p.close()
-			}
+		case <-p.ready:
+			ready = p.err == nil
+		default:
+		}
+		if ready && (p.active > 0 || now.Before(p.keepTill)) {
+			out = append(out, p)
 		}
 	}
+	for _, p := range n.conns {
+		add(p)
+	}
+	for _, p := range n.retired {
+		add(p)
+	}
+	return out
 }
 
 func (n *Node) unused(now time.Time) []*pooled {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -45,7 +45,8 @@
 	return keys
 }
 
-func newNode(t *testing.T, keys *Keys) *Node {
+// newNode returns a node that serves the echo call and those that prepare adds.
+func newNode(t *testing.T, keys *Keys, prepare ...func(n *Node)) *Node {
 	t.Helper()
 	n, err := Listen("127.0.0.1:0", keys)
 	if err != nil {
@@ -57,6 +58,9 @@
 		}
 		return echoMessage{Text: peer + ":" + req.Text}, nil
 	}))
+	for _, f := range prepare {
+		f(n)
+	}
 	n.Serve()
 	t.Cleanup(func() { _ = n.Close() })
 	return n
@@ -197,7 +201,14 @@
 // TestBodyCutShort checks that a body without its end frame never looks whole.
 func TestBodyCutShort(t *testing.T) {
 	authority := newAuthority(t)
-	server := newNode(t, newKeys(t, authority, "server"))
+	results := make(chan error, 1)
+	server := newNode(t, newKeys(t, authority, "server"), func(n *Node) {
+		n.Handle("body", func(_ context.Context, s *Stream) error {
+			_, err := io.Copy(io.Discard, NewBody(s))
+			results <- err
+			return nil
+		})
+	})
 	client := newNode(t, newKeys(t, authority, "client"))
 	tests := map[string]struct {
 		end   func(s *Stream)
@@ -208,12 +219,6 @@
 		"aborted": {func(s *Stream) { s.Abort() }, false},
 		"failed":  {func(s *Stream) { _ = s.SendFault(io.ErrUnexpectedEOF) }, false},
 	}
-	results := make(chan error, 1)
-	server.Handle("body", func(_ context.Context, s *Stream) error {
-		_, err := io.Copy(io.Discard, NewBody(s))
-		results <- err
-		return nil
-	})
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			s, err := client.Open(t.Context(), NewTarget("server", server.Addr().String()), "body")
@@ -232,6 +237,21 @@
 	}
 }
 
+// TestLongCall has a handler work in silence for longer than the idle timeout.
+func TestLongCall(t *testing.T) {
+	authority := newAuthority(t)
+	server := newNode(t, newKeys(t, authority, "server"), func(n *Node) {
+		n.Handle("long", Unary(func(_ context.Context, _ string, req echoMessage) (echoMessage, error) {
+			time.Sleep(idleTimeout + time.Second)
+			return req, nil
+		}))
+	})
+	client := newNode(t, newKeys(t, authority, "client"))
+	if got, err := ask(t, client, NewTarget("server", server.Addr().String()), "long", "x"); got != "x" {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
 func TestListenFaults(t *testing.T) {
 	keys := newKeys(t, newAuthority(t), "a")
 	taken, err := net.ListenPacket("udp", "127.0.0.1:0")
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,8 +117,7 @@
 // network connects followers without sockets.
 type network struct {
 	nodes map[string]*testNode
-	down  map[string]bool
-	asked int
+	down  sync.Map // names of nodes that are cut off
 }
 
 type testNode struct {
@@ -133,14 +133,13 @@
 }
 
 func (a asker) Ask(ctx context.Context, to peer.Target, call peer.Call, req, resp any) error {
-	a.net.asked++
 	var target *testNode
 	for name, n := range a.net.nodes {
 		if to == peer.NewTarget(name, name) {
 			target = n
 		}
 	}
-	if target == nil || a.net.down[a.from] || a.net.down[target.roster.Self().Name] {
+	if target == nil || a.net.cut(a.from) || a.net.cut(target.roster.Self().Name) {
 		return fault.New(fault.Unavailable, "cut", "")
 	}
 	var err error
@@ -155,6 +154,11 @@
 	return err
 }
 
+func (n *network) cut(name string) bool {
+	_, down := n.down.Load(name)
+	return down
+}
+
 func (n *network) add(t *testing.T, store Store, name, region, domain string) *testNode {
 	t.Helper()
 	self := roster.Member{Name: name, Run: "r", Region: region, Domain: domain, Peer: name, State: roster.Live}
@@ -214,14 +218,14 @@
 			bound: 2 * inForceBound,
 		},
 		"one node cut off": {
-			before: func(_ *standin.Store, n *network) { n.down["d0-0"] = true },
+			before: func(_ *standin.Store, n *network) { n.down.Store("d0-0", true) },
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := standin.NewStore()
-				n := &network{nodes: make(map[string]*testNode), down: make(map[string]bool)}
+				n := &network{nodes: make(map[string]*testNode)}
 				for d := range domains {
 					for k := range perDomain {
 						n.add(t, s, fmt.Sprintf("d%d-%d", d, k), "one", fmt.Sprintf("d%d", d))
@@ -265,7 +269,7 @@
 func TestRelaysOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
-		n := &network{nodes: make(map[string]*testNode), down: make(map[string]bool)}
+		n := &network{nodes: make(map[string]*testNode)}
 		for k := range 8 {
 			n.add(t, s, fmt.Sprintf("n%d", k), "one", "a")
 		}
