entry, upstream: carry requests over a hand-over

Cause: the matrix failed now and then at a planned stop: an upload that came in the moment of the hand-over was refused, since the old owner is no longer asked and the next one has not begun to take; its refusal cost a retry that the budget did not have, and the list of owners was that of the request's start. Ruled out: lost work; the workers counted no run, and the refusal said so. Change: a slot that was handed over is no overload, waiting requests are told at once, each try sees the owners of the moment, and a request waits up to 0.4 s for upstreams that are between two owners.

--- a/entry/request.go
+++ b/entry/request.go
@@ -217,18 +217,45 @@
 	}
 }
 
-// serveIn tries the owners in one region until one serves the request.
+const (
+	// handOverTries and handOverPause bound how long a request waits for upstreams
+	// that are on their way from one owner to the next.
+	handOverTries = 8
+	handOverPause = 50 * time.Millisecond
+)
+
+// serveIn has the request served in one region.
 func (x *exchange) serveIn(ctx context.Context, p place, ask *upstream.Ask) error {
-	e := x.entry
-	owners := x.scope.directory.at(p)
-	if len(owners) == 0 {
-		return fault.New(fault.Unavailable, "no instance serves the region", "retry after the given time",
-			fault.WithRetryAt(time.Now().Add(time.Second)))
+	for try := 0; ; try++ {
+		err := x.tryOwners(ctx, p, ask)
+		if err == nil || try == handOverTries || !handingOver(err) || !x.mayRetry(ctx, ask, err) {
+			return err
+		}
+		timer := time.NewTimer(handOverPause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
+}
+
+// handingOver reports whether the owners could be reached, but none of them had
+// the upstreams.
+func handingOver(err error) bool {
+	return fault.KindOf(err) == fault.Unavailable && fault.NotRun(err) && !peer.Unreachable(err) &&
+		fault.From(err).RetryAt().IsZero()
+}
+
+// tryOwners tries the owners in one region until one serves the request.
+func (x *exchange) tryOwners(ctx context.Context, p place, ask *upstream.Ask) error {
+	e := x.entry
 	e.budget.earn()
-	failed := make([]bool, len(owners))
-	var last error
+	failed := make(map[string]bool)
+	var last error = fault.New(fault.Unavailable, "no instance serves the region", "retry after the given time",
+		fault.WithRetryAt(time.Now().Add(time.Second)))
 	for try := 0; try < maxTries; try++ {
+		owners := x.owners(p)
 		i := x.choose(p, owners, failed)
 		if i < 0 {
 			break
@@ -241,27 +268,36 @@
 			return last
 		}
 		// A broken answer is the upstream's fault; its owner has others.
-		failed[i] = fault.KindOf(last) != fault.Broken
+		failed[owners[i].member.ID()] = fault.KindOf(last) != fault.Broken
 		retries.Inc()
 	}
 	return last
 }
 
+// owners returns the owners in a region as the roster has them now: they may have
+// changed since the request came, such as when one of them began to leave.
+func (x *exchange) owners(p place) []owner {
+	if s := x.entry.scope.Load(); s.table == x.scope.table {
+		return s.directory.at(p)
+	}
+	return x.scope.directory.at(p)
+}
+
 // choose returns the index of the owner that should serve next, or -1. What this
 // instance owns itself comes first while much of it is free: that saves a hop.
-func (x *exchange) choose(p place, owners []owner, failed []bool) int {
+func (x *exchange) choose(p place, owners []owner, failed map[string]bool) int {
 	now := time.Now()
 	self := x.entry.self().ID()
 	candidates := make([]steering.Candidate, len(owners))
 	for i, o := range owners {
-		if o.member.ID() == self && !failed[i] {
+		if o.member.ID() == self && !failed[self] {
 			room := x.entry.local.Room(p.service)
 			if room.Slots > 0 && float64(room.Free) >= localShare*float64(room.Slots) {
 				return i
 			}
 		}
 		k := roomKey{service: p.service, member: o.member.ID()}
-		candidates[i] = x.entry.rooms.candidate(k, o.slots, failed[i], now)
+		candidates[i] = x.entry.rooms.candidate(k, o.slots, failed[o.member.ID()], now)
 	}
 	return steering.Choose(candidates, rand.Uint64())
 }
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -332,7 +332,7 @@
 			body.open <- nil
 			_ = sending.Wait()
 			if diff := cmp.Diff(served, reply{Code: got.Code, Ran: got.Ran, Whole: got.Whole}); diff != "" {
-				t.Error(diff)
+				t.Errorf("%s%.300s", diff, got.Body)
 			}
 			c.checkPromises(id, upload, got)
 			<-stopped.done
--- a/upstream/ownership.go
+++ b/upstream/ownership.go
@@ -242,6 +242,7 @@
 		outranks := self.State != roster.Live || w.removed || outranks(m.Upstream, req.From, self)
 		resp.Yields = append(resp.Yields, w.tenure.OnTake(req.From.ID(), m, outranks, w.inFlight))
 	}
+	o.pool.grantAll(o.now()) // refuses what waits for slots that are gone
 	return resp, nil
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -231,7 +231,7 @@
 			admitted.Inc()
 			return s, nil
 		}
-		return nil, notRun(fault.Missing, "service "+service+" was removed", "retry")
+		return nil, notRun(fault.Unavailable, "this instance serves the service no longer", "try another instance")
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -270,6 +270,9 @@
 // mayQueue refuses a request that would wait too long, so that the refusal
 // comes at once. The lock is held.
 func (g *group) mayQueue(caller string, now, deadline time.Time) error {
+	if !g.owns(now) {
+		return notRun(fault.Unavailable, "this instance owns no upstream of the service", "try another instance")
+	}
 	open, taking := 0, 0
 	var longest time.Duration
 	for _, w := range g.workers {
@@ -279,9 +282,6 @@
 		}
 		longest = max(longest, w.serviceTime)
 	}
-	if open == 0 && taking == 0 {
-		return notRun(fault.Unavailable, "this instance owns no upstream of the service", "try another instance")
-	}
 	wait := time.Duration(float64(longest) * float64(len(g.queue)+1) / float64(max(open, 1)))
 	room := max(open, minQueue)
 	if open == 0 {
@@ -371,6 +371,9 @@
 	if g == nil {
 		return
 	}
+	if !g.owns(now) {
+		g.refuseAll()
+	}
 	for len(g.queue) > 0 {
 		s := p.pick(g, now)
 		if s == nil {
@@ -382,6 +385,13 @@
 	}
 }
 
+// owns reports whether this instance may use, or is taking, any upstream.
+func (g *group) owns(now time.Time) bool {
+	return slices.ContainsFunc(g.workers, func(w *worker) bool {
+		return w.open(now) > 0 || w.tenure.Taking() && !w.stopping()
+	})
+}
+
 func (g *group) refuseAll() {
 	for _, w := range g.queue {
 		close(w.granted)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -14,6 +14,7 @@
 
 	"hickorydrum/declaration"
 	"hickorydrum/fault"
+	"hickorydrum/lease"
 	"hickorydrum/steering"
 )
 
@@ -187,6 +188,34 @@
 	}
 }
 
+// TestHandOverRefusesQueue hands the only upstream over while requests wait for it:
+// they are told at once to try another instance.
+func TestHandOverRefusesQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := testPool(t, 1)
+		held := p.TryAcquire("list")
+		begun := time.Now()
+		var group errgroup.Group
+		group.Go(func() error {
+			_, err := p.Acquire(t.Context(), "list", "c", begun.Add(time.Minute))
+			return err
+		})
+		synctest.Wait()
+		p.mu.Lock()
+		w := p.workers["127.0.0.1:1"]
+		w.tenure.OnTake("b", lease.Take{Upstream: "127.0.0.1:1", Round: 1}, true, w.inFlight)
+		p.grantAll(time.Now())
+		p.mu.Unlock()
+		err := group.Wait()
+		if fault.KindOf(err) != fault.Unavailable || !fault.NotRun(err) || time.Since(begun) > 0 {
+			t.Errorf("a waiting request got %v after %s", err, time.Since(begun))
+		}
+		if held.Holds(time.Now()) {
+			t.Error("a slot that was handed over is still held")
+		}
+	})
+}
+
 // TestLeaveNoNewWork drains an upstream between admission and dispatch.
 func TestLeaveNoNewWork(t *testing.T) {
 	p := testPool(t, 2)
--- a/upstream/serve.go
+++ b/upstream/serve.go
@@ -127,7 +127,8 @@
 	}
 	if !s.Holds(time.Now()) {
 		_ = c.Close()
-		return nil, overloaded(time.Now(), 0)
+		// Not an overload: another instance has the slots now, and is to be asked.
+		return nil, notRun(fault.Unavailable, "the upstream was handed over or leaves", "try another instance")
 	}
 	return c, nil
 }
