--- a/trial/slope.go
+++ b/trial/slope.go
@@ -309,23 +309,24 @@
 	return []Slope{cpu, bytes}, nil
 }
 
-// measureConnections measures idle connections, both ends.
+// measureConnections measures connections that carry nothing but must stay open.
 func measureConnections(ctx context.Context) ([]Slope, error) {
 	f, err := newFixture()
 	if err != nil {
 		return nil, err
 	}
 	defer f.close()
-	memory := Slope{name: "open connection between instances, both ends", per: "connection", unit: "KiB"}
-	traffic := Slope{name: "keeping a connection open, both ways", per: "connection", unit: "bytes a second"}
+	memory := Slope{name: "connection with a call under way, both ends", per: "connection", unit: "KiB"}
+	traffic := Slope{name: "keeping such a connection open, both ways", per: "connection", unit: "bytes a second"}
 	opened := 0
 	before := heap()
 	for _, conns := range []int{slopeConns / 4, slopeConns / 2, slopeConns} {
 		for ; opened < conns; opened++ {
-			var resp noteMessage
-			if err := f.client.Ask(ctx, f.to, slopeCall, noteMessage{}, &resp); err != nil {
+			s, err := f.client.Open(ctx, f.to, slopeCall) // keeps its connection open
+			if err != nil {
 				return nil, err
 			}
+			defer s.Abort()
 			f.client.Renew(f.to)
 		}
 		memory.add(conns, (heap()-before)/kiB)
