peer: let the test of a cut body wait until the body has begun

Cause: on a busy machine the abort came before the other side had seen the call, so that its handler never ran and the test waited for good. Ruled out: a hang of the node; its stack showed it accepting streams. Change: the test aborts after the first byte was read; what it expects is as before.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -201,10 +201,15 @@
 // TestBodyCutShort checks that a body without its end frame never looks whole.
 func TestBodyCutShort(t *testing.T) {
 	authority := newAuthority(t)
-	results := make(chan error, 1)
+	results, begun := make(chan error, 1), make(chan struct{}, 1)
 	server := newNode(t, newKeys(t, authority, "server"), func(n *Node) {
 		n.Handle("body", func(_ context.Context, s *Stream) error {
-			_, err := io.Copy(io.Discard, NewBody(s))
+			body := NewBody(s)
+			_, err := io.ReadFull(body, make([]byte, 1))
+			begun <- struct{}{}
+			if err == nil {
+				_, err = io.Copy(io.Discard, body)
+			}
 			results <- err
 			return nil
 		})
@@ -228,6 +233,7 @@
 			if err := s.SendData(make([]byte, 3*MaxData/2)); err != nil {
 				t.Fatal(err)
 			}
+			<-begun // an abort before would leave nothing to read
 			test.end(s)
 			defer s.Abort()
 			if err := <-results; (err == nil) != test.whole {
