entry, upstream, lease: parse the caller's address once; one pool for tests

Cause: read again as a whole, each request parsed its caller's address twice, two tests built the same pool, and four accessors had no use. Change: the address is kept with the request; one function makes an owned pool; the accessors are gone. No assertion changed. Conclusion: behaviour as before.

--- a/entry/request.go
+++ b/entry/request.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -91,6 +92,7 @@
 	service  *declaration.Service
 	id       string
 	deadline time.Time
+	caller   netip.Addr
 	body     *callerBody
 	answer   *answer
 }
@@ -109,7 +111,7 @@
 	}
 	key := r.Header.Get(HeaderKey)
 	if key == "" || ask.Idempotent {
-		return x.end(c, x.forward(ctx, ask, r))
+		return x.end(c, x.forward(ctx, ask))
 	}
 	claim, kept, err := x.entry.orders.Begin(ctx, x.service.Name(), key, r.Method+" "+r.URL.RequestURI(), x.deadline)
 	switch {
@@ -122,7 +124,7 @@
 	x.answer.keep = true
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
 	defer cancel()
-	err = x.forward(ctx, ask, r)
+	err = x.forward(ctx, ask)
 	// The caller has its answer already; the claim is settled before the
 	// handler ends, so that a planned stop waits for it.
 	if err == nil {
@@ -164,6 +166,7 @@
 	if err != nil {
 		return nil, fault.New(fault.Invalid, "the caller's address is not an IP number", "", fault.WithCause(err))
 	}
+	x.caller = addr
 	if r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect {
 		return nil, fault.New(fault.Invalid, "protocol upgrades are not carried", "use plain requests")
 	}
@@ -184,17 +187,13 @@
 }
 
 // forward decides the region and has the request served there.
-func (x *exchange) forward(ctx context.Context, ask *upstream.Ask, r *http.Request) error {
+func (x *exchange) forward(ctx context.Context, ask *upstream.Ask) error {
 	e := x.entry
-	addr, err := callerAddr(r)
-	if err != nil {
-		return fault.From(err)
-	}
-	home := x.scope.table.Lookup(addr, x.scope.home)
+	home := x.scope.table.Lookup(x.caller, x.scope.home)
 	flow := e.flows.flow(place{service: x.service.Name(), region: home.Region()}, time.Now())
 	route := flow.Route(home.Hash(), steering.HashRequest(x.id))
 	p := place{service: x.service.Name(), region: route.Region()}
-	err = x.serveIn(ctx, p, ask)
+	err := x.serveIn(ctx, p, ask)
 	if err == nil && !x.answer.whole() {
 		err = fault.New(fault.Broken, "the answer has fewer bytes than announced", "retry only if the request is idempotent",
 			fault.WithRan(fault.RanUnknown))
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -112,15 +112,6 @@
 // Taking reports whether this instance is, or is becoming, the owner.
 func (t *Tenure) Taking() bool { return t.role == taker }
 
-// Owner returns whom this instance yielded to, or "".
-func (t *Tenure) Owner() string { return t.owner }
-
-// Successor returns the successor of this owner, or "".
-func (t *Tenure) Successor() string { return t.successor }
-
-// Settled reports whether this instance owns every slot.
-func (t *Tenure) Settled() bool { return t.role == taker && t.complete && t.othersRest() == 0 }
-
 // Resize changes the slots and the longest request of the upstream.
 func (t *Tenure) Resize(slots int, limit time.Duration) {
 	t.slots = slots
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -37,9 +37,6 @@
 	settled bool
 }
 
-// StepAt returns the instant of the last step.
-func (p *Placement) StepAt() time.Time { return p.stepAt }
-
 // Assign returns the region that serves the larger part of each bucket, for a
 // peer that starts.
 func (p *Placement) Assign() []byte {
--- a/upstream/dispatch_test.go
+++ b/upstream/dispatch_test.go
@@ -19,9 +19,7 @@
 	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 
-	"hickorydrum/declaration"
 	"hickorydrum/fault"
-	"hickorydrum/steering"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -108,24 +106,10 @@
 
 func (s *sink) Write(p []byte) (int, error) { return s.body.Write(p) }
 
-// poolAt returns a pool that owns the upstreams at the addresses.
-func poolAt(t *testing.T, addresses ...string) *Pool {
+// poolAt returns a pool that owns the upstream at the address.
+func poolAt(t *testing.T, address string) *Pool {
 	t.Helper()
-	text := "kind: region\nname: one\ndomains: [a]\n---\nkind: service\nname: list\npath: /list\nlimit: 10s\nworkers:\n"
-	for _, address := range addresses {
-		text += fmt.Sprintf("  - {at: %q, domain: a, slots: 2}\n", address)
-	}
-	set, err := declaration.Parse(map[string][]byte{"f.yaml": []byte(text)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := NewPool("one")
-	p.SetTable(steering.NewTable(set, 1), time.Now())
-	for _, w := range p.workers {
-		w.tenure.Start(nil)
-		w.tenure.Complete(1, nil)
-		w.ramp = w.tenure.Slots()
-	}
+	p := ownedPool(t, map[string]int{address: 2})
 	t.Cleanup(p.Close)
 	return p
 }
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -21,9 +21,19 @@
 // testPool returns a pool that owns every slot of the given workers, all warm.
 func testPool(t testing.TB, slots ...int) *Pool {
 	t.Helper()
-	text := "kind: region\nname: one\ndomains: [a]\n---\nkind: service\nname: list\npath: /list\nlimit: 10s\nworkers:\n"
+	workers := make(map[string]int)
 	for i, n := range slots {
-		text += fmt.Sprintf("  - {at: \"127.0.0.1:%d\", domain: a, slots: %d}\n", i+1, n)
+		workers[fmt.Sprintf("127.0.0.1:%d", i+1)] = n
+	}
+	return ownedPool(t, workers)
+}
+
+// ownedPool returns a pool that owns the slots of the workers by address, all warm.
+func ownedPool(t testing.TB, workers map[string]int) *Pool {
+	t.Helper()
+	text := "kind: region\nname: one\ndomains: [a]\n---\nkind: service\nname: list\npath: /list\nlimit: 10s\nworkers:\n"
+	for address, slots := range workers {
+		text += fmt.Sprintf("  - {at: %q, domain: a, slots: %d}\n", address, slots)
 	}
 	set, err := declaration.Parse(map[string][]byte{"f.yaml": []byte(text)})
 	if err != nil {
