dispatch: one send to one upstream, out of upstream

Cause: the coming platform face needs the same send as the own interface: connections that are proven before an order uses them, answers checked before they are passed on, and one decision about what a failed send proves.

Change: connections and exchange move to their own package; the names of headers and the reading of refusals are a Dialect.

--- a/entry/request.go
+++ b/entry/request.go
@@ -20,6 +20,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"hickorydrum/declaration"
+	"hickorydrum/dispatch"
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/order"
@@ -171,7 +172,7 @@
 		return nil, fault.New(fault.Invalid, "protocol upgrades are not carried", "use plain requests")
 	}
 	header := r.Header.Clone()
-	upstream.StripHop(header)
+	dispatch.StripHop(header)
 	header.Set("X-Forwarded-For", addr.String())
 	return &upstream.Ask{
 		ID:         x.id,
--- a/upstream/message.go
+++ b/upstream/message.go
@@ -5,8 +5,10 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"hickorydrum/dispatch"
 	"hickorydrum/fault"
 )
 
@@ -68,3 +70,39 @@
 func notRun(kind fault.Kind, text, remedy string, opts ...fault.Option) *fault.Error {
 	return fault.New(kind, text, remedy, append(opts, fault.WithRan(fault.RanNo))...)
 }
+
+// request returns the ask as it is sent to an upstream.
+func (a *Ask) request() *dispatch.Request {
+	return &dispatch.Request{
+		ID: a.ID, Method: a.Method, Target: a.Target, Host: a.Host, Header: a.Header.Clone(), Length: a.Length,
+	}
+}
+
+// headSink passes an answer from a dispatch on to a sink of this package.
+type headSink struct{ Sink }
+
+// Head passes the head on.
+func (s headSink) Head(h dispatch.Head) error {
+	return s.Sink.Head(Head{Status: h.Status, Header: h.Header, Length: h.Length})
+}
+
+// dialect is the project's own protocol with upstreams.
+type dialect struct{}
+
+// Prepare names the request and the time left.
+func (dialect) Prepare(h http.Header, r *dispatch.Request, deadline time.Time) {
+	h.Set(HeaderRequestID, r.ID)
+	h.Set(HeaderTimeout, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+}
+
+// Judge finds crossed answers and refusals.
+func (dialect) Judge(r *dispatch.Request, resp *http.Response) dispatch.Verdict {
+	if id := resp.Header.Get(HeaderRequestID); id != "" && id != r.ID {
+		return dispatch.Unsound
+	}
+	shed := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	if shed && resp.Header.Get(HeaderRan) == string(fault.RanNo) {
+		return dispatch.Refused
+	}
+	return dispatch.Accepted
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hickorydrum/declaration"
+	"hickorydrum/dispatch"
 	"hickorydrum/fault"
 	"hickorydrum/lease"
 	"hickorydrum/steering"
@@ -115,7 +116,7 @@
 	if !ok {
 		w = &worker{
 			tenure:      lease.New(decl.Address(), decl.Slots(), s.Limit()),
-			dialer:      &dialer{address: decl.Address(), bind: p.bind},
+			dialer:      dispatch.NewDialer(decl.Address(), dispatch.WithBind(p.bind)),
 			ramp:        coldSlots,
 			serviceTime: firstServiceTime,
 			leaving:     p.leaving[decl.Address()],
@@ -132,7 +133,7 @@
 func (p *Pool) dropRemoved() {
 	for address, w := range p.workers {
 		if w.removed && w.inFlight == 0 {
-			w.dialer.close()
+			w.dialer.Close()
 			delete(p.workers, address)
 		}
 	}
@@ -468,6 +469,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, w := range p.workers {
-		w.dialer.close()
+		w.dialer.Close()
 	}
 }
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -18,6 +18,7 @@
 	probeTimeout = 800 * time.Millisecond
 	maxHealth    = 16 << 10
 	probeWorkers = 32
+	probeIdle    = 30 * time.Second
 )
 
 // healthPage is what an upstream tells of itself.
@@ -41,7 +42,7 @@
 	if pool.bind != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: pool.bind}
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleKeep}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdle}
 	return &Prober{pool: pool, client: &http.Client{Transport: transport, Timeout: probeTimeout}}
 }
 
--- a/upstream/remote.go
+++ b/upstream/remote.go
@@ -249,9 +249,7 @@
 
 func (a *asking) sendBody(body io.Reader) error {
 	if a.ask.Length != 0 {
-		buf := buffers.Get().(*[]byte)
-		defer buffers.Put(buf)
-		if _, err := io.CopyBuffer(dataWriter{a.stream}, struct{ io.Reader }{body}, *buf); err != nil {
+		if _, err := io.Copy(dataWriter{a.stream}, body); err != nil {
 			return err
 		}
 	}
--- a/upstream/serve.go
+++ b/upstream/serve.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 
+	"hickorydrum/dispatch"
 	"hickorydrum/fault"
 )
 
@@ -106,13 +107,12 @@
 		s.finish(begun, err, false)
 		return err
 	}
-	traced := *ask
-	traced.Header = ask.Header.Clone()
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(traced.Header))
-	x := &exchange{ask: &traced, deadline: deadline, conn: c}
-	reusable, err := x.run(ctx, body, sink)
+	request := ask.request()
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
+	x := dispatch.NewExchange(request, dialect{}, deadline, c)
+	reusable, err := x.Run(ctx, body, headSink{sink})
 	if reusable && err == nil {
-		s.worker.dialer.put(c, time.Now(), s.slots)
+		s.worker.dialer.Put(c, time.Now(), s.slots)
 	}
 	s.finish(begun, err, ctx.Err() != nil)
 	return err
@@ -120,8 +120,8 @@
 
 // connect returns a connection and checks the right to the slot last, since the
 // process may have been paused since its admission.
-func (s *Slot) connect(ctx context.Context, now time.Time, proven bool) (*conn, error) {
-	c, err := s.worker.dialer.get(ctx, now, proven)
+func (s *Slot) connect(ctx context.Context, now time.Time, proven bool) (*dispatch.Conn, error) {
+	c, err := s.worker.dialer.Get(ctx, now, proven)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hickorydrum/declaration"
+	"hickorydrum/dispatch"
 	"hickorydrum/lease"
 )
 
@@ -24,7 +25,7 @@
 	decl     *declaration.Worker
 	service  string
 	tenure   *lease.Tenure
-	dialer   *dialer
+	dialer   *dispatch.Dialer
 	inFlight int
 
 	ramp        int // slots in use at most, while the upstream is cold
