hosted: serve callers on the users' platform, thin path

Change: `hickorydrum host` reads the platform's settings file, follows the configuration, the upstreams and the evacuations (mirror, hosted), knows the other instances by heartbeat datagrams (gossip), and serves look-ups, readiness checks and callers (ingress). The upstream of a request is decided by a pure function (placement) from what answers told (load): expected time to the answer, with one home per object and failure domain or region, and the price of the way.

--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,104 @@
+// Package budget bounds what an instance may send beyond the first try of each
+// request, and to cold upstreams. It is pure: time is passed in.
+package budget
+
+import "time"
+
+const (
+	// parts is how many parts the window of a Retry is counted in.
+	parts = 10
+	// margin is the share of the allowance that is used: instances count apart, and
+	// their views of each other are late.
+	margin = 0.7
+)
+
+// Retry bounds the repeats for one service within any window: a ratio of the
+// requests, and this instance's part of a fixed slack.
+type Retry struct {
+	window   time.Duration
+	counts   [parts + 1]count
+	newest   int64 // number of the newest part
+	requests float64
+	repeats  float64
+}
+
+type count struct{ requests, repeats float64 }
+
+// NewRetry returns a budget over the given window.
+func NewRetry(window time.Duration) *Retry { return &Retry{window: window} }
+
+// Request counts the first try of a request.
+func (r *Retry) Request(now time.Time) {
+	r.advance(now)
+	r.counts[r.newest%(parts+1)].requests++
+	r.requests++
+}
+
+// Spend counts a repeat and reports whether it is allowed.
+func (r *Retry) Spend(now time.Time, ratio, slack float64, instances int) bool {
+	r.advance(now)
+	allowed := margin * (ratio*r.requests + slack/float64(max(1, instances)))
+	if r.repeats+1 > allowed {
+		return false
+	}
+	r.counts[r.newest%(parts+1)].repeats++
+	r.repeats++
+	return true
+}
+
+// Left returns how many repeats are allowed now.
+func (r *Retry) Left(now time.Time, ratio, slack float64, instances int) float64 {
+	r.advance(now)
+	return margin*(ratio*r.requests+slack/float64(max(1, instances))) - r.repeats
+}
+
+// advance forgets the parts that have left the window.
+func (r *Retry) advance(now time.Time) {
+	part := now.UnixNano() / int64(r.window/parts)
+	if part-r.newest > parts {
+		r.counts = [parts + 1]count{}
+		r.requests, r.repeats = 0, 0
+		r.newest = part
+		return
+	}
+	for r.newest < part {
+		r.newest++
+		c := &r.counts[r.newest%(parts+1)]
+		r.requests -= c.requests
+		r.repeats -= c.repeats
+		*c = count{}
+	}
+}
+
+// Rate bounds the requests to one upstream: a bucket that holds one second's
+// worth at most.
+type Rate struct {
+	tokens  float64
+	updated time.Time
+}
+
+// Spend takes one request from the bucket and reports whether it is allowed. The
+// bucket fills with perSecond requests and holds at most burst.
+func (r *Rate) Spend(now time.Time, perSecond, burst float64) bool {
+	r.fill(now, perSecond, burst)
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
+
+// Allows reports whether Spend would allow a request.
+func (r *Rate) Allows(now time.Time, perSecond, burst float64) bool {
+	r.fill(now, perSecond, burst)
+	return r.tokens >= 1
+}
+
+func (r *Rate) fill(now time.Time, perSecond, burst float64) {
+	if r.updated.IsZero() {
+		r.tokens = burst
+	} else {
+		r.tokens = min(burst, r.tokens+perSecond*now.Sub(r.updated).Seconds())
+	}
+	r.updated = now
+}
--- /dev/null
+++ b/command/host.go
@@ -0,0 +1,37 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"hickorydrum/event"
+	"hickorydrum/hosted"
+	"hickorydrum/setting"
+)
+
+// newHost returns the command that runs an instance on the users' platform.
+func newHost(p printer) subcommands.Command {
+	b := &base{
+		printer: p, name: "host", synopsis: "run an instance on the users' platform until SIGTERM",
+		usage: "host [settings]", settings: setting.Host(),
+	}
+	b.run = func(ctx context.Context, _ []string) error {
+		lines := event.NewWriter(os.Stdout)
+		defer func() { _ = lines.Close() }()
+		i, err := hosted.New(b.settings.Value("node-file"), b.settings.LoggerTo(lines))
+		if err != nil {
+			return err
+		}
+		stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+		defer cancel()
+		hangUps := make(chan os.Signal, 1)
+		signal.Notify(hangUps, syscall.SIGHUP)
+		defer signal.Stop(hangUps)
+		return i.Run(stop, hangUps)
+	}
+	return b
+}
--- /dev/null
+++ b/hosted/follow.go
@@ -0,0 +1,285 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hickorydrum/event"
+	"hickorydrum/fault"
+	"hickorydrum/mirror"
+	"hickorydrum/platform"
+)
+
+const (
+	// watchWait is how long a watch waits for a change.
+	watchWait = 10 * time.Second
+	// gather is how long changes are gathered between two watches of a kind.
+	gather = 200 * time.Millisecond
+	// pulseEvery and pulseTimeout find out whether the store still answers.
+	pulseEvery   = time.Second
+	pulseTimeout = 600 * time.Millisecond
+	firstRetry   = 100 * time.Millisecond
+	mostRetry    = 500 * time.Millisecond
+	// holdLapsed is how long entries that went missing during an outage of the store
+	// are kept after its return.
+	holdLapsed = 2 * time.Second
+	// askPeersAfter is for how long the store must be away before peers are asked.
+	askPeersAfter = 700 * time.Millisecond
+	peersEvery    = 500 * time.Millisecond
+	peerTimeout   = time.Second
+	maxState      = 16 << 20
+)
+
+// Store is the part of the platform's client that following needs.
+type Store interface {
+	List(ctx context.Context, prefix string) (platform.Page, error)
+	Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Page, error)
+	Pulse(ctx context.Context) error
+}
+
+// follower keeps the mirrors up to date, from the store or, while it is away,
+// from peers.
+type follower struct {
+	store    Store
+	peers    func() []string
+	client   *http.Client
+	log      *slog.Logger
+	onChange func(kind string)
+
+	mu        sync.Mutex
+	mirrors   map[string]*mirror.Mirror
+	awaySince time.Time // zero while the store answers
+	restart   context.Context
+	cancel    context.CancelFunc // ends the watches under way
+}
+
+// kinds lists what is followed.
+func kinds() []string {
+	return []string{platform.KindConfiguration, platform.KindEvacuations, platform.KindUpstreams}
+}
+
+func newFollower(store Store, peers func() []string, log *slog.Logger, onChange func(kind string)) *follower {
+	f := &follower{
+		store: store, peers: peers, log: log, onChange: onChange, mirrors: make(map[string]*mirror.Mirror),
+		client: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	for _, kind := range kinds() {
+		f.mirrors[kind] = mirror.New(kind)
+	}
+	f.mirrors[platform.KindUpstreams] = mirror.New(platform.KindUpstreams, mirror.WithHold(holdLapsed))
+	f.restart, f.cancel = context.WithCancel(context.Background())
+	return f
+}
+
+// objects returns what is known of a kind, and whether anything is.
+func (f *follower) objects(kind string) ([]platform.Object, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.mirrors[kind]
+	return m.Objects(), m.Cursor() > 0
+}
+
+var storeAway = metrics.GetOrCreateCounter(`hickorydrum_store_outages_total`)
+
+// failed notes that the store did not answer.
+func (f *follower) failed(err error) {
+	f.mu.Lock()
+	first := f.awaySince.IsZero()
+	if first {
+		f.awaySince = time.Now()
+		storeAway.Inc()
+	}
+	f.mu.Unlock()
+	if first {
+		event.WatchFailed.Log(context.Background(), f.log, slog.String("error", err.Error()))
+	}
+}
+
+// answered notes that the store answers. After an outage, every watch begins anew:
+// its connection may have lost an answer.
+func (f *follower) answered() {
+	f.mu.Lock()
+	away := f.awaySince
+	if away.IsZero() {
+		f.mu.Unlock()
+		return
+	}
+	f.awaySince = time.Time{}
+	now := time.Now()
+	for _, m := range f.mirrors {
+		m.Returned(now)
+	}
+	f.cancel()
+	f.restart, f.cancel = context.WithCancel(context.Background())
+	f.mu.Unlock()
+	event.WatchBack.Log(context.Background(), f.log, slog.Duration("away", now.Sub(away)))
+}
+
+// follow keeps the mirror of one kind up to date.
+func (f *follower) follow(ctx context.Context, kind string) error {
+	failures := 0
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = f.list(ctx, kind)
+			listed = err == nil
+		} else {
+			err = f.watch(ctx, kind)
+		}
+		switch {
+		case err == nil:
+			failures = 0
+		case fault.KindOf(err) == fault.Conflict:
+			listed = false
+		default:
+			failures++
+			pause(ctx, min(mostRetry, firstRetry<<min(failures-1, 4)))
+		}
+	}
+	return nil
+}
+
+func (f *follower) list(ctx context.Context, kind string) error {
+	page, err := f.store.List(ctx, kind+"/")
+	if err != nil {
+		f.failed(err)
+		return err
+	}
+	f.answered()
+	f.change(kind, func(m *mirror.Mirror, now time.Time) bool { return m.List(page, now) })
+	return nil
+}
+
+func (f *follower) watch(ctx context.Context, kind string) error {
+	f.mu.Lock()
+	cursor, restart := f.mirrors[kind].Cursor(), f.restart
+	f.mu.Unlock()
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(restart, cancel)
+	defer stop()
+	page, err := f.store.Watch(watchCtx, kind+"/", cursor, watchWait)
+	switch {
+	case err != nil && restart.Err() != nil:
+		return nil
+	case err != nil:
+		if fault.KindOf(err) != fault.Conflict {
+			f.failed(err)
+		}
+		return err
+	}
+	f.answered()
+	if len(page.Objects) > 0 {
+		f.change(kind, func(m *mirror.Mirror, now time.Time) bool { return m.Events(page, now) })
+		pause(ctx, gather)
+	}
+	return nil
+}
+
+// change applies a change to a mirror and passes it on.
+func (f *follower) change(kind string, apply func(m *mirror.Mirror, now time.Time) bool) {
+	f.mu.Lock()
+	changed := apply(f.mirrors[kind], time.Now())
+	f.mu.Unlock()
+	if changed {
+		f.onChange(kind)
+	}
+}
+
+// pulse asks the store for something small at an interval, so that an outage is
+// noticed while the watches wait, and drops entries whose hold is over.
+func (f *follower) pulse(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, pulseEvery)
+		call, cancel := context.WithTimeout(ctx, pulseTimeout)
+		err := f.store.Pulse(call)
+		cancel()
+		if err != nil {
+			f.failed(err)
+		} else {
+			f.answered()
+		}
+		f.change(platform.KindUpstreams, func(m *mirror.Mirror, now time.Time) bool { return m.Expire(now) })
+	}
+	return nil
+}
+
+// stateMessage is what instances tell each other while the store is away.
+type stateMessage struct {
+	Kinds map[string]platform.Page `json:"kinds"`
+}
+
+// state returns what this instance knows, for a peer.
+func (f *follower) state() stateMessage {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := stateMessage{Kinds: make(map[string]platform.Page)}
+	for kind, m := range f.mirrors {
+		if m.Cursor() > 0 {
+			s.Kinds[kind] = m.Page()
+		}
+	}
+	return s
+}
+
+// askPeers learns from peers while the store is away.
+func (f *follower) askPeers(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, peersEvery)
+		if !f.lacking() {
+			continue
+		}
+		for i, peer := range f.peers() {
+			if f.askPeer(ctx, peer) || i == 2 {
+				break
+			}
+		}
+	}
+	return nil
+}
+
+// lacking reports whether the store is away for long enough, or nothing is known.
+func (f *follower) lacking() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.awaySince.IsZero() && time.Since(f.awaySince) > askPeersAfter
+}
+
+func (f *follower) askPeer(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathState, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var s stateMessage
+	if json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(&s) != nil || len(s.Kinds) == 0 {
+		return false
+	}
+	for kind, page := range s.Kinds {
+		if _, ok := f.mirrors[kind]; ok {
+			f.change(kind, func(m *mirror.Mirror, now time.Time) bool { return m.List(page, now) })
+		}
+	}
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/hosted/hosted.go
@@ -0,0 +1,299 @@
+// Package hosted assembles an instance that runs on the users' platform: it learns
+// the configuration and the upstreams from the platform's store or from peers, and
+// serves callers, look-ups and readiness checks.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/dispatch"
+	"hickorydrum/event"
+	"hickorydrum/fault"
+	"hickorydrum/fleet"
+	"hickorydrum/gossip"
+	"hickorydrum/ingress"
+	"hickorydrum/load"
+	"hickorydrum/platform"
+)
+
+const (
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 10 * time.Second
+	// upstreamTimeout ends a connection to an upstream whose sent bytes are not
+	// acknowledged.
+	upstreamTimeout = time.Second
+	// dialTrips and dialSlack bound how long a connection to an upstream may take.
+	dialTrips = 3
+	dialSlack = 120 * time.Millisecond
+	// stopMargin is how long before the end of the grace period everything ends, and
+	// acceptMargin is how long before it no more connections are accepted.
+	stopMargin   = 300 * time.Millisecond
+	acceptMargin = 1700 * time.Millisecond
+	stopPoll     = 50 * time.Millisecond
+)
+
+// Instance is one running instance.
+type Instance struct {
+	file     string
+	settings platform.Settings
+	log      *slog.Logger
+	store    *platform.Client
+	follower *follower
+	mesh     *gossip.Mesh
+	board    *load.Board
+	ingress  *ingress.Ingress
+	servers  servers
+	group    errgroup.Group
+
+	mu        sync.Mutex // held while beliefs are put in force
+	evacuated map[string]bool
+	known     bool // the upstreams were known before
+	badKeys   map[string]uint64
+}
+
+// New opens the listeners of an instance with the platform's settings file.
+func New(file string, log *slog.Logger) (*Instance, error) {
+	settings, err := platform.LoadSettings(file)
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{
+		file: file, settings: settings, log: log, store: platform.New("http://" + settings.Store),
+		evacuated: make(map[string]bool), badKeys: make(map[string]uint64),
+	}
+	host, _, err := net.SplitHostPort(settings.Control)
+	if err != nil {
+		return nil, fault.New(fault.Invalid, "the control address is not usable", "write it such as 10.1.0.4:8544",
+			fault.WithCause(err))
+	}
+	self := gossip.Member{
+		Name: settings.Name, Domain: settings.Domain, Region: settings.Region, Front: settings.Front,
+		Control: settings.Control, Run: time.Now().UnixNano(),
+	}
+	i.mesh, err = gossip.New(self, net.JoinHostPort(host, strconv.Itoa(settings.FirstPort)), settings.Seeds, log)
+	if err != nil {
+		return nil, err
+	}
+	i.board = load.NewBoard(settings.Domain, settings.Region, i.newDialer)
+	i.ingress = ingress.New(ingress.Place{Domain: settings.Domain, Region: settings.Region}, i.board, meshCount{i.mesh},
+		settings.Bounds, log)
+	i.follower = newFollower(i.store, i.mesh.Controls, log, i.believe)
+	return i, i.listen()
+}
+
+func (i *Instance) newDialer(u *fleet.Upstream) *dispatch.Dialer {
+	return dispatch.NewDialer(u.Address,
+		dispatch.WithUserTimeout(upstreamTimeout),
+		dispatch.WithTimeout(func() time.Duration { return dialTrips*i.board.RoundTrip(u) + dialSlack }),
+		dispatch.WithDialTimes(func(took time.Duration) { i.board.Dialed(u.Domain, took) }))
+}
+
+// meshCount counts the live instances.
+type meshCount struct{ mesh *gossip.Mesh }
+
+// Count returns the live instances of a region, and all of them.
+func (c meshCount) Count(region string) (inRegion, all int) { return c.mesh.Count(region) }
+
+// Run serves until stop is done, then stops without cutting a request. Each value
+// of reload has the settings file read again.
+func (i *Instance) Run(stop context.Context, reload <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	event.Started.Log(ctx, i.log, slog.String("instance", i.settings.Name), slog.String("domain", i.settings.Domain),
+		slog.String("caller", i.settings.Front))
+	i.servers.serve(&i.group, i.log)
+	i.group.Go(func() error { return i.mesh.Run(ctx) })
+	for _, kind := range kinds() {
+		i.group.Go(func() error { return i.follower.follow(ctx, kind) })
+	}
+	i.group.Go(func() error { return i.follower.pulse(ctx) })
+	i.group.Go(func() error { return i.follower.askPeers(ctx) })
+	i.group.Go(func() error { return i.reload(ctx, reload) })
+	i.group.Go(func() error { return i.sweep(ctx) })
+	<-stop.Done()
+	i.stop()
+	cancel()
+	err := i.servers.close()
+	i.store.Close()
+	return errors.Join(err, i.group.Wait())
+}
+
+// stop lets callers go elsewhere and ends when no request is left, or when the
+// grace period is about to.
+func (i *Instance) stop() {
+	begun := time.Now()
+	grace := i.settings.Bounds.Grace
+	event.StopBegun.Log(context.Background(), i.log, slog.Int64("in_flight", i.ingress.InFlight()))
+	i.ingress.Leave()
+	i.mesh.Leave()
+	time.Sleep(time.Until(begun.Add(grace - acceptMargin)))
+	i.servers.stopAccepting()
+	for time.Until(begun.Add(grace-stopMargin)) > 0 && i.ingress.InFlight() > 0 {
+		time.Sleep(stopPoll)
+	}
+	event.Stopped.Log(context.Background(), i.log, slog.Int64("in_flight", i.ingress.InFlight()))
+}
+
+// believe puts what is known of a kind in force.
+func (i *Instance) believe(kind string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if kind == platform.KindConfiguration {
+		i.configure()
+		return
+	}
+	i.lookAround()
+}
+
+// configure puts a newer configuration in force. The lock is held.
+func (i *Instance) configure() {
+	objects, _ := i.follower.objects(platform.KindConfiguration)
+	o, ok := platform.Configuration(objects)
+	if !ok {
+		return
+	}
+	table, err := platform.DecodeConfiguration(o)
+	if err != nil {
+		event.RevisionRefused.Log(context.Background(), i.log, slog.String("error", err.Error()))
+		return
+	}
+	if old := i.ingress.Table(); old != nil && old.Version() >= table.Version() {
+		return
+	}
+	i.ingress.SetTable(table)
+	i.servers.setIdle(table.Limits().IdleTimeout)
+	event.RevisionTaken.Log(context.Background(), i.log, slog.Uint64("version", table.Version()),
+		slog.Uint64("revision", o.Version), slog.Int("routes", table.Len()))
+	i.lookAround()
+	i.mesh.SetReady(i.ingress.Ready())
+}
+
+// lookAround puts the newest view of the upstreams in force. The lock is held.
+func (i *Instance) lookAround() {
+	entries, ok := i.follower.objects(platform.KindUpstreams)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	evacuations, _ := i.follower.objects(platform.KindEvacuations)
+	domains := make([]string, 0, len(evacuations))
+	for _, o := range evacuations {
+		domains = append(domains, o.Name())
+	}
+	upstreams := make([]fleet.Upstream, 0, len(entries))
+	for _, o := range entries {
+		u, err := platform.DecodeUpstream(o)
+		if err != nil {
+			i.complain(o, err)
+			continue
+		}
+		upstreams = append(upstreams, u)
+	}
+	view := fleet.NewView(upstreams, domains, i.settings.Regions)
+	i.board.Follow(view, !i.known, i.coldTime, now)
+	i.noteEvacuations(view, domains, now)
+	i.known = true
+	i.ingress.SetView(view)
+	i.mesh.SetReady(i.ingress.Ready())
+	event.ViewTaken.Log(context.Background(), i.log, slog.Int("upstreams", len(upstreams)),
+		slog.Int("evacuated", len(domains)))
+}
+
+// coldTime returns how long the upstreams of a service are cold after a start.
+func (i *Instance) coldTime(service string) time.Duration {
+	if t := i.ingress.Table(); t != nil {
+		return t.Service(service).ColdTime
+	}
+	return 0
+}
+
+// noteEvacuations takes the upstreams of a failure domain as cold when its
+// evacuation ends. The lock is held.
+func (i *Instance) noteEvacuations(view *fleet.View, domains []string, now time.Time) {
+	for domain := range i.evacuated {
+		if !view.Evacuated(domain) {
+			delete(i.evacuated, domain)
+			i.chill(view, domain, now)
+		}
+	}
+	for _, domain := range domains {
+		i.evacuated[domain] = true
+	}
+}
+
+func (i *Instance) chill(view *fleet.View, domain string, now time.Time) {
+	for _, u := range view.All() {
+		if u.Domain == domain {
+			till := now.Add(i.coldTime(u.Service))
+			i.board.Chill(view, till, func(other *fleet.Upstream) bool { return other.ID == u.ID })
+		}
+	}
+}
+
+// complain logs an unusable entry once for each of its versions. The lock is held.
+func (i *Instance) complain(o platform.Object, err error) {
+	if i.badKeys[o.Key] == o.Version {
+		return
+	}
+	i.badKeys[o.Key] = o.Version
+	event.EntryRefused.Log(context.Background(), i.log, slog.String("error", err.Error()))
+}
+
+const (
+	settingsEvery = 2 * time.Second
+	sweepEvery    = 500 * time.Millisecond
+)
+
+// reload takes in the settings file when it is asked to, and at an interval: the
+// file may change without a signal.
+func (i *Instance) reload(ctx context.Context, asked <-chan os.Signal) error {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-asked:
+			signalled = true
+		case <-ticker.C:
+		}
+		settings, err := platform.LoadSettings(i.file)
+		if err != nil {
+			event.SettingsRefused.Log(ctx, i.log, slog.String("error", err.Error()))
+			continue
+		}
+		i.ingress.SetBounds(settings.Bounds)
+		i.mesh.SetSeeds(settings.Seeds)
+		if signalled {
+			event.SettingsTaken.Log(ctx, i.log)
+		}
+	}
+}
+
+// sweep closes connections of callers that were idle for too long.
+func (i *Instance) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			i.servers.closeIdle(now)
+		}
+	}
+}
+
+// Handler returns the callers' side, for tests.
+func (i *Instance) Handler() http.Handler { return i.ingress }
--- /dev/null
+++ b/hosted/servers.go
@@ -0,0 +1,232 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"hickorydrum/event"
+	"hickorydrum/fault"
+	"hickorydrum/gossip"
+	"hickorydrum/platform"
+)
+
+const (
+	pathState   = "/state"
+	pathMetrics = "/metrics"
+	// callerTimeout ends a connection whose sent bytes a caller does not acknowledge.
+	callerTimeout = 5 * time.Second
+	defaultIdle   = 30 * time.Second
+	// lookupLife is how long callers use the answer to a look-up. It is short, so that
+	// few still come when a planned stop ends.
+	lookupLife = 1500 * time.Millisecond
+)
+
+// server is an HTTP server with its listener.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// servers are the listeners of an instance.
+type servers struct {
+	front, ready, directory, control *server
+
+	mu   sync.Mutex
+	idle time.Duration
+	conn map[net.Conn]time.Time // callers' idle connections, and since when
+}
+
+// listen opens the listeners.
+func (i *Instance) listen() error {
+	s := &i.servers
+	s.idle, s.conn = defaultIdle, make(map[net.Conn]time.Time)
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+		into    **server
+	}{
+		{i.settings.Front, i.ingress, &s.front},
+		{i.settings.Ready, i.readyHandler(), &s.ready},
+		{i.settings.Directory, i.directoryHandler(), &s.directory},
+		{i.settings.Control, i.controlHandler(), &s.control},
+	} {
+		opened, err := listen(l.address, l.handler)
+		if err != nil {
+			return errors.Join(err, s.close())
+		}
+		*l.into = opened
+	}
+	s.front.http.ConnState = s.noteState
+	return nil
+}
+
+func listen(address string, handler http.Handler) (*server, error) {
+	config := net.ListenConfig{Control: setCallerTimeout}
+	listener, err := config.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, "the address "+address+" cannot be listened on", "free the address",
+			fault.WithCause(err))
+	}
+	return &server{listener: listener, http: &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}}, nil
+}
+
+// setCallerTimeout ends connections whose other side no longer acknowledges.
+// Accepted connections inherit it.
+func setCallerTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(callerTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+func (s *servers) all() []*server { return []*server{s.front, s.ready, s.directory, s.control} }
+
+func (s *servers) serve(group *errgroup.Group, log *slog.Logger) {
+	for _, one := range s.all() {
+		group.Go(func() error {
+			err := one.http.Serve(one.listener)
+			if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+				event.ServeFailed.Log(context.Background(), log, slog.String("error", err.Error()))
+			}
+			return nil
+		})
+	}
+}
+
+// noteState keeps when each connection of a caller became idle.
+func (s *servers) noteState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateIdle {
+		s.conn[c] = time.Now()
+		return
+	}
+	delete(s.conn, c)
+}
+
+// setIdle sets how long callers may leave a connection idle.
+func (s *servers) setIdle(idle time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = cmp.Or(idle, defaultIdle)
+}
+
+// closeIdle closes the connections that were idle for too long.
+func (s *servers) closeIdle(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, since := range s.conn {
+		if now.Sub(since) > s.idle {
+			_ = c.Close()
+			delete(s.conn, c)
+		}
+	}
+}
+
+// stopAccepting closes the callers' listener and their idle connections.
+func (s *servers) stopAccepting() {
+	_ = s.front.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conn {
+		_ = c.Close()
+	}
+	clear(s.conn)
+}
+
+func (s *servers) close() error {
+	var errs []error
+	for _, one := range s.all() {
+		if one != nil {
+			errs = append(errs, one.http.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	return e
+}
+
+// readyHandler answers the platform's readiness checks.
+func (i *Instance) readyHandler() http.Handler {
+	e := newEcho()
+	e.GET(platform.PathReady, func(c echo.Context) error {
+		if !i.ingress.Ready() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+// directoryHandler answers look-ups.
+func (i *Instance) directoryHandler() http.Handler {
+	e := newEcho()
+	e.GET(platform.PathLookup, func(c echo.Context) error {
+		lookup := platform.DecodeLookup(c.QueryParams())
+		addresses := nearest(i.mesh.Live(), lookup.Domain, lookup.Region)
+		if len(addresses) == 0 {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		life := min(lookupLife, i.settings.Bounds.LookupLife)
+		return c.JSON(http.StatusOK, platform.NewLookupAnswer(addresses, life))
+	})
+	return e
+}
+
+// nearest returns the addresses of the instances that a caller should use: those
+// of its failure domain if there are at least two, else those of its region, else
+// all.
+func nearest(members []gossip.Member, domain, region string) []string {
+	members = slices.DeleteFunc(members, func(m gossip.Member) bool { return !m.Ready || m.Leaving })
+	for _, near := range []struct {
+		least int
+		fits  func(m gossip.Member) bool
+	}{
+		{2, func(m gossip.Member) bool { return m.Domain == domain }},
+		{1, func(m gossip.Member) bool { return m.Region == region }},
+		{1, func(gossip.Member) bool { return true }},
+	} {
+		var out []string
+		for _, m := range members {
+			if near.fits(m) {
+				out = append(out, m.Front)
+			}
+		}
+		if len(out) >= near.least {
+			return out
+		}
+	}
+	return nil
+}
+
+// controlHandler answers other instances and tells the metrics.
+func (i *Instance) controlHandler() http.Handler {
+	e := newEcho()
+	e.GET(pathState, func(c echo.Context) error { return c.JSON(http.StatusOK, i.follower.state()) })
+	e.GET(pathMetrics, func(c echo.Context) error {
+		metrics.WritePrometheus(c.Response(), true)
+		return nil
+	})
+	return e
+}
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,372 @@
+// Package load keeps what this instance knows of the load of upstreams: what it
+// sent itself, what their answers told and how they fared.
+package load
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"hickorydrum/budget"
+	"hickorydrum/dispatch"
+	"hickorydrum/fleet"
+	"hickorydrum/placement"
+)
+
+const (
+	// toldHalfLife is after which time what an upstream told of other instances'
+	// requests weighs half.
+	toldHalfLife = 600 * time.Millisecond
+	// failMemory is the weight of the newest outcome in the failure rate.
+	failMemory = 0.15
+	// slowMemory is the weight of the newest service time in the slowness.
+	slowMemory = 0.15
+	hitMemory  = 0.1
+	firstHits  = 0.9
+	maxSlow    = 20.0
+	// failuresToAvoid is how many connections in a row must fail before an upstream
+	// is avoided, which lasts from firstAvoid to maxAvoid.
+	failuresToAvoid = 1
+	firstAvoid      = 300 * time.Millisecond
+	maxAvoid        = 2 * time.Second
+	// shedPause is how long an upstream that refused is taken as full.
+	shedPause = 150 * time.Millisecond
+	// objectMemory is how long an object that was sent to an upstream counts as known
+	// there.
+	objectMemory = 20 * time.Second
+	maxObjects   = 512
+	maxIdle      = 64
+)
+
+// Gauge is the state of one upstream.
+type Gauge struct {
+	id     string
+	dialer *dispatch.Dialer
+
+	born     int64
+	coldTill time.Time
+	cold     budget.Rate
+
+	inFlight   int
+	told       float64 // running and waiting, by its own last word
+	toldOwn    int     // of these, this instance's own
+	toldAt     time.Time
+	fullTill   time.Time
+	slow       float64
+	failing    float64
+	hits       float64
+	failures   int // failed connections in a row
+	avoidTill  time.Time
+	objects    map[uint64]time.Time // when each object was last served there
+	roundTrip  time.Duration
+	lastAnswer time.Time
+}
+
+// Board holds the gauges of all upstreams. Its methods may be called at the same
+// time.
+type Board struct {
+	domain, region string
+	newDialer      func(u *fleet.Upstream) *dispatch.Dialer
+
+	mu       sync.Mutex
+	gauges   map[string]*Gauge
+	services map[string]*serviceTimes
+	trips    map[string]time.Duration // by failure domain
+}
+
+// NewBoard returns the board of an instance in a failure domain and region.
+func NewBoard(domain, region string, newDialer func(u *fleet.Upstream) *dispatch.Dialer) *Board {
+	return &Board{
+		domain: domain, region: region, newDialer: newDialer,
+		gauges: make(map[string]*Gauge), services: make(map[string]*serviceTimes),
+		trips: make(map[string]time.Duration),
+	}
+}
+
+// Follow adapts the board to a new view. Upstreams that start while others serve
+// are cold for the time that coldTime returns for their service.
+func (b *Board) Follow(view *fleet.View, first bool, coldTime func(service string) time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, g := range b.gauges {
+		if _, ok := view.Upstream(id); !ok {
+			g.dialer.Close()
+			delete(b.gauges, id)
+		}
+	}
+	for _, u := range view.All() {
+		b.follow(u, first, coldTime(u.Service), now)
+	}
+}
+
+func (b *Board) follow(u *fleet.Upstream, first bool, coldTime time.Duration, now time.Time) {
+	g, ok := b.gauges[u.ID]
+	if !ok || g.born != u.Born {
+		if ok {
+			g.dialer.Close()
+		}
+		g = &Gauge{id: u.ID, dialer: b.newDialer(u), born: u.Born, slow: 1, hits: firstHits, objects: make(map[uint64]time.Time)}
+		b.gauges[u.ID] = g
+		if !first {
+			g.chill(now.Add(coldTime))
+		}
+	}
+	if u.ColdMillis > 0 {
+		g.chill(now.Add(time.Duration(u.ColdMillis) * time.Millisecond))
+	}
+}
+
+// chill notes that the upstream is cold until an instant.
+func (g *Gauge) chill(till time.Time) {
+	if till.After(g.coldTill) {
+		g.coldTill = till
+	}
+}
+
+// Chill notes that the upstreams for which the function holds are cold until an
+// instant.
+func (b *Board) Chill(view *fleet.View, till time.Time, which func(u *fleet.Upstream) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, g := range b.gauges {
+		if u, ok := view.Upstream(id); ok && which(u) {
+			g.chill(till)
+		}
+	}
+}
+
+// ColdShare is this instance's part of what a cold upstream bears.
+type ColdShare struct {
+	PerSecond float64
+	Burst     float64
+}
+
+// Request is what the board must know of a request to weigh upstreams for it.
+type Request struct {
+	Service string
+	Object  uint64
+	Sticky  bool
+	// Tried holds the ids of upstreams that must not be chosen again.
+	Tried map[string]bool
+	// Cold is the part of a cold upstream's rate that this instance may use.
+	Cold func(u *fleet.Upstream) ColdShare
+	// Allows reports whether an upstream may serve the request.
+	Allows func(u *fleet.Upstream) bool
+}
+
+// Options returns the upstreams that may serve a request, and their state.
+func (b *Board) Options(r *Request, upstreams []*fleet.Upstream, now time.Time) ([]placement.Option, []*fleet.Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	options := make([]placement.Option, 0, len(upstreams))
+	usable := make([]*fleet.Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		g, ok := b.gauges[u.ID]
+		if !ok || r.Tried[u.ID] || !r.Allows(u) || now.Before(g.avoidTill) {
+			continue
+		}
+		if now.Before(g.coldTill) {
+			share := r.Cold(u)
+			if !g.cold.Allows(now, share.PerSecond, share.Burst) {
+				continue
+			}
+		}
+		options = append(options, b.option(g, u, r, now))
+		usable = append(usable, u)
+	}
+	return options, usable
+}
+
+func (b *Board) option(g *Gauge, u *fleet.Upstream, r *Request, now time.Time) placement.Option {
+	o := placement.Option{
+		Rank: placement.Rank(r.Object, u.Hash()), Distance: b.distance(u), RoundTrip: b.roundTrip(u),
+		Slots: u.Slots, Busy: g.busy(now), Hits: g.hits, Slow: g.slow, Failing: g.failing,
+	}
+	if now.Before(g.fullTill) {
+		o.Busy = max(o.Busy, float64(3*u.Slots))
+	}
+	if served, ok := g.objects[r.Object]; ok && r.Sticky {
+		o.Known = now.Sub(served) < objectMemory
+	}
+	return o
+}
+
+// busy returns the expected number of requests at the upstream.
+func (g *Gauge) busy(now time.Time) float64 {
+	if g.toldAt.IsZero() {
+		return float64(g.inFlight)
+	}
+	others := max(0, g.told-float64(g.toldOwn))
+	age := now.Sub(g.toldAt)
+	others *= math.Exp2(-float64(age) / float64(toldHalfLife))
+	return float64(g.inFlight) + others
+}
+
+func (b *Board) distance(u *fleet.Upstream) placement.Distance {
+	switch {
+	case u.Domain == b.domain:
+		return placement.SameDomain
+	case u.Region() == b.region:
+		return placement.SameRegion
+	default:
+		return placement.OtherRegion
+	}
+}
+
+// Round trips that are assumed until a connection was made.
+const (
+	tripSameDomain  = 500 * time.Microsecond
+	tripSameRegion  = 2 * time.Millisecond
+	tripOtherRegion = 40 * time.Millisecond
+	tripMemory      = 0.2
+)
+
+func (b *Board) roundTrip(u *fleet.Upstream) time.Duration {
+	if trip, ok := b.trips[u.Domain]; ok {
+		return trip
+	}
+	switch b.distance(u) {
+	case placement.SameDomain:
+		return tripSameDomain
+	case placement.SameRegion:
+		return tripSameRegion
+	default:
+		return tripOtherRegion
+	}
+}
+
+// RoundTrip returns the time of one round trip to an upstream.
+func (b *Board) RoundTrip(u *fleet.Upstream) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.roundTrip(u)
+}
+
+// Dialed takes in how long a connection to a failure domain took to be made.
+func (b *Board) Dialed(domain string, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if trip, ok := b.trips[domain]; ok {
+		// The least times are those without delays at either end.
+		if took > trip {
+			took = trip + time.Duration(tripMemory*tripMemory*float64(took-trip))
+		}
+		b.trips[domain] = trip + time.Duration(tripMemory*float64(took-trip))
+		return
+	}
+	b.trips[domain] = took
+}
+
+// Begin counts a request on its way to an upstream and returns its dialer. It
+// fails when the upstream is gone or cold and may get no more now.
+func (b *Board) Begin(u *fleet.Upstream, cold ColdShare, now time.Time) (*dispatch.Dialer, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g, ok := b.gauges[u.ID]
+	if !ok || g.born != u.Born {
+		return nil, false
+	}
+	if now.Before(g.coldTill) && !g.cold.Spend(now, cold.PerSecond, cold.Burst) {
+		return nil, false
+	}
+	g.inFlight++
+	return g.dialer, true
+}
+
+// Told takes in the load that an upstream told.
+func (b *Board) Told(id string, running, waiting int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g, ok := b.gauges[id]; ok {
+		g.told, g.toldOwn, g.toldAt = float64(running+waiting), g.inFlight, now
+	}
+}
+
+// Outcome is how a send ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered    Outcome = iota // a whole answer that is no failure
+	Failed                     // the upstream's own failure, or an answer that is none
+	Refused                    // no room
+	Unreachable                // no connection
+	Abandoned                  // ended from this side
+)
+
+// Result is what the board learns from a send.
+type Result struct {
+	Upstream *fleet.Upstream
+	Object   uint64
+	Sticky   bool
+	Outcome  Outcome
+	Took     time.Duration
+	// Waited states that the request had to wait at the upstream, so that its time
+	// tells nothing about the service.
+	Waited bool
+	// ColdTime is how long the service's upstreams are cold after a start.
+	ColdTime time.Duration
+}
+
+// End takes in the end of a send.
+func (b *Board) End(r *Result, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g, ok := b.gauges[r.Upstream.ID]
+	if !ok {
+		return
+	}
+	g.inFlight = max(0, g.inFlight-1)
+	switch r.Outcome {
+	case Answered:
+		b.answered(g, r, now)
+	case Failed:
+		g.failing += failMemory * (1 - g.failing)
+	case Refused:
+		g.fullTill = now.Add(shedPause)
+	case Unreachable:
+		g.unreachable(r.ColdTime, now)
+	case Abandoned:
+	}
+}
+
+func (g *Gauge) unreachable(coldTime time.Duration, now time.Time) {
+	g.failures++
+	if g.failures < failuresToAvoid {
+		return
+	}
+	wait := min(firstAvoid<<min(g.failures-failuresToAvoid, 4), maxAvoid)
+	g.avoidTill = now.Add(wait)
+	// An upstream that comes back may have started anew.
+	g.chill(g.avoidTill.Add(coldTime))
+	clear(g.objects)
+	g.dialer.Drop()
+}
+
+func (b *Board) answered(g *Gauge, r *Result, now time.Time) {
+	g.failures = 0
+	g.failing -= failMemory * g.failing
+	g.lastAnswer = now
+	served, sent := g.objects[r.Object]
+	known := r.Sticky && sent && now.Sub(served) < objectMemory
+	if r.Sticky {
+		if len(g.objects) >= maxObjects {
+			clear(g.objects)
+		}
+		g.objects[r.Object] = now
+	}
+	if r.Waited {
+		return
+	}
+	took := max(0, r.Took-b.roundTrip(r.Upstream))
+	b.times(r.Upstream.Service).learn(g, took, r.Sticky, known, now.Before(g.coldTill))
+}
+
+// Reachable notes that a connection to an avoided upstream was made.
+func (b *Board) Reachable(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g, ok := b.gauges[id]; ok {
+		g.failures = 0
+	}
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,208 @@
+// Package placement decides which upstream serves a request. It is pure: the
+// state of the upstreams and the request's needs are passed in.
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Distance is how far an upstream is from this instance.
+type Distance int
+
+// The distances.
+const (
+	SameDomain Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Option is one upstream that may serve the request.
+type Option struct {
+	// Rank orders the upstreams for one object, the same way at every instance; the
+	// highest is the object's home.
+	Rank     uint64
+	Distance Distance
+	// RoundTrip is the time of one round trip to the upstream.
+	RoundTrip time.Duration
+	Slots     int
+	// Busy is the expected number of requests running and waiting there.
+	Busy float64
+	// Hits is the probability that the upstream still knows an object that it
+	// handled lately.
+	Hits float64
+	// Known states that this instance sent the object there lately.
+	Known bool
+	// Slow is how many times longer than others the upstream takes.
+	Slow float64
+	// Failing is the probability that the upstream fails a request.
+	Failing float64
+}
+
+// Demand is what a request needs.
+type Demand struct {
+	// Bytes is the size of the request and its answer.
+	Bytes int64
+	// Left is the time that is left for the request.
+	Left time.Duration
+	// Objective is the latency within which an answer is worth most.
+	Objective time.Duration
+	// WarmTime and ColdTime are the times to serve the request at an upstream that
+	// knows its object, and at one that does not.
+	WarmTime, ColdTime time.Duration
+	// Sticky states that the object matters.
+	Sticky bool
+}
+
+// Costs weigh what is not time, as if it were.
+type Costs struct {
+	// DomainPerKiB and RegionPerKiB are added for each KiB that crosses failure
+	// domains, and regions.
+	DomainPerKiB, RegionPerKiB time.Duration
+}
+
+// Choice is the decision on one request.
+type Choice struct {
+	// Index is that of the option, -1 when there is none.
+	Index int
+	// Expected is the time until the answer.
+	Expected time.Duration
+	Reason   Reason
+}
+
+// Reason says why an upstream was chosen, or why none was.
+type Reason string
+
+// The reasons.
+const (
+	ReasonHome    Reason = "home"    // the object's home in reach
+	ReasonKnown   Reason = "known"   // another upstream that knows the object
+	ReasonSpill   Reason = "spill"   // the home is busy, slow or failing
+	ReasonFree    Reason = "free"    // no object: the upstream with the least expected time
+	ReasonNone    Reason = "none"    // no upstream may be used
+	ReasonNoTime  Reason = "no-time" // no upstream can answer in the time left
+	failurePrice         = 2.0       // a failure counts as so many objectives
+	homeChance           = 0.7       // that the home of a region knows an object
+	domainChance         = 0.5       // that the home within a failure domain does
+	waitSmoothing        = 0.15      // of the service time, when all slots are taken
+	kibibyte             = 1024.0
+	unavoidable          = math.MaxInt64
+)
+
+// Choose returns the option with the least cost: the expected time to the answer,
+// and what its way and its failures cost.
+func Choose(d Demand, options []Option, costs Costs) Choice {
+	homes := findHomes(options)
+	best := Choice{Index: -1, Reason: ReasonNone}
+	bestCost := time.Duration(unavoidable)
+	soonest := time.Duration(unavoidable)
+	for i := range options {
+		o := &options[i]
+		expected := d.expected(o, homes.chance(i, o))
+		soonest = min(soonest, expected)
+		cost := expected + costs.way(o.Distance, d.Bytes) +
+			time.Duration(o.Failing*failurePrice*float64(d.Objective))
+		if cost < bestCost {
+			best, bestCost = Choice{Index: i, Expected: expected}, cost
+		}
+	}
+	if best.Index < 0 {
+		return best
+	}
+	if soonest > d.Left {
+		return Choice{Index: -1, Expected: soonest, Reason: ReasonNoTime}
+	}
+	best.Reason = d.reason(best.Index, &options[best.Index], homes)
+	return best
+}
+
+func (d *Demand) reason(i int, o *Option, h homes) Reason {
+	switch {
+	case !d.Sticky:
+		return ReasonFree
+	case h.is(i, o.Distance):
+		return ReasonHome
+	case o.Known:
+		return ReasonKnown
+	default:
+		return ReasonSpill
+	}
+}
+
+// expected returns the time until the answer of an option.
+func (d *Demand) expected(o *Option, warm float64) time.Duration {
+	service := float64(d.ColdTime)
+	if d.Sticky {
+		service = warm*float64(d.WarmTime) + (1-warm)*float64(d.ColdTime)
+	}
+	service *= o.Slow
+	return o.RoundTrip + time.Duration(service) + o.wait(d)
+}
+
+// wait returns the time that a request waits for a slot.
+func (o *Option) wait(d *Demand) time.Duration {
+	mean := float64(d.ColdTime)
+	if d.Sticky {
+		mean = o.Hits*float64(d.WarmTime) + (1-o.Hits)*float64(d.ColdTime)
+	}
+	slots := float64(max(1, o.Slots))
+	ahead := max(0, o.Busy+1-slots) / slots
+	crowd := waitSmoothing * min(1, o.Busy/slots)
+	return time.Duration((ahead + crowd) * mean * o.Slow)
+}
+
+// way returns the price of the way.
+func (c Costs) way(distance Distance, bytes int64) time.Duration {
+	kib := float64(bytes) / kibibyte
+	switch distance {
+	case SameRegion:
+		return time.Duration(kib * float64(c.DomainPerKiB))
+	case OtherRegion:
+		return time.Duration(kib * float64(c.RegionPerKiB))
+	default:
+		return 0
+	}
+}
+
+// homes holds the index of the option with the highest rank within each distance.
+type homes [OtherRegion + 1]int
+
+func findHomes(options []Option) homes {
+	h := homes{-1, -1, -1}
+	for i := range options {
+		for distance := options[i].Distance; distance <= OtherRegion; distance++ {
+			if h[distance] < 0 || options[i].Rank > options[h[distance]].Rank {
+				h[distance] = i
+			}
+		}
+	}
+	return h
+}
+
+func (h homes) is(i int, _ Distance) bool {
+	return h[SameRegion] == i || h[SameDomain] == i || h[OtherRegion] == i
+}
+
+// chance returns the probability that an option knows the request's object.
+func (h homes) chance(i int, o *Option) float64 {
+	switch {
+	case o.Known:
+		return o.Hits
+	case h[SameRegion] == i, h[OtherRegion] == i:
+		return homeChance * o.Hits
+	case h[SameDomain] == i:
+		return domainChance * o.Hits
+	default:
+		return 0
+	}
+}
+
+// Rank returns the rank of an upstream for an object, by their hashes.
+func Rank(object, upstream uint64) uint64 {
+	x := object ^ upstream*0x9e3779b97f4a7c15
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -221,19 +222,40 @@
 			check: between(time.Second, time.Minute),
 		},
 		Setting{name: "log", usage: "format of the log: text or json", fallback: "text", check: oneOf("text", "json")},
-		Setting{
-			name: "log-level", usage: "least level of the log: debug, info, warn or error", fallback: "info",
-			check: oneOf("debug", "info", "warn", "error"),
-		},
+		logLevel(),
 		Setting{name: "otlp", usage: "HTTP address of a trace collector; empty for none", check: optional(httpURL)},
 	)
 }
 
+// Host returns the settings of an instance on the users' platform.
+func Host() *Table {
+	return NewTable(
+		Setting{name: "node-file", usage: "settings file that the platform wrote for this machine", check: required},
+		logLevel(),
+	)
+}
+
+func logLevel() Setting {
+	return Setting{
+		name: "log-level", usage: "least level of the log: debug, info, warn or error", fallback: "info",
+		check: oneOf("debug", "info", "warn", "error"),
+	}
+}
+
+// LoggerTo returns a logger in JSON lines with the level of the table.
+func (t *Table) LoggerTo(w io.Writer) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: t.level()}))
+}
+
+func (t *Table) level() slog.Level {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(t.Value("log-level"))) // Check found it to be a level
+	return level
+}
+
 // Logger returns a logger with the format and level of the table.
 func (t *Table) Logger() *slog.Logger {
-	var level slog.Level
-	_ = level.UnmarshalText([]byte(t.Value("log-level")))
-	opts := &slog.HandlerOptions{Level: level}
+	opts := &slog.HandlerOptions{Level: t.level()}
 	if t.Value("log") == "json" {
 		return slog.New(slog.NewJSONHandler(os.Stderr, opts))
 	}
