load, placement: learn times by class of request; one home per object by shares between regions

Cause: requests of routes without sticky objects (probes of the configuration) take 2 ms and were averaged with the catalogue's; the cold time fell to 2 ms, every upstream looked slow, and objects wandered. Found by logging, for each request that left its home, the state of the home: slow=17, cold=2. Ruled out before: the learnt chance of homes in other regions (callers of a region have objects of their own: no other region's home ever knows them).

Change: times by class; an object's region follows from shares that every instance computes from the demand told by heartbeat and the slots in its view.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -54,6 +54,14 @@
 	Ready bool `cbor:"8,keyasint"`
 	// Leaving instances are about to stop.
 	Leaving bool `cbor:"9,keyasint"`
+	// Demand is what the requests that reach the instance need.
+	Demand []Demand `cbor:"10,keyasint"`
+}
+
+// Demand is the slots that the requests of a service at one instance need.
+type Demand struct {
+	Service string  `cbor:"1,keyasint"`
+	Slots   float64 `cbor:"2,keyasint"`
 }
 
 // message is one datagram.
@@ -118,6 +126,13 @@
 	m.self.Ready = ready
 }
 
+// SetDemand tells the others what the requests at this instance need.
+func (m *Mesh) SetDemand(demand []Demand) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.Demand = demand
+}
+
 // Run sends and receives until the context is done.
 func (m *Mesh) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -84,8 +84,9 @@
 	if err != nil {
 		return nil, err
 	}
-	i.board = load.NewBoard(settings.Domain, settings.Region, i.newDialer)
-	i.ingress = ingress.New(ingress.Place{Domain: settings.Domain, Region: settings.Region}, i.board, meshCount{i.mesh},
+	i.board = load.NewBoard(settings.Domain, settings.Region, regionNames(&settings), i.newDialer)
+	place := ingress.Place{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
+	i.ingress = ingress.New(place, i.board, meshCount{i.mesh},
 		settings.Bounds, log)
 	i.follower = newFollower(i.store, i.mesh.Controls, log, i.believe)
 	return i, i.listen()
@@ -120,6 +121,7 @@
 	i.group.Go(func() error { return i.follower.askPeers(ctx) })
 	i.group.Go(func() error { return i.reload(ctx, reload) })
 	i.group.Go(func() error { return i.sweep(ctx) })
+	i.group.Go(func() error { return i.balance(ctx) })
 	<-stop.Done()
 	i.stop()
 	cancel()
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -51,15 +51,15 @@
 	sticky   bool
 	body     []byte
 
-	tried  map[string]bool
-	sends  int // upstreams that may have got the request
+	tried map[string]bool
+	sends int // upstreams that may have got the request
 	// doubtful states that a send may have run the request.
 	doubtful bool
 	// failure is an upstream's own failure, for the caller if no other answers.
 	failure *answer
-	choice placement.Choice
-	chosen *fleet.Upstream
-	result result
+	choice  placement.Choice
+	chosen  *fleet.Upstream
+	result  result
 }
 
 // result is how the request ended, for the log and the metrics.
@@ -100,6 +100,7 @@
 	x.object, x.sticky = x.findObject()
 	x.service = x.ingress.splitter.Choose(match, x.object, x.arrived)
 	x.ingress.count(x.service, x.arrived)
+	x.ingress.shares.arrived(x.service, match.Class(), int64(len(x.body)))
 	x.attempt()
 }
 
@@ -196,10 +197,11 @@
 		Allows: func(u *fleet.Upstream) bool { return x.route.Allows(u.Region()) },
 	}
 	options, upstreams := g.board.Options(&request, x.view.Service(x.service), now)
-	warm, cold := g.board.Times(x.service)
+	warm, cold := g.board.Times(x.service, x.route.Class())
 	x.choice = placement.Choose(placement.Demand{
 		Bytes: int64(len(x.body)) + answerGuess + headGuess, Left: x.deadline.Sub(now),
 		Objective: x.route.Objective, WarmTime: warm, ColdTime: cold, Sticky: x.sticky,
+		Region: g.shares.region(x.service, x.object, x.route),
 	}, options, g.costs)
 	if x.choice.Index < 0 {
 		return false
@@ -222,7 +224,7 @@
 	var waited bool
 	defer func() {
 		g.board.End(&load.Result{
-			Upstream: u, Object: x.object, Sticky: x.sticky, Outcome: outcome, Took: time.Since(now),
+			Upstream: u, Class: x.route.Class(), Object: x.object, Sticky: x.sticky, Outcome: outcome, Took: time.Since(now),
 			Waited: waited, ColdTime: x.table.Service(x.service).ColdTime,
 		}, time.Now())
 	}()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -29,6 +29,8 @@
 type Place struct {
 	Domain string // failure domain
 	Region string
+	// Regions are all regions, in the same order at every instance.
+	Regions []string
 }
 
 // Ingress serves the callers of one instance.
@@ -44,6 +46,7 @@
 	table    atomic.Pointer[route.Table]
 	view     atomic.Pointer[fleet.View]
 	splitter *route.Splitter
+	shares   *shares
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 
@@ -64,7 +67,7 @@
 func New(place Place, board *load.Board, instances Instances, bounds platform.Bounds, log *slog.Logger, opts ...Option) *Ingress {
 	g := &Ingress{
 		place: place, board: board, instances: instances, log: log, lines: newLines(), costs: defaultCosts,
-		splitter: route.NewSplitter(), budgets: make(map[string]*budget.Retry),
+		splitter: route.NewSplitter(), shares: newShares(place), budgets: make(map[string]*budget.Retry),
 	}
 	g.bounds.Store(&bounds)
 	for _, opt := range opts {
--- a/load/load.go
+++ b/load/load.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"hickorydrum/dispatch"
 	"hickorydrum/fleet"
 	"hickorydrum/placement"
+	"hickorydrum/route"
 )
 
 const (
@@ -33,7 +35,7 @@
 	shedPause = 150 * time.Millisecond
 	// objectMemory is how long an object that was sent to an upstream counts as known
 	// there.
-	objectMemory = 20 * time.Second
+	objectMemory = 10 * time.Second
 	maxObjects   = 512
 	maxIdle      = 64
 )
@@ -47,19 +49,17 @@
 	coldTill time.Time
 	cold     budget.Rate
 
-	inFlight   int
-	told       float64 // running and waiting, by its own last word
-	toldOwn    int     // of these, this instance's own
-	toldAt     time.Time
-	fullTill   time.Time
-	slow       float64
-	failing    float64
-	hits       float64
-	failures   int // failed connections in a row
-	avoidTill  time.Time
-	objects    map[uint64]time.Time // when each object was last served there
-	roundTrip  time.Duration
-	lastAnswer time.Time
+	inFlight  int
+	told      float64 // running and waiting, by its own last word
+	toldOwn   int     // of these, this instance's own
+	toldAt    time.Time
+	fullTill  time.Time
+	slow      float64
+	failing   float64
+	hits      float64
+	failures  int // failed connections in a row
+	avoidTill time.Time
+	objects   map[uint64]time.Time // when each object was last served there
 }
 
 // Board holds the gauges of all upstreams. Its methods may be called at the same
@@ -68,21 +68,25 @@
 	domain, region string
 	newDialer      func(u *fleet.Upstream) *dispatch.Dialer
 
-	mu       sync.Mutex
-	gauges   map[string]*Gauge
-	services map[string]*serviceTimes
-	trips    map[string]time.Duration // by failure domain
+	mu      sync.Mutex
+	gauges  map[string]*Gauge
+	times   map[workKey]*workTimes
+	trips   map[string]time.Duration // by failure domain
+	regions []string                 // in the order of their numbers
 }
 
-// NewBoard returns the board of an instance in a failure domain and region.
-func NewBoard(domain, region string, newDialer func(u *fleet.Upstream) *dispatch.Dialer) *Board {
+// NewBoard returns the board of an instance in a failure domain and region. The
+// regions are numbered in the given order.
+func NewBoard(domain, region string, regions []string, newDialer func(u *fleet.Upstream) *dispatch.Dialer) *Board {
 	return &Board{
 		domain: domain, region: region, newDialer: newDialer,
-		gauges: make(map[string]*Gauge), services: make(map[string]*serviceTimes),
-		trips: make(map[string]time.Duration),
+		gauges: make(map[string]*Gauge), times: make(map[workKey]*workTimes),
+		trips: make(map[string]time.Duration), regions: regions,
 	}
 }
 
+func (b *Board) regionNumber(region string) int { return slices.Index(b.regions, region) }
+
 // Follow adapts the board to a new view. Upstreams that start while others serve
 // are cold for the time that coldTime returns for their service.
 func (b *Board) Follow(view *fleet.View, first bool, coldTime func(service string) time.Duration, now time.Time) {
@@ -181,6 +185,7 @@
 	o := placement.Option{
 		Rank: placement.Rank(r.Object, u.Hash()), Distance: b.distance(u), RoundTrip: b.roundTrip(u),
 		Slots: u.Slots, Busy: g.busy(now), Hits: g.hits, Slow: g.slow, Failing: g.failing,
+		Region: b.regionNumber(u.Region()),
 	}
 	if now.Before(g.fullTill) {
 		o.Busy = max(o.Busy, float64(3*u.Slots))
@@ -297,6 +302,7 @@
 // Result is what the board learns from a send.
 type Result struct {
 	Upstream *fleet.Upstream
+	Class    route.Class
 	Object   uint64
 	Sticky   bool
 	Outcome  Outcome
@@ -346,7 +352,6 @@
 func (b *Board) answered(g *Gauge, r *Result, now time.Time) {
 	g.failures = 0
 	g.failing -= failMemory * g.failing
-	g.lastAnswer = now
 	served, sent := g.objects[r.Object]
 	known := r.Sticky && sent && now.Sub(served) < objectMemory
 	if r.Sticky {
@@ -359,7 +364,7 @@
 		return
 	}
 	took := max(0, r.Took-b.roundTrip(r.Upstream))
-	b.times(r.Upstream.Service).learn(g, took, r.Sticky, known, now.Before(g.coldTill))
+	b.work(r.Upstream.Service, r.Class).learn(g, took, r.Sticky, known, now.Before(g.coldTill))
 }
 
 // Reachable notes that a connection to an avoided upstream was made.
--- a/load/times.go
+++ b/load/times.go
@@ -1,6 +1,10 @@
 package load
 
-import "time"
+import (
+	"time"
+
+	"hickorydrum/route"
+)
 
 const (
 	// firstWarm and firstCold are assumed until the first answers of a service.
@@ -10,6 +14,8 @@
 	timeMemory = 0.05
 	// fewTimes is how many times are averaged plainly at first.
 	fewTimes = 20
+	// plainSlow is the slowness up to which an upstream's times count for its service.
+	plainSlow = 1.5
 )
 
 // average is a mean that forgets.
@@ -34,57 +40,79 @@
 	return time.Duration(a.mean)
 }
 
-// serviceTimes is how long the upstreams of a service take.
-type serviceTimes struct {
-	warm, cold average
+// workKey names requests that take alike.
+type workKey struct {
+	service string
+	class   route.Class
 }
 
-func (b *Board) times(service string) *serviceTimes {
-	t, ok := b.services[service]
+// workTimes is how long the upstreams of a service take for a class of requests.
+type workTimes struct {
+	warm, cold, all average
+}
+
+func (b *Board) work(service string, class route.Class) *workTimes {
+	k := workKey{service, class}
+	t, ok := b.times[k]
 	if !ok {
-		t = &serviceTimes{}
-		b.services[service] = t
+		t = &workTimes{}
+		b.times[k] = t
 	}
 	return t
 }
 
-// Times returns how long a service takes with objects that the upstream knows,
-// and with others.
-func (b *Board) Times(service string) (warm, cold time.Duration) {
+// Times returns how long a service takes for a class of requests with objects
+// that the upstream knows, and with others.
+func (b *Board) Times(service string, class route.Class) (warm, cold time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.times(service)
+	t := b.work(service, class)
 	return t.warm.value(firstWarm), t.cold.value(firstCold)
 }
 
-// learn takes in the time of an answer that did not wait for a slot.
-func (t *serviceTimes) learn(g *Gauge, took time.Duration, sticky, known, chilled bool) {
-	warm, cold := t.warm.value(firstWarm), t.cold.value(firstCold)
-	hit := known && took < (warm+cold)/2*time.Duration(max(1, int(g.slow)))
+// isWarm reports whether a time is nearer to the warm mean than to the cold one,
+// by ratio.
+func (t *workTimes) isWarm(took time.Duration) bool {
+	warm, cold := float64(t.warm.value(firstWarm)), float64(t.cold.value(firstCold))
+	return float64(took)*float64(took) < warm*cold
+}
+
+// learn takes in the time of an answer that did not wait for a slot. What the
+// time itself says goes before what was believed: another instance may have sent
+// the object before.
+func (t *workTimes) learn(g *Gauge, took time.Duration, sticky, known, chilled bool) {
+	if chilled {
+		return
+	}
+	own := time.Duration(float64(took) / g.slow)
+	hit := sticky && t.isWarm(own)
 	if known {
+		outcome := 0.0
 		if hit {
-			g.hits += hitMemory * (1 - g.hits)
-		} else {
-			g.hits -= hitMemory * g.hits
+			outcome = 1
 		}
+		g.hits += hitMemory * (outcome - g.hits)
 	}
-	expected := cold
+	expected := t.cold.value(firstCold)
 	if hit {
-		expected = warm
-	}
-	if !chilled && expected > 0 {
-		factor := min(maxSlow, float64(took)/float64(expected))
-		g.slow += slowMemory * (factor - g.slow)
-		g.slow = max(1, g.slow)
+		expected = t.warm.value(firstWarm)
 	}
-	if chilled || g.slow > 2 {
+	factor := min(maxSlow, float64(took)/float64(max(1, expected)))
+	g.slow = max(1, g.slow+slowMemory*(factor-g.slow))
+	switch {
+	case g.slow > plainSlow:
 		return
-	}
-	if hit {
+	case hit:
 		t.warm.add(took)
-		return
-	}
-	if !sticky || !known || took > warm {
+	default:
 		t.cold.add(took)
 	}
+	t.all.add(took)
+}
+
+// MeanTime returns how long a request holds a slot, on average.
+func (b *Board) MeanTime(service string, class route.Class) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.work(service, class).all.value(firstWarm)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,6 +23,8 @@
 	// highest is the object's home.
 	Rank     uint64
 	Distance Distance
+	// Region numbers the region of the upstream.
+	Region int
 	// RoundTrip is the time of one round trip to the upstream.
 	RoundTrip time.Duration
 	Slots     int
@@ -52,6 +54,8 @@
 	WarmTime, ColdTime time.Duration
 	// Sticky states that the object matters.
 	Sticky bool
+	// Region is the number of the region that should serve the object, -1 for any.
+	Region int
 }
 
 // Costs weigh what is not time, as if it were.
@@ -68,6 +72,8 @@
 	// Expected is the time until the answer.
 	Expected time.Duration
 	Reason   Reason
+	// Home states that the upstream is the object's home in its region.
+	Home bool
 }
 
 // Reason says why an upstream was chosen, or why none was.
@@ -75,18 +81,23 @@
 
 // The reasons.
 const (
-	ReasonHome    Reason = "home"    // the object's home in reach
-	ReasonKnown   Reason = "known"   // another upstream that knows the object
-	ReasonSpill   Reason = "spill"   // the home is busy, slow or failing
-	ReasonFree    Reason = "free"    // no object: the upstream with the least expected time
-	ReasonNone    Reason = "none"    // no upstream may be used
-	ReasonNoTime  Reason = "no-time" // no upstream can answer in the time left
-	failurePrice         = 2.0       // a failure counts as so many objectives
-	homeChance           = 0.7       // that the home of a region knows an object
-	domainChance         = 0.5       // that the home within a failure domain does
-	waitSmoothing        = 0.15      // of the service time, when all slots are taken
-	kibibyte             = 1024.0
-	unavoidable          = math.MaxInt64
+	ReasonHome   Reason = "home"    // the object's home in reach
+	ReasonKnown  Reason = "known"   // another upstream that knows the object
+	ReasonSpill  Reason = "spill"   // the home is busy, slow or failing
+	ReasonFree   Reason = "free"    // no object: the upstream with the least expected time
+	ReasonNone   Reason = "none"    // no upstream may be used
+	ReasonNoTime Reason = "no-time" // no upstream can answer in the time left
+)
+
+const (
+	failurePrice  = 2.0  // a failure counts as so many objectives
+	homeChance    = 0.85 // that the home of a region knows an object that others sent there
+	awayChance    = 0.2  // that a home outside the region of the shares, or within a failure domain, does
+	awayShare     = 0.15 // of the gain of a known object, for a home in another region than that of the shares
+	strangeShare  = 0.4  // of the same gain, for an upstream that is no home
+	waitSmoothing = 0.15 // of the service time, when all slots are taken
+	kibibyte      = 1024.0
+	unavoidable   = math.MaxInt64
 )
 
 // Choose returns the option with the least cost: the expected time to the answer,
@@ -98,9 +109,9 @@
 	soonest := time.Duration(unavoidable)
 	for i := range options {
 		o := &options[i]
-		expected := d.expected(o, homes.chance(i, o))
+		expected := d.expected(o, d.chance(i, o, homes))
 		soonest = min(soonest, expected)
-		cost := expected + costs.way(o.Distance, d.Bytes) +
+		cost := expected + costs.way(o.Distance, d.Bytes) + d.displacement(i, o, homes) +
 			time.Duration(o.Failing*failurePrice*float64(d.Objective))
 		if cost < bestCost {
 			best, bestCost = Choice{Index: i, Expected: expected}, cost
@@ -112,15 +123,33 @@
 	if soonest > d.Left {
 		return Choice{Index: -1, Expected: soonest, Reason: ReasonNoTime}
 	}
-	best.Reason = d.reason(best.Index, &options[best.Index], homes)
+	best.Home = homes.region[options[best.Index].Region] == best.Index
+	best.Reason = d.reason(&best, &options[best.Index])
 	return best
 }
 
-func (d *Demand) reason(i int, o *Option, h homes) Reason {
+// displacement returns what it costs that the object takes the place of others at
+// an upstream that would else not know it.
+func (d *Demand) displacement(i int, o *Option, h homes) time.Duration {
+	if !d.Sticky || d.Region >= 0 && o.Region == d.Region && h.region[o.Region] == i {
+		return 0
+	}
+	gain := float64(d.ColdTime - d.WarmTime)
+	switch {
+	case h.region[o.Region] == i, h.domain == i && o.Distance == SameDomain:
+		return time.Duration(awayShare * gain)
+	case o.Known:
+		return 0
+	default:
+		return time.Duration(strangeShare * gain)
+	}
+}
+
+func (d *Demand) reason(c *Choice, o *Option) Reason {
 	switch {
 	case !d.Sticky:
 		return ReasonFree
-	case h.is(i, o.Distance):
+	case c.Home:
 		return ReasonHome
 	case o.Known:
 		return ReasonKnown
@@ -164,34 +193,35 @@
 	}
 }
 
-// homes holds the index of the option with the highest rank within each distance.
-type homes [OtherRegion + 1]int
+// homes holds the indices of the options with the highest rank.
+type homes struct {
+	region map[int]int // by region
+	domain int         // in this instance's failure domain, or -1
+}
 
 func findHomes(options []Option) homes {
-	h := homes{-1, -1, -1}
+	h := homes{region: make(map[int]int), domain: -1}
 	for i := range options {
-		for distance := options[i].Distance; distance <= OtherRegion; distance++ {
-			if h[distance] < 0 || options[i].Rank > options[h[distance]].Rank {
-				h[distance] = i
-			}
+		o := &options[i]
+		if home, ok := h.region[o.Region]; !ok || o.Rank > options[home].Rank {
+			h.region[o.Region] = i
+		}
+		if o.Distance == SameDomain && (h.domain < 0 || o.Rank > options[h.domain].Rank) {
+			h.domain = i
 		}
 	}
 	return h
 }
 
-func (h homes) is(i int, _ Distance) bool {
-	return h[SameRegion] == i || h[SameDomain] == i || h[OtherRegion] == i
-}
-
 // chance returns the probability that an option knows the request's object.
-func (h homes) chance(i int, o *Option) float64 {
+func (d *Demand) chance(i int, o *Option, h homes) float64 {
 	switch {
 	case o.Known:
 		return o.Hits
-	case h[SameRegion] == i, h[OtherRegion] == i:
+	case h.region[o.Region] == i && (d.Region < 0 || o.Region == d.Region):
 		return homeChance * o.Hits
-	case h[SameDomain] == i:
-		return domainChance * o.Hits
+	case h.region[o.Region] == i, h.domain == i:
+		return awayChance * o.Hits
 	default:
 		return 0
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -43,6 +43,20 @@
 	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
 }
 
+// Class names the routes whose requests take alike: those that are declared alike
+// but for their paths and limits.
+type Class struct {
+	Idempotent bool
+	Sticky     bool
+	Priority   int
+	Objective  time.Duration
+}
+
+// Class returns the class of the route.
+func (r *Route) Class() Class {
+	return Class{Idempotent: r.Idempotent, Sticky: r.Sticky, Priority: r.Priority, Objective: r.Objective}
+}
+
 // Weights returns the sum of the targets' weights.
 func (r *Route) Weights() int {
 	sum := 0
