ingress: heavy requests stay in their failure domain; fewer calls to the store

Change: the object of a heavy request has its home in the failure domain as far as its slots reach; changes are gathered for 0.8 s between two watches; heartbeats tell the demand of their sender only.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	beatEvery = 400 * time.Millisecond
+	beatEvery = 500 * time.Millisecond
 	// fanout is how many members get each heartbeat.
 	fanout = 2
 	// lostAfter is after which silence a member counts as gone.
@@ -60,8 +60,9 @@
 
 // Demand is the slots that the requests of a service at one instance need.
 type Demand struct {
-	Service string  `cbor:"1,keyasint"`
-	Slots   float64 `cbor:"2,keyasint"`
+	Service string `cbor:"1,keyasint"`
+	// Millislots are thousandths of a slot.
+	Millislots int `cbor:"2,keyasint"`
 }
 
 // message is one datagram.
@@ -186,7 +187,9 @@
 	var out []Member
 	for _, k := range m.others {
 		if now.Sub(k.heardAt) < lostAfter {
-			out = append(out, k.member)
+			other := k.member
+			other.Demand = nil // each tells of its own
+			out = append(out, other)
 		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
@@ -284,6 +287,9 @@
 		event.MemberJoined.Log(context.Background(), m.log, slog.String("member", other.Name))
 	case k.member.Run == other.Run:
 		if other.Beat > k.member.Beat {
+			if !direct {
+				other.Demand = k.member.Demand
+			}
 			k.member, k.heardAt = other, now
 		}
 	case direct, now.Sub(k.heardAt) > replacedAfter && other.Run > k.member.Run:
--- a/hosted/balance.go
+++ b/hosted/balance.go
@@ -12,47 +12,40 @@
 	"hickorydrum/platform"
 )
 
-// balanceEvery is how often the shares between regions are decided anew.
-const balanceEvery = 500 * time.Millisecond
+const (
+	// balanceEvery is how often the shares between regions are decided anew.
+	balanceEvery = 500 * time.Millisecond
+	millislots   = 1000
+)
 
 // balance tells the others the demand of this instance and takes in theirs.
 func (i *Instance) balance(ctx context.Context) error {
 	return period.Each(ctx, balanceEvery, func(time.Time) {
-		demand := i.ingress.Balance(balanceEvery, i.demandByRegion)
+		demand := i.ingress.Balance(balanceEvery, i.demands)
 		told := make([]gossip.Demand, len(demand))
 		for n, d := range demand {
-			told[n] = gossip.Demand(d)
+			told[n] = gossip.Demand{Service: d.Service, Millislots: int(d.Slots * millislots)}
 		}
 		i.mesh.SetDemand(told)
 	})
 }
 
-// demandByRegion adds up the demand of all live instances, by service.
-func (i *Instance) demandByRegion(own []ingress.Demand) map[string][]float64 {
-	regions := regionNames(&i.settings)
-	sum := make(map[string][]float64)
-	add := func(region, service string, slots float64) {
-		at := slices.Index(regions, region)
-		if at < 0 {
-			return
-		}
-		if sum[service] == nil {
-			sum[service] = make([]float64, len(regions))
-		}
-		sum[service][at] += slots
-	}
+// demands returns the demand of all live instances.
+func (i *Instance) demands(own []ingress.Demand) []ingress.PlacedDemand {
+	var out []ingress.PlacedDemand
 	for _, d := range own {
-		add(i.settings.Region, d.Service, d.Slots)
+		out = append(out, ingress.PlacedDemand{Demand: d, Domain: i.settings.Domain, Region: i.settings.Region})
 	}
 	for _, m := range i.mesh.Live() {
 		if m.Name == i.settings.Name {
 			continue
 		}
 		for _, d := range m.Demand {
-			add(m.Region, d.Service, d.Slots)
+			demand := ingress.Demand{Service: d.Service, Slots: float64(d.Millislots) / millislots}
+			out = append(out, ingress.PlacedDemand{Demand: demand, Domain: m.Domain, Region: m.Region})
 		}
 	}
-	return sum
+	return out
 }
 
 // regionNames returns the regions in the order of their names.
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -19,9 +19,9 @@
 
 const (
 	// watchWait is how long a watch waits for a change.
-	watchWait = 10 * time.Second
+	watchWait = 15 * time.Second
 	// gather is how long changes are gathered between two watches of a kind.
-	gather = 200 * time.Millisecond
+	gather = 800 * time.Millisecond
 	// pulseEvery and pulseTimeout find out whether the store still answers.
 	pulseEvery   = time.Second
 	pulseTimeout = 600 * time.Millisecond
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -201,7 +201,7 @@
 	x.choice = placement.Choose(placement.Demand{
 		Bytes: int64(len(x.body)) + answerGuess + headGuess, Left: x.deadline.Sub(now),
 		Objective: x.route.Objective, WarmTime: warm, ColdTime: cold, Sticky: x.sticky,
-		Region: g.shares.region(x.service, x.object, x.route),
+		Region: g.shares.region(x.service, x.object, x.route), Near: g.shares.near(x.service, x.object),
 	}, options, g.costs)
 	if x.choice.Index < 0 {
 		return false
--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"hickorydrum/fleet"
 	"hickorydrum/placement"
 	"hickorydrum/route"
 )
@@ -12,9 +13,12 @@
 const (
 	// lightTarget and heavyTarget are the utilizations of a region's slots above
 	// which requests leave it, for small requests and for those that are dear to move.
-	lightTarget = 0.65
-	heavyTarget = 0.9
+	lightTarget = 0.5
+	heavyTarget = 0.8
 	heavyBytes  = 8 << 10
+	// nearTarget is the utilization of a failure domain's slots up to which requests
+	// that are dear to move stay in it.
+	nearTarget = 0.6
 	// shareStep is by how much a share moves at most at each update.
 	shareStep = 0.03
 	// demandMemory is the weight of the newest rate in the demand.
@@ -27,6 +31,13 @@
 	Slots   float64
 }
 
+// PlacedDemand is the demand at an instance somewhere.
+type PlacedDemand struct {
+	Demand
+	Domain string // failure domain
+	Region string
+}
+
 // shares decides which region serves which objects.
 type shares struct {
 	place Place
@@ -42,8 +53,12 @@
 	demand   float64 // slots
 	meanSize float64
 	row      []float64 // share of each region
+	near     float64   // share of the own failure domain, where ways are dear
 }
 
+// heavy reports whether the requests of the service are dear to move.
+func (s *serviceShares) heavy() bool { return s.meanSize > heavyBytes }
+
 func newShares(place Place) *shares {
 	return &shares{place: place, own: slices.Index(place.Regions, place.Region), services: make(map[string]*serviceShares)}
 }
@@ -109,40 +124,60 @@
 	return out
 }
 
+// near reports whether an object of a service whose requests are dear to move is
+// served within the failure domain.
+func (s *shares) near(service string, object uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	one, ok := s.services[service]
+	return ok && one.heavy() && float64(object>>11)/(1<<53) < one.near
+}
+
 // update moves the shares towards the demand and the capacity of the regions.
-func (s *shares) update(demand map[string][]float64, capacity func(service string) []float64) {
+func (s *shares) update(demands []PlacedDemand, view *fleet.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for name, perRegion := range demand {
-		if s.own < 0 || len(perRegion) != len(s.place.Regions) {
-			continue
-		}
-		one := s.service(name)
+	if s.own < 0 {
+		return
+	}
+	for name, one := range s.services {
 		target := lightTarget
-		if one.meanSize > heavyBytes {
+		if one.heavy() {
 			target = heavyTarget
 		}
-		next := placement.Spread(perRegion, capacity(name), target)[s.own]
+		demand, capacity := make([]float64, len(s.place.Regions)), make([]float64, len(s.place.Regions))
+		nearDemand, nearCapacity := 0.0, 0.0
+		for _, d := range demands {
+			if at := slices.Index(s.place.Regions, d.Region); at >= 0 && d.Service == name {
+				demand[at] += d.Slots
+				if d.Domain == s.place.Domain {
+					nearDemand += d.Slots
+				}
+			}
+		}
+		for _, u := range view.Service(name) {
+			if at := slices.Index(s.place.Regions, u.Region()); at >= 0 {
+				capacity[at] += float64(u.Slots)
+				if u.Domain == s.place.Domain {
+					nearCapacity += float64(u.Slots)
+				}
+			}
+		}
+		next := placement.Spread(demand, capacity, target)[s.own]
 		one.row = placement.Approach(one.row, next, shareStep)
+		one.near = 0
+		if nearCapacity > 0 {
+			one.near = min(1, nearTarget*nearCapacity/max(nearDemand, nearTarget*nearCapacity))
+		}
 	}
 }
 
 // Balance closes an interval of the demand: it takes in what every instance needs
-// by region and returns what this one needs.
-func (g *Ingress) Balance(interval time.Duration, others func(own []Demand) map[string][]float64) []Demand {
+// and returns what this one needs.
+func (g *Ingress) Balance(interval time.Duration, all func(own []Demand) []PlacedDemand) []Demand {
 	own := g.shares.measure(interval, g.board.MeanTime)
-	view := g.view.Load()
-	if view == nil {
-		return own
+	if view := g.view.Load(); view != nil {
+		g.shares.update(all(own), view)
 	}
-	g.shares.update(others(own), func(service string) []float64 {
-		capacity := make([]float64, len(g.place.Regions))
-		for _, u := range view.Service(service) {
-			if i := slices.Index(g.place.Regions, u.Region()); i >= 0 {
-				capacity[i] += float64(u.Slots)
-			}
-		}
-		return capacity
-	})
 	return own
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -56,6 +56,8 @@
 	Sticky bool
 	// Region is the number of the region that should serve the object, -1 for any.
 	Region int
+	// Near states that the object should be served within the failure domain.
+	Near bool
 }
 
 // Costs weigh what is not time, as if it were.
@@ -123,20 +125,28 @@
 	if soonest > d.Left {
 		return Choice{Index: -1, Expected: soonest, Reason: ReasonNoTime}
 	}
-	best.Home = homes.region[options[best.Index].Region] == best.Index
+	best.Home = d.home(best.Index, &options[best.Index], homes)
 	best.Reason = d.reason(&best, &options[best.Index])
 	return best
 }
 
+// home reports whether an option is the one that should serve the object.
+func (d *Demand) home(i int, o *Option, h homes) bool {
+	if d.Near && h.domain >= 0 {
+		return h.domain == i
+	}
+	return h.region[o.Region] == i && (d.Region < 0 || o.Region == d.Region)
+}
+
 // displacement returns what it costs that the object takes the place of others at
 // an upstream that would else not know it.
 func (d *Demand) displacement(i int, o *Option, h homes) time.Duration {
-	if !d.Sticky || d.Region >= 0 && o.Region == d.Region && h.region[o.Region] == i {
+	if !d.Sticky || d.home(i, o, h) {
 		return 0
 	}
 	gain := float64(d.ColdTime - d.WarmTime)
 	switch {
-	case h.region[o.Region] == i, h.domain == i && o.Distance == SameDomain:
+	case h.region[o.Region] == i, h.domain == i:
 		return time.Duration(awayShare * gain)
 	case o.Known:
 		return 0
@@ -218,7 +228,7 @@
 	switch {
 	case o.Known:
 		return o.Hits
-	case h.region[o.Region] == i && (d.Region < 0 || o.Region == d.Region):
+	case d.home(i, o, h):
 		return homeChance * o.Hits
 	case h.region[o.Region] == i, h.domain == i:
 		return awayChance * o.Hits
