hosted, mirror: notice a watch that hears nothing

Their watches had begun before the store dropped its history, were never ended by it, and told nothing until their own limit of 15 s; an empty watch also moved the cursor past a change that it had not told. Ruled out: the list after 410 and the order of versions (the instances that were cut had everything 0.1 s later).

Change: an empty watch leaves the cursor where it is. Heartbeats carry the revision of the last known change of each kind; a watch that does not tell within 0.4 s what a peer knows begins anew. Watches wait 6 to 8 s, so that with 9 or 12 instances one begins every second.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -56,6 +56,9 @@
 	Leaving bool `cbor:"9,keyasint"`
 	// Demand is what the requests that reach the instance need.
 	Demand []Demand `cbor:"10,keyasint"`
+	// Newest holds the revision of the last change that the instance knows, for each
+	// kind of object that it follows.
+	Newest []uint64 `cbor:"11,keyasint"`
 }
 
 // Demand is the slots that the requests of a service at one instance need.
@@ -127,11 +130,12 @@
 	m.self.Ready = ready
 }
 
-// SetDemand tells the others what the requests at this instance need.
-func (m *Mesh) SetDemand(demand []Demand) {
+// Tell tells the others what the requests at this instance need, and which
+// changes it knows.
+func (m *Mesh) Tell(demand []Demand, newest []uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.self.Demand = demand
+	m.self.Demand, m.self.Newest = demand, newest
 }
 
 // Run sends and receives until the context is done.
--- a/hosted/balance.go
+++ b/hosted/balance.go
@@ -26,7 +26,10 @@
 		for n, d := range demand {
 			told[n] = gossip.Demand{Service: d.Service, Millislots: int(d.Slots * millislots)}
 		}
-		i.mesh.SetDemand(told)
+		i.mesh.Tell(told, i.follower.newest())
+		for _, m := range i.mesh.Live() {
+			i.follower.news(m.Newest)
+		}
 	})
 }
 
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -18,8 +19,14 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change.
-	watchWait = 15 * time.Second
+	// watchWait is how long a watch waits for a change, more or less by watchJitter,
+	// so that the instances' watches do not end together.
+	watchWait   = 6 * time.Second
+	watchJitter = 2 * time.Second
+	// missedAfter is for how long a change that a peer knows may be missing here
+	// before the watch counts as deaf, and checkWait is how long the next one waits.
+	missedAfter = 400 * time.Millisecond
+	checkWait   = 50 * time.Millisecond
 	// gather is how long changes are gathered between two watches of a kind.
 	gather = 800 * time.Millisecond
 	// pulseEvery and pulseTimeout find out whether the store still answers.
@@ -55,11 +62,22 @@
 
 	mu        sync.Mutex
 	mirrors   map[string]*mirror.Mirror
+	watches   map[string]*watch
 	awaySince time.Time // zero while the store answers
 	restart   context.Context
 	cancel    context.CancelFunc // ends the watches under way
 }
 
+// watch is the watch of one kind under way.
+type watch struct {
+	cancel context.CancelFunc
+	// missing is the newest change that a peer knows and this instance does not, since
+	// missingAt.
+	missing   uint64
+	missingAt time.Time
+	check     bool // the next watch only asks what was missed
+}
+
 // kinds lists what is followed.
 func kinds() []string {
 	return []string{platform.KindConfiguration, platform.KindEvacuations, platform.KindUpstreams}
@@ -68,10 +86,12 @@
 func newFollower(store Store, peers func() []string, log *slog.Logger, onChange func(kind string)) *follower {
 	f := &follower{
 		store: store, peers: peers, log: log, onChange: onChange, mirrors: make(map[string]*mirror.Mirror),
-		client: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		watches: make(map[string]*watch),
+		client:  &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for _, kind := range kinds() {
 		f.mirrors[kind] = mirror.New(kind)
+		f.watches[kind] = &watch{cancel: func() {}}
 	}
 	f.mirrors[platform.KindUpstreams] = mirror.New(platform.KindUpstreams, mirror.WithHold(holdLapsed))
 	f.restart, f.cancel = context.WithCancel(context.Background())
@@ -159,16 +179,23 @@
 }
 
 func (f *follower) watch(ctx context.Context, kind string) error {
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	f.mu.Lock()
 	cursor, restart := f.mirrors[kind].Cursor(), f.restart
+	w := f.watches[kind]
+	w.cancel = cancel
+	check, missing := w.check, w.missing
+	w.check = false
 	f.mu.Unlock()
-	watchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := context.AfterFunc(restart, cancel)
-	defer stop()
-	page, err := f.store.Watch(watchCtx, kind+"/", cursor, watchWait)
+	defer context.AfterFunc(restart, cancel)()
+	wait := watchWait + time.Duration(rand.Int64N(int64(watchJitter)))
+	if check {
+		wait = checkWait
+	}
+	page, err := f.store.Watch(watchCtx, kind+"/", cursor, wait)
 	switch {
-	case err != nil && restart.Err() != nil:
+	case err != nil && watchCtx.Err() != nil:
 		return nil
 	case err != nil:
 		if fault.KindOf(err) != fault.Conflict {
@@ -181,9 +208,48 @@
 		f.change(kind, func(m *mirror.Mirror, now time.Time) bool { return m.Events(page, now) })
 		pause(ctx, gather)
 	}
+	if check {
+		f.mu.Lock()
+		f.mirrors[kind].Verified(missing)
+		f.mu.Unlock()
+	}
 	return nil
 }
 
+// newest returns the revision of the last known change of each kind.
+func (f *follower) newest() []uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []uint64
+	for _, kind := range kinds() {
+		out = append(out, f.mirrors[kind].Newest())
+	}
+	return out
+}
+
+// news takes in which changes a peer knows. A watch that does not tell one of them
+// in time is deaf and begins anew.
+func (f *follower) news(newest []uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for n, kind := range kinds() {
+		w, m := f.watches[kind], f.mirrors[kind]
+		switch {
+		case n >= len(newest) || newest[n] <= m.Newest() || m.Cursor() == 0:
+		case w.missing <= m.Newest():
+			w.missing, w.missingAt = newest[n], now
+		case now.Sub(w.missingAt) > missedAfter && !w.check:
+			w.missing = max(w.missing, newest[n])
+			w.missingAt, w.check = now, true
+			deafWatches.Inc()
+			w.cancel()
+		}
+	}
+}
+
+var deafWatches = metrics.GetOrCreateCounter(`hickorydrum_store_deaf_watches_total`)
+
 // change applies a change to a mirror and passes it on.
 func (f *follower) change(kind string, apply func(m *mirror.Mirror, now time.Time) bool) {
 	f.mu.Lock()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -17,6 +17,7 @@
 	objects map[string]platform.Object
 	held    map[string]time.Time // until when a missing object is kept
 	cursor  uint64
+	newest  uint64
 
 	confirmedAt time.Time // when the platform or a peer last told the newest state
 	holdTill    time.Time // until when objects that go missing are kept
@@ -50,6 +51,13 @@
 // nothing is.
 func (m *Mirror) Cursor() uint64 { return m.cursor }
 
+// Newest returns the revision of the last change that is known. It differs from
+// the cursor, which also moves with changes of other kinds.
+func (m *Mirror) Newest() uint64 { return m.newest }
+
+// Verified notes that nothing up to a revision is missing.
+func (m *Mirror) Verified(revision uint64) { m.newest = max(m.newest, revision) }
+
 // ConfirmedAt returns when the state was last told to be the newest.
 func (m *Mirror) ConfirmedAt() time.Time { return m.confirmedAt }
 
@@ -70,6 +78,7 @@
 	listed := make(map[string]bool, len(page.Objects))
 	for _, o := range page.Objects {
 		listed[o.Name()] = true
+		m.newest = max(m.newest, o.Version)
 		changed = m.put(o, now) || changed
 	}
 	for name, o := range m.objects {
@@ -87,13 +96,19 @@
 func (m *Mirror) Events(page platform.Page, now time.Time) bool {
 	changed := false
 	for _, o := range page.Objects {
+		m.newest = max(m.newest, o.Version)
 		if o.Deleted {
+			m.newest = max(m.newest, page.Cursor)
 			changed = m.remove(o.Name(), o.Version, now) || changed
 			continue
 		}
 		changed = m.put(o, now) || changed
 	}
-	m.cursor = max(m.cursor, page.Cursor)
+	// A watch that ends without a change may have missed one: its cursor proves
+	// nothing. The next watch from the old cursor tells it, or that it is too old.
+	if len(page.Objects) > 0 {
+		m.cursor = max(m.cursor, page.Cursor)
+	}
 	m.confirmedAt = now
 	return changed
 }
