load, gossip: a cold upstream's rate holds while instances are not known

Ruled out: the bucket itself (budget.TestRate holds for 1 to 12 instances).

Change: an instance sends nothing to cold upstreams in its first two seconds; it counts members that fell silent for less than a minute, since they may only be cut off from here; in its first view the age of an upstream follows from when it says that it started.

Tests: routes and splits, the mirror over random interleavings of watches, deaf watches, lost histories and peers, placement and shares, both budgets.

--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,106 @@
+package budget
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestRetryWindow sends requests in bursts and asks for repeats all the time: in no
+// window do several instances together repeat more than the operators' bound.
+func TestRetryWindow(t *testing.T) {
+	const (
+		window    = 10 * time.Second
+		ratio     = 0.2
+		slack     = 64.0
+		instances = 12
+		ticks     = 6000 // of 10 ms
+	)
+	tests := map[string]func(r *rand.Rand, tick int) bool{
+		"steady":    func(r *rand.Rand, _ int) bool { return r.IntN(2) == 0 },
+		"bursts":    func(_ *rand.Rand, tick int) bool { return tick/300%2 == 0 },
+		"then none": func(_ *rand.Rand, tick int) bool { return tick < 2000 },
+		"rare":      func(r *rand.Rand, _ int) bool { return r.IntN(100) == 0 },
+	}
+	for name, arrives := range tests {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			budgets := make([]*Retry, instances)
+			for i := range budgets {
+				budgets[i] = NewRetry(window)
+			}
+			requests, repeats := make([]int, ticks), make([]int, ticks)
+			now := time.Unix(100, 0)
+			for tick := range ticks {
+				now = now.Add(10 * time.Millisecond)
+				for _, b := range budgets {
+					if arrives(random, tick) {
+						b.Request(now)
+						requests[tick]++
+					}
+					for b.Spend(now, ratio, slack, instances) {
+						repeats[tick]++
+					}
+				}
+			}
+			span := int(window / (10 * time.Millisecond))
+			for end := span; end <= ticks; end++ {
+				sent, again := 0, 0
+				for i := end - span; i < end; i++ {
+					sent += requests[i]
+					again += repeats[i]
+				}
+				if bound := ratio*float64(sent) + slack; float64(again) > bound {
+					t.Fatalf("%d repeats of %d requests in the window that ends at tick %d, bound %.0f", again, sent, end, bound)
+				}
+			}
+		})
+	}
+}
+
+// TestRate has a number of instances use their part of a cold upstream's rate at
+// every chance: in no second do they send more than the operators' bound.
+func TestRate(t *testing.T) {
+	const declared, over, slack = 14.0, 1.5, 5.0
+	for _, instances := range []int{1, 2, 3, 5, 12} {
+		rates := make([]Rate, instances)
+		var sent []time.Duration
+		begun := time.Unix(0, 0)
+		for at := time.Duration(0); at < 5*time.Second; at += 5 * time.Millisecond {
+			for i := range rates {
+				if rates[i].Spend(begun.Add(at), declared/float64(instances), 1) {
+					sent = append(sent, at)
+				}
+			}
+		}
+		for i, from := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at < from+time.Second {
+					n++
+				}
+			}
+			if float64(n) > declared*over+slack {
+				t.Errorf("%d instances sent %d requests in one second", instances, n)
+			}
+		}
+	}
+}
+
+func TestLeft(t *testing.T) {
+	b := NewRetry(10 * time.Second)
+	now := time.Unix(50, 0)
+	for range 100 {
+		b.Request(now)
+	}
+	before := b.Left(now, 0.2, 0, 1)
+	if !b.Spend(now, 0.2, 0, 1) {
+		t.Fatal("no repeat is allowed after 100 requests")
+	}
+	if after := b.Left(now, 0.2, 0, 1); after != before-1 {
+		t.Errorf("after one repeat %.1f are left, of %.1f", after, before)
+	}
+	if left := b.Left(now.Add(time.Minute), 0.2, 0, 1); left != 0 {
+		t.Errorf("a minute later %.1f are left", left)
+	}
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -33,6 +33,8 @@
 	replacedAfter = 1500 * time.Millisecond
 	// forgetAfter is after which silence a member is no longer tried.
 	forgetAfter = time.Minute
+	// settleTime is how long a new instance takes to hear of the others.
+	settleTime = 2 * time.Second
 	// hearsay is how many other members one datagram tells of.
 	hearsay     = 12
 	maxDatagram = 8 << 10
@@ -85,6 +87,7 @@
 type Mesh struct {
 	conn  net.PacketConn
 	port  uint16
+	begun time.Time
 	log   *slog.Logger
 	group errgroup.Group
 
@@ -112,7 +115,7 @@
 		return nil, fault.New(fault.Unavailable, "the port "+address+" cannot be opened", "free the port", fault.WithCause(err))
 	}
 	return &Mesh{
-		conn: conn, port: at.Port(), log: log, self: self, seeds: slices.Clone(seeds), others: make(map[string]*known),
+		conn: conn, port: at.Port(), begun: time.Now(), log: log, self: self, seeds: slices.Clone(seeds), others: make(map[string]*known),
 	}, nil
 }
 
@@ -337,9 +340,10 @@
 	return out
 }
 
-// Count returns the live instances of a region, and all of them.
+// Count returns how many instances of a region, and of all, may be at work: those
+// that live and those that were silent for less than forgetAfter, which may only be
+// cut off from here.
 func (m *Mesh) Count(region string) (inRegion, all int) {
-	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	all = 1
@@ -347,9 +351,6 @@
 		inRegion = 1
 	}
 	for _, k := range m.others {
-		if now.Sub(k.heardAt) >= lostAfter {
-			continue
-		}
 		all++
 		if k.member.Region == region {
 			inRegion++
@@ -357,3 +358,6 @@
 	}
 	return inRegion, all
 }
+
+// Settled reports whether the mesh has run for long enough to know its members.
+func (m *Mesh) Settled(now time.Time) bool { return now.Sub(m.begun) > settleTime }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -86,7 +86,7 @@
 	}
 	i.board = load.NewBoard(settings.Domain, settings.Region, regionNames(&settings), i.newDialer)
 	place := ingress.Place{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
-	i.ingress = ingress.New(place, i.board, meshCount{i.mesh},
+	i.ingress = ingress.New(place, i.board, i.mesh,
 		settings.Bounds, log)
 	i.follower = newFollower(i.store, i.mesh.Controls, log, i.believe)
 	return i, i.listen()
@@ -99,12 +99,6 @@
 		dispatch.WithDialTimes(func(took time.Duration) { i.board.Dialed(u.Domain, took) }))
 }
 
-// meshCount counts the live instances.
-type meshCount struct{ mesh *gossip.Mesh }
-
-// Count returns the live instances of a region, and all of them.
-func (c meshCount) Count(region string) (inRegion, all int) { return c.mesh.Count(region) }
-
 // Run serves until stop is done, then stops without cutting a request. Each value
 // of reload has the settings file read again.
 func (i *Instance) Run(stop context.Context, reload <-chan os.Signal) error {
@@ -204,7 +198,7 @@
 	view := fleet.NewView(upstreams, domains, i.settings.Regions)
 	i.board.Follow(view, !i.known, i.coldTime, now)
 	i.noteEvacuations(view, domains, now)
-	i.known = true
+	i.known = i.ingress.Table() != nil
 	i.ingress.SetView(view)
 	i.mesh.SetReady(i.ingress.Ready())
 	event.ViewTaken.Log(context.Background(), i.log, slog.Int("upstreams", len(upstreams)),
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -19,10 +19,12 @@
 	"hickorydrum/route"
 )
 
-// Instances tells how many instances live.
+// Instances tells how many instances there are.
 type Instances interface {
-	// Count returns the live instances of a region, and all of them.
+	// Count returns how many instances of a region, and of all, may be at work.
 	Count(region string) (inRegion, all int)
+	// Settled reports whether enough time has passed to know them.
+	Settled(now time.Time) bool
 }
 
 // Place is where an instance stands.
@@ -142,8 +144,11 @@
 }
 
 // coldShare returns the part of a cold upstream's rate that this instance may
-// use. Instances of its region share it; where none lives, all do.
+// use. Instances of its region share it; where there is none, all do.
 func (g *Ingress) coldShare(t *route.Table, u *fleet.Upstream) load.ColdShare {
+	if !g.instances.Settled(time.Now()) {
+		return load.ColdShare{}
+	}
 	inRegion, all := g.instances.Count(u.Region())
 	if inRegion == 0 {
 		inRegion = all
--- a/load/load.go
+++ b/load/load.go
@@ -87,8 +87,9 @@
 
 func (b *Board) regionNumber(region string) int { return slices.Index(b.regions, region) }
 
-// Follow adapts the board to a new view. Upstreams that start while others serve
-// are cold for the time that coldTime returns for their service.
+// Follow adapts the board to a new view. New upstreams are cold for the time that
+// coldTime returns for their service: from now on, or in the first view from when
+// they say that they started.
 func (b *Board) Follow(view *fleet.View, first bool, coldTime func(service string) time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -115,6 +116,11 @@
 			g.chill(now.Add(coldTime))
 		}
 	}
+	if first {
+		// The clocks of two machines differ; that makes the age wrong by seconds at most.
+		age := max(0, time.Duration(now.UnixMilli()-u.Born)*time.Millisecond)
+		g.chill(now.Add(coldTime - age))
+	}
 	if u.ColdMillis > 0 {
 		g.chill(now.Add(time.Duration(u.ColdMillis) * time.Millisecond))
 	}
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,223 @@
+package mirror
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hickorydrum/platform"
+)
+
+var begun = time.Unix(1000, 0)
+
+func object(name string, version uint64) platform.Object {
+	return platform.Object{Key: "k/" + name, Version: version, Value: []byte(fmt.Sprint(version))}
+}
+
+func deleted(name string, version uint64) platform.Object {
+	o := object(name, version)
+	o.Deleted = true
+	return o
+}
+
+func page(cursor uint64, objects ...platform.Object) platform.Page {
+	return platform.Page{Cursor: cursor, Objects: objects}
+}
+
+func versions(m *Mirror) map[string]uint64 {
+	out := make(map[string]uint64)
+	for _, o := range m.Objects() {
+		out[o.Name()] = o.Version
+	}
+	return out
+}
+
+func TestMirror(t *testing.T) {
+	type step func(m *Mirror, now time.Time) bool
+	list := func(p platform.Page) step { return func(m *Mirror, now time.Time) bool { return m.List(p, now) } }
+	events := func(p platform.Page) step { return func(m *Mirror, now time.Time) bool { return m.Events(p, now) } }
+	returned := func(m *Mirror, now time.Time) bool { m.Returned(now); return false }
+	expire := func(m *Mirror, now time.Time) bool { return m.Expire(now) }
+	tests := map[string]struct {
+		steps   []step
+		at      []time.Duration // of each step, after the beginning
+		changed []bool
+		want    map[string]uint64
+		cursor  uint64
+	}{
+		"a list": {
+			steps: []step{list(page(5, object("a", 2)))}, changed: []bool{true},
+			want: map[string]uint64{"a": 2}, cursor: 5,
+		},
+		"an empty list counts as known": {
+			steps: []step{list(page(5))}, changed: []bool{true}, want: map[string]uint64{}, cursor: 5,
+		},
+		"an older list from a peer": {
+			steps:   []step{list(page(5, object("a", 4))), list(page(3, object("a", 2), object("b", 3)))},
+			changed: []bool{true, false}, want: map[string]uint64{"a": 4}, cursor: 5,
+		},
+		"a newer list without an object": {
+			steps:   []step{list(page(5, object("a", 4), object("b", 5))), list(page(8, object("b", 5)))},
+			changed: []bool{true, true}, want: map[string]uint64{"b": 5}, cursor: 8,
+		},
+		"events": {
+			steps:   []step{list(page(5, object("a", 4))), events(page(9, object("a", 6), object("b", 7), deleted("a", 9)))},
+			changed: []bool{true, true}, want: map[string]uint64{"b": 7}, cursor: 9,
+		},
+		"a repeated event": {
+			steps:   []step{list(page(5, object("a", 4))), events(page(6, object("a", 4)))},
+			changed: []bool{true, false}, want: map[string]uint64{"a": 4}, cursor: 6,
+		},
+		"an empty watch does not move the cursor": {
+			steps:   []step{list(page(5, object("a", 4))), events(page(9))},
+			changed: []bool{true, false}, want: map[string]uint64{"a": 4}, cursor: 5,
+		},
+		"missing after an outage: kept": {
+			steps:   []step{list(page(5, object("a", 4))), returned, list(page(9)), expire},
+			at:      []time.Duration{0, time.Second, time.Second, 2 * time.Second},
+			changed: []bool{true, false, false, false}, want: map[string]uint64{"a": 4}, cursor: 9,
+		},
+		"missing after an outage: dropped in the end": {
+			steps:   []step{list(page(5, object("a", 4))), returned, list(page(9)), expire},
+			at:      []time.Duration{0, time.Second, time.Second, 3 * time.Second},
+			changed: []bool{true, false, false, true}, want: map[string]uint64{}, cursor: 9,
+		},
+		"missing after an outage: back in time": {
+			steps:   []step{list(page(5, object("a", 4))), returned, list(page(9)), events(page(11, object("a", 11))), expire},
+			at:      []time.Duration{0, time.Second, time.Second, 2 * time.Second, 4 * time.Second},
+			changed: []bool{true, false, false, true, false}, want: map[string]uint64{"a": 11}, cursor: 11,
+		},
+		"missing long after an outage": {
+			steps:   []step{list(page(5, object("a", 4))), returned, list(page(9))},
+			at:      []time.Duration{0, time.Second, 4 * time.Second},
+			changed: []bool{true, false, true}, want: map[string]uint64{}, cursor: 9,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := New("k", WithHold(2*time.Second))
+			var changed []bool
+			for i, s := range test.steps {
+				now := begun
+				if i < len(test.at) {
+					now = begun.Add(test.at[i])
+				}
+				changed = append(changed, s(m, now))
+			}
+			if diff := cmp.Diff([]any{test.changed, test.want, test.cursor}, []any{changed, versions(m), m.Cursor()}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// model is a store with a history that can be dropped, and the kind it holds.
+type model struct {
+	revision uint64
+	objects  map[string]uint64
+	history  []platform.Object // of deletions and changes, by version
+	oldest   uint64            // watches from before are refused
+}
+
+func (s *model) change(r *rand.Rand) {
+	s.revision++
+	name := string(rune('a' + r.IntN(4)))
+	if _, ok := s.objects[name]; ok && r.IntN(2) == 0 {
+		delete(s.objects, name)
+		s.history = append(s.history, deleted(name, s.revision))
+		return
+	}
+	s.objects[name] = s.revision
+	s.history = append(s.history, object(name, s.revision))
+}
+
+func (s *model) list() platform.Page {
+	p := page(s.revision)
+	for name, version := range s.objects {
+		p.Objects = append(p.Objects, object(name, version))
+	}
+	return p
+}
+
+func (s *model) watch(cursor uint64) (platform.Page, bool) {
+	if cursor < s.oldest {
+		return platform.Page{}, false
+	}
+	p := page(s.revision)
+	for _, o := range s.history {
+		if o.Version > cursor {
+			p.Objects = append(p.Objects, o)
+		}
+	}
+	return p, true
+}
+
+// TestInterleavings walks random orders of changes, lists, watches, deaf watches,
+// dropped histories and news from a peer that lags. What a mirror holds is at any
+// time the state of the store at some revision that never falls, and after a list or
+// a watch it is the newest.
+func TestInterleavings(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		s := &model{objects: make(map[string]uint64)}
+		states := []map[string]uint64{{}}
+		m, peer := New("k"), New("k")
+		follow := func(m *Mirror) {
+			if m.Cursor() > 0 {
+				if p, ok := s.watch(m.Cursor()); ok {
+					m.Events(p, begun)
+					return
+				}
+			}
+			m.List(s.list(), begun)
+		}
+		last := 0
+		for step := range 60 {
+			fresh := false
+			switch r.IntN(7) {
+			case 0, 1:
+				s.change(r)
+				copied := make(map[string]uint64)
+				for name, v := range s.objects {
+					copied[name] = v
+				}
+				states = append(states, copied)
+			case 2:
+				follow(m)
+				fresh = true
+			case 3:
+				follow(peer)
+			case 4: // a deaf watch ends with the store's revision and no events
+				if m.Cursor() > 0 {
+					m.Events(page(s.revision), begun)
+				}
+			case 5:
+				s.oldest = s.revision
+				s.history = nil
+			case 6:
+				if peer.Cursor() > 0 {
+					m.List(peer.Page(), begun)
+				}
+			}
+			if m.Cursor() == 0 {
+				continue
+			}
+			at := -1
+			for i := len(states) - 1; i >= last; i-- {
+				if cmp.Equal(states[i], versions(m)) {
+					at = i
+					break
+				}
+			}
+			if at < 0 || fresh && at != len(states)-1 {
+				t.Fatalf("seed %d, step %d: the mirror holds %v, the store %v", seed, step, versions(m), s.objects)
+			}
+			if fresh {
+				last = at
+			}
+		}
+	}
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -87,11 +88,25 @@
 	Deleting   bool     `json:"deleting"`
 }
 
+// foreign reports whether objects of a kind are written by others than the
+// project; their spec is plain JSON.
+func foreign(kind string) bool {
+	switch kind {
+	case platform.KindUpstreams, platform.KindConfiguration, platform.KindEvacuations:
+		return true
+	}
+	return false
+}
+
 func toMessage(o platform.Object) objectMessage {
-	return objectMessage{
+	m := objectMessage{
 		Metadata: objectMetadata{Name: o.Name(), Revision: o.Version, Finalizers: []string{}},
 		Spec:     platform.EncodeValue(o.Value),
 	}
+	if kind, _, _ := strings.Cut(o.Key, "/"); foreign(kind) && len(o.Value) > 0 {
+		m.Spec = o.Value
+	}
+	return m
 }
 
 // objectKey returns the key that a call names in its path.
--- a/standin/store.go
+++ b/standin/store.go
@@ -25,6 +25,8 @@
 	StoreLoseAnswer StoreFault = "lose-answer" // the next writes take effect, their answers are lost
 	StoreMuteWatch  StoreFault = "mute-watch"  // watches tell nothing
 	StoreLateWrite  StoreFault = "late-write"  // the next writes fail, and take effect later
+	StoreSilent     StoreFault = "silent"      // calls are never answered
+	StoreForgotten  StoreFault = "forgotten"   // the next watches find their history dropped
 )
 
 const slowCall = 500 * time.Millisecond
@@ -90,8 +92,12 @@
 // before applies the faults of any call.
 func (s *Store) before(ctx context.Context) error {
 	s.mu.Lock()
-	slow, down := s.hit(StoreSlow), s.hit(StoreDown)
+	slow, down, silent := s.hit(StoreSlow), s.hit(StoreDown), s.hit(StoreSilent)
 	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return lost(fault.RanNo)
+	}
 	if slow {
 		timer := time.NewTimer(slowCall)
 		defer timer.Stop()
@@ -210,7 +216,11 @@
 	defer timer.Stop()
 	s.mu.Lock()
 	s.reads++
+	forgotten := s.hit(StoreForgotten)
 	s.mu.Unlock()
+	if forgotten {
+		return platform.Page{}, fault.New(fault.Conflict, "the history is dropped", "list again")
+	}
 	for {
 		s.mu.Lock()
 		down, mute := s.faults[StoreDown] != 0, s.faults[StoreMuteWatch] != 0
