hosted: test whole instances against stand-ins of the store and of workers

Found and mended: a body over the limit was refused while its caller still sent, who lost the 413 with the connection.

--- /dev/null
+++ b/hosted/cluster_test.go
@@ -0,0 +1,354 @@
+package hosted
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/platform"
+	"hickorydrum/standin"
+)
+
+const patience = 15 * time.Second
+
+// cluster is a store, workers and instances on loopback, in one process.
+type cluster struct {
+	t         *testing.T
+	store     *standin.Store
+	api       *httptest.Server
+	instances []*member
+	versions  uint64
+
+	mu   sync.Mutex
+	next int
+}
+
+// member is one instance with its address in 127.1.0.0/16.
+type member struct {
+	instance *Instance
+	ip       string
+	file     string
+	stop     context.CancelFunc
+	reload   chan os.Signal
+	group    errgroup.Group
+}
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: standin.NewStore(), versions: 2}
+	c.api = httptest.NewServer(standin.PlatformHandler(c.store))
+	t.Cleanup(func() {
+		for _, m := range c.instances {
+			m.stop()
+		}
+		for _, m := range c.instances {
+			_ = m.group.Wait()
+		}
+		c.api.CloseClientConnections()
+		c.api.Close()
+	})
+	return c
+}
+
+// ports are those of the test's instances, on an address for each of them.
+const (
+	frontPort, readyPort, directoryPort, controlPort, gossipPort = 18100, 18101, 18102, 18103, 18110
+)
+
+var addresses struct {
+	sync.Mutex
+	next int
+}
+
+// newAddress returns an address of loopback that no other test uses.
+func newAddress() string {
+	addresses.Lock()
+	defer addresses.Unlock()
+	addresses.next++
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%100, 1+addresses.next/250, 1+addresses.next%250)
+}
+
+func (c *cluster) settings(name, domain, ip, store string, seeds []string) string {
+	quoted := make([]string, len(seeds))
+	for i, s := range seeds {
+		quoted[i] = fmt.Sprintf("%q", s)
+	}
+	return fmt.Sprintf(`
+[self]
+node = %q
+zone = %q
+region = %q
+[network]
+internalPorts = [%d,%d]
+seeds = [%s]
+[network.listen]
+front = "%s:%d"
+ready = "%s:%d"
+directory = "%s:%d"
+control = "%s:%d"
+[network.zones]
+one-a = "one"
+one-b = "one"
+two-a = "two"
+[platform.platform]
+address = %q
+[terms.bounds]
+graceS = 3
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 60
+coldOver = 1.5
+coldSlack = 5
+ttl_max_s = 5
+`, name, domain, strings.Split(domain, "-")[0], gossipPort, gossipPort+5, strings.Join(quoted, ","),
+		ip, frontPort, ip, readyPort, ip, directoryPort, ip, controlPort, store)
+}
+
+// start runs an instance in a failure domain. Its seeds are all instances so far.
+func (c *cluster) start(name, domain string) *member {
+	c.t.Helper()
+	var seeds []string
+	for _, m := range c.instances {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", m.ip, controlPort))
+	}
+	return c.startWith(name, domain, strings.TrimPrefix(c.api.URL, "http://"), seeds)
+}
+
+func (c *cluster) startWith(name, domain, store string, seeds []string) *member {
+	c.t.Helper()
+	m := &member{ip: newAddress(), reload: make(chan os.Signal, 1)}
+	m.file = filepath.Join(c.t.TempDir(), "local.toml")
+	if err := os.WriteFile(m.file, []byte(c.settings(name, domain, m.ip, store, seeds)), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	var err error
+	if m.instance, err = New(m.file, slog.New(slog.DiscardHandler)); err != nil {
+		c.t.Fatal(err)
+	}
+	stop, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	m.group.Go(func() error { return m.instance.Run(stop, m.reload) })
+	c.instances = append(c.instances, m)
+	return m
+}
+
+// worker starts a worker and registers it.
+func (c *cluster) worker(service, domain string, change func(w *standin.WorkerConfig)) *standin.Worker {
+	c.t.Helper()
+	c.mu.Lock()
+	c.next++
+	config := standin.WorkerConfig{
+		ID: fmt.Sprintf("i-%d", c.next), Slots: 4, Queue: 8, Warm: time.Millisecond, Cold: 2 * time.Millisecond,
+	}
+	c.mu.Unlock()
+	if change != nil {
+		change(&config)
+	}
+	w, err := standin.NewWorker(config)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { _ = w.Close() })
+	c.enter(w, service, domain, "ready")
+	return w
+}
+
+// enter writes the entry of a worker, new or over an older one.
+func (c *cluster) enter(w *standin.Worker, service, domain, state string) {
+	c.t.Helper()
+	born := time.Now().Add(-time.Minute)
+	c.put(platform.KindUpstreams+"/"+w.ID(), w.Entry(service, domain, state, born, 0))
+}
+
+func (c *cluster) put(key string, value []byte) {
+	c.t.Helper()
+	ctx := context.Background()
+	version := uint64(0)
+	if o, err := c.store.Get(ctx, key); err == nil {
+		version = o.Version
+	}
+	if _, err := c.store.Put(ctx, key, value, version); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) remove(key string) {
+	c.t.Helper()
+	o, err := c.store.Get(context.Background(), key)
+	if err == nil {
+		err = c.store.Delete(context.Background(), key, o.Version)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// rule is one route of the configuration.
+type rule struct {
+	prefix, kind, service string
+	attempts, timeout     int
+	homes                 []string
+}
+
+// configure writes a configuration with the rules for the host h.example.
+func (c *cluster) configure(rules ...rule) {
+	c.t.Helper()
+	var listed []map[string]any
+	services := map[string]bool{}
+	for _, r := range rules {
+		services[r.service] = true
+		listed = append(listed, map[string]any{
+			"name": "r" + r.prefix, "kind": r.kind, "targetLatencyMs": 200, "priority": 1, "stickySessions": true,
+			"match": map[string]any{"pathPrefix": r.prefix},
+			"action": map[string]any{
+				"service": r.service, "timeoutMs": cmp.Or(r.timeout, 1000),
+				"maxAttempts": max(1, r.attempts), "homeRegions": append([]string{}, r.homes...),
+			},
+		})
+	}
+	var clusters []map[string]any
+	for name := range services {
+		clusters = append(clusters, map[string]any{"name": name, "healthPath": "/health", "coldStartS": 0.2, "coldPerS": 14})
+	}
+	c.versions++
+	text, err := json.Marshal(map[string]any{
+		"version":   fmt.Sprintf("r%d", c.versions),
+		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"listeners": []any{map[string]any{"host": "h.example", "rules": listed}}, "clusters": clusters,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.put(platform.KindConfiguration+"/main", text)
+}
+
+// await waits until the condition holds.
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := standin.Await(ctx, condition); err != nil {
+		c.t.Fatalf("waited too long for: %s", what)
+	}
+}
+
+// ready waits until an instance knows a number of workers.
+func (c *cluster) ready(m *member, workers int) {
+	c.t.Helper()
+	c.await(fmt.Sprintf("%d workers known", workers), func() bool {
+		v := m.instance.ingress.View()
+		return m.instance.ingress.Ready() && v != nil && len(v.All()) == workers
+	})
+}
+
+// ask is one request of a caller.
+type ask struct {
+	method, path, id, object, body string
+	remaining                      int
+	chunked                        bool
+}
+
+// reply is what the caller saw.
+type reply struct {
+	Status int
+	Body   string
+	Sealed bool
+	Err    bool
+}
+
+func (a ask) build(m *member) (*http.Request, error) {
+	method := a.method
+	if method == "" {
+		method = http.MethodGet
+	}
+	var body io.Reader
+	if a.body != "" {
+		body = strings.NewReader(a.body)
+		if a.chunked {
+			body = io.MultiReader(body)
+		}
+	}
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", m.ip, frontPort, a.path), body)
+	if err != nil {
+		return nil, err
+	}
+	r.Host = "h.example"
+	r.Header.Set("Hickorydrum-Attempt-Id", a.id)
+	remaining := a.remaining
+	if remaining == 0 {
+		remaining = 900
+	}
+	r.Header.Set("Hickorydrum-Deadline-Remaining", fmt.Sprint(remaining))
+	r.Header.Set("Accept-Encoding", "identity")
+	if a.object != "" {
+		r.Header.Set("Cookie", "Hickorydrum-Affinity-Key="+a.object)
+	}
+	return r, nil
+}
+
+// send sends a request on a connection of its own.
+func (c *cluster) send(m *member, a ask) reply {
+	c.t.Helper()
+	r, err := a.build(m)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return reply{Err: true}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return reply{
+		Status: resp.StatusCode, Body: string(body), Sealed: resp.Header.Get("Hickorydrum-Server-Seal") != "", Err: err != nil,
+	}
+}
+
+// raw opens a connection to an instance's callers' side.
+func (c *cluster) raw(m *member) (net.Conn, *bufio.Reader) {
+	c.t.Helper()
+	conn, err := net.Dial("tcp", net.JoinHostPort(m.ip, strconv.Itoa(frontPort)))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+// lookup asks an instance which instances to use.
+func (c *cluster) lookup(m *member, domain, region string) platform.LookupAnswer {
+	c.t.Helper()
+	url := fmt.Sprintf("http://%s:%d/resolve?name=h.example&zone=%s&region=%s", m.ip, directoryPort, domain, region)
+	resp, err := http.Get(url)
+	if err != nil {
+		return platform.LookupAnswer{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer platform.LookupAnswer
+	_ = json.NewDecoder(resp.Body).Decode(&answer) // an answer without a body names nobody
+	return answer
+}
+
+func writeFile(t *testing.T, name, text string) {
+	t.Helper()
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -30,6 +30,8 @@
 	// answerGuess is the expected size of an answer in bytes.
 	answerGuess = 1 << 10
 	headGuess   = 512
+	// maxDrained is how much of a refused body is read.
+	maxDrained = 2 << 20
 	// maxTries bounds the upstreams that are tried, with those that cannot be reached.
 	maxTries = 6
 )
@@ -134,7 +136,7 @@
 	}
 	most := x.table.Limits().BodyBytes
 	if most > 0 && x.r.ContentLength > most {
-		x.fail(http.StatusRequestEntityTooLarge, "too-large", "the body is over the configured limit")
+		x.tooLarge()
 		return false
 	}
 	rc := http.NewResponseController(x.w)
@@ -153,13 +155,23 @@
 		panic(http.ErrAbortHandler)
 	}
 	if most > 0 && int64(buf.Len()) > most {
-		x.fail(http.StatusRequestEntityTooLarge, "too-large", "the body is over the configured limit")
+		x.tooLarge()
 		return false
 	}
 	x.body = buf.Bytes()
 	return true
 }
 
+// tooLarge refuses a body over the limit. A part of it is read first: a caller that
+// is still sending would else lose the answer with its connection.
+func (x *exchange) tooLarge() {
+	_, err := io.CopyN(io.Discard, x.r.Body, maxDrained)
+	if err != nil && !errors.Is(err, io.EOF) {
+		x.result.detail = err.Error()
+	}
+	x.fail(http.StatusRequestEntityTooLarge, "too-large", "the body is over the configured limit")
+}
+
 // attempt sends the request to one upstream after the other until it is answered
 // or must not be sent again.
 func (x *exchange) attempt() {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -93,6 +93,9 @@
 // SetBounds puts the figures of the operators' rules in force.
 func (g *Ingress) SetBounds(b platform.Bounds) { g.bounds.Store(&b) }
 
+// Bounds returns the figures of the operators' rules in force.
+func (g *Ingress) Bounds() platform.Bounds { return *g.bounds.Load() }
+
 // Ready reports whether requests can be served.
 func (g *Ingress) Ready() bool {
 	return g.table.Load() != nil && g.view.Load() != nil && !g.leaving.Load()
