--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,276 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hickorydrum/dispatch"
+	"hickorydrum/fleet"
+	"hickorydrum/placement"
+	"hickorydrum/route"
+)
+
+var (
+	begun   = time.Unix(10000, 0)
+	class   = route.Class{Sticky: true}
+	regions = map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"}
+)
+
+func upstream(id, domain string, change func(u *fleet.Upstream)) fleet.Upstream {
+	u := fleet.Upstream{ID: id, Service: "list", Address: "127.0.0.1:9", Domain: domain, Slots: 4, Born: 1}
+	if change != nil {
+		change(&u)
+	}
+	return u
+}
+
+// boardOf returns a board that has known the upstreams for long, and its view.
+func boardOf(upstreams ...fleet.Upstream) (*Board, *fleet.View) {
+	b := NewBoard("a-1", "a", []string{"a", "b"}, func(u *fleet.Upstream) *dispatch.Dialer { return dispatch.NewDialer(u.Address) })
+	v := fleet.NewView(upstreams, nil, regions)
+	b.Follow(v, true, noCold, begun)
+	return b, v
+}
+
+func noCold(string) time.Duration { return 0 }
+
+func coldFor(d time.Duration) func(string) time.Duration {
+	return func(string) time.Duration { return d }
+}
+
+func request(object uint64) *Request {
+	return &Request{
+		Service: "list", Object: object, Sticky: true,
+		Cold:   func(*fleet.Upstream) ColdShare { return ColdShare{PerSecond: 2, Burst: 1} },
+		Allows: func(*fleet.Upstream) bool { return true },
+	}
+}
+
+func ids(b *Board, v *fleet.View, r *Request, now time.Time) []string {
+	_, usable := b.Options(r, v.Service("list"), now)
+	out := []string{}
+	for _, u := range usable {
+		out = append(out, u.ID)
+	}
+	return out
+}
+
+func send(t *testing.T, b *Board, u *fleet.Upstream, r Result, now time.Time) {
+	t.Helper()
+	if _, ok := b.Begin(u, ColdShare{PerSecond: 1000, Burst: 1000}, now); !ok {
+		t.Fatal("the upstream takes no request")
+	}
+	r.Upstream, r.Class, r.Sticky = u, class, true
+	b.End(&r, now)
+}
+
+func TestOptions(t *testing.T) {
+	b, v := boardOf(upstream("one", "a-1", nil), upstream("two", "a-2", nil), upstream("three", "b-1", nil))
+	r := request(7)
+	options, _ := b.Options(r, v.Service("list"), begun)
+	var got []placement.Distance
+	for _, o := range options {
+		got = append(got, o.Distance)
+	}
+	want := []placement.Distance{placement.SameDomain, placement.OtherRegion, placement.SameRegion}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	r.Tried = map[string]bool{"one": true}
+	r.Allows = func(u *fleet.Upstream) bool { return u.Region() == "a" }
+	if diff := cmp.Diff([]string{"two"}, ids(b, v, r, begun)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestCold checks when an upstream counts as cold, by how many of several chances in
+// one second it may be sent to.
+func TestCold(t *testing.T) {
+	const coldTime = 3 * time.Second
+	born := func(at time.Time) func(u *fleet.Upstream) {
+		return func(u *fleet.Upstream) { u.Born = at.UnixMilli() }
+	}
+	tests := map[string]struct {
+		prepare func(b *Board) *fleet.View
+		at      time.Duration
+		cold    bool
+	}{
+		"there before this instance": {
+			prepare: func(b *Board) *fleet.View {
+				v := fleet.NewView([]fleet.Upstream{upstream("u", "a-1", born(begun.Add(-time.Minute)))}, nil, regions)
+				b.Follow(v, true, coldFor(coldTime), begun)
+				return v
+			},
+		},
+		"started shortly before this instance": {
+			prepare: func(b *Board) *fleet.View {
+				v := fleet.NewView([]fleet.Upstream{upstream("u", "a-1", born(begun.Add(-time.Second)))}, nil, regions)
+				b.Follow(v, true, coldFor(coldTime), begun)
+				return v
+			},
+			at: time.Second, cold: true,
+		},
+		"new": {
+			prepare: func(b *Board) *fleet.View {
+				v := fleet.NewView([]fleet.Upstream{upstream("u", "a-1", nil)}, nil, regions)
+				b.Follow(v, false, coldFor(coldTime), begun)
+				return v
+			},
+			at: 2 * time.Second, cold: true,
+		},
+		"new for long": {
+			prepare: func(b *Board) *fleet.View {
+				v := fleet.NewView([]fleet.Upstream{upstream("u", "a-1", nil)}, nil, regions)
+				b.Follow(v, false, coldFor(coldTime), begun)
+				return v
+			},
+			at: 4 * time.Second,
+		},
+		"started anew under its id": {
+			prepare: func(b *Board) *fleet.View {
+				v := fleet.NewView([]fleet.Upstream{upstream("u", "a-1", nil)}, nil, regions)
+				b.Follow(v, true, coldFor(coldTime), begun)
+				v = fleet.NewView([]fleet.Upstream{upstream("u", "a-1", func(u *fleet.Upstream) { u.Born = 2 })}, nil, regions)
+				b.Follow(v, false, coldFor(coldTime), begun)
+				return v
+			},
+			at: time.Second, cold: true,
+		},
+		"says so": {
+			prepare: func(b *Board) *fleet.View {
+				v := fleet.NewView([]fleet.Upstream{upstream("u", "a-1", func(u *fleet.Upstream) { u.ColdMillis = 1500 })}, nil, regions)
+				b.Follow(v, true, noCold, begun)
+				return v
+			},
+			at: time.Second, cold: true,
+		},
+		"back after it could not be reached": {
+			prepare: func(b *Board) *fleet.View {
+				v := fleet.NewView([]fleet.Upstream{upstream("u", "a-1", nil)}, nil, regions)
+				b.Follow(v, true, noCold, begun)
+				b.End(&Result{Upstream: v.Service("list")[0], Outcome: Unreachable, ColdTime: coldTime}, begun)
+				return v
+			},
+			at: 2 * time.Second, cold: true,
+		},
+		"its evacuation ended": {
+			prepare: func(b *Board) *fleet.View {
+				v := fleet.NewView([]fleet.Upstream{upstream("u", "a-1", nil)}, nil, regions)
+				b.Follow(v, true, noCold, begun)
+				b.Chill(v, begun.Add(coldTime), func(*fleet.Upstream) bool { return true })
+				return v
+			},
+			at: time.Second, cold: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, _ := boardOf()
+			v := test.prepare(b)
+			u := v.Service("list")[0]
+			now := begun.Add(test.at)
+			sent := 0
+			for range 10 {
+				if _, ok := b.Begin(u, ColdShare{PerSecond: 2, Burst: 1}, now); ok {
+					sent++
+				}
+			}
+			want := 10
+			if test.cold {
+				want = 1
+			}
+			if sent != want {
+				t.Errorf("%d of 10 requests were allowed, want %d", sent, want)
+			}
+		})
+	}
+}
+
+func TestAvoided(t *testing.T) {
+	b, v := boardOf(upstream("one", "a-1", nil), upstream("two", "a-2", nil))
+	u, _ := v.Upstream("one")
+	send(t, b, u, Result{Outcome: Unreachable}, begun)
+	if diff := cmp.Diff([]string{"two"}, ids(b, v, request(1), begun)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"one", "two"}, ids(b, v, request(1), begun.Add(firstAvoid))); diff != "" {
+		t.Errorf("after the pause: %s", diff)
+	}
+}
+
+// TestBusy follows what is believed of an upstream's load.
+func TestBusy(t *testing.T) {
+	b, v := boardOf(upstream("one", "a-1", nil))
+	u, _ := v.Upstream("one")
+	busyAt := func(now time.Time) float64 {
+		options, _ := b.Options(request(1), v.Service("list"), now)
+		return options[0].Busy
+	}
+	if _, ok := b.Begin(u, ColdShare{}, begun); !ok {
+		t.Fatal("no request is taken")
+	}
+	if got := busyAt(begun); got != 1 {
+		t.Errorf("with one request of its own: %.1f", got)
+	}
+	b.Told("one", 4, 2, begun)
+	if got := busyAt(begun); got != 6 {
+		t.Errorf("told of 6, one its own: %.1f", got)
+	}
+	if got := busyAt(begun.Add(toldHalfLife)); got != 3.5 {
+		t.Errorf("half forgotten: %.1f", got)
+	}
+	b.End(&Result{Upstream: u, Outcome: Refused}, begun)
+	if got := busyAt(begun); got < 8 {
+		t.Errorf("after a refusal: %.1f", got)
+	}
+}
+
+// TestTimes learns times of known and unknown objects, whatever was believed before
+// each answer, and is not misled by other classes or slow upstreams.
+func TestTimes(t *testing.T) {
+	const warm, cold = 70 * time.Millisecond, 240 * time.Millisecond
+	b, v := boardOf(upstream("one", "a-1", nil), upstream("slow", "a-2", nil))
+	one, _ := v.Upstream("one")
+	slow, _ := v.Upstream("slow")
+	now := begun
+	for i := range 400 {
+		now = now.Add(20 * time.Millisecond)
+		took := warm
+		if i%5 == 0 {
+			took = cold
+		}
+		// Half of the objects are new to this instance, though the upstream knows them.
+		object := uint64(i % 3)
+		if i%2 == 0 {
+			object = uint64(1000 + i)
+		}
+		send(t, b, one, Result{Object: object, Outcome: Answered, Took: took + tripSameDomain}, now)
+		send(t, b, slow, Result{Object: object, Outcome: Answered, Took: 8 * took}, now)
+		if _, ok := b.Begin(one, ColdShare{}, now); ok {
+			b.End(&Result{Upstream: one, Outcome: Answered, Took: 2 * time.Millisecond}, now)
+		}
+	}
+	gotWarm, gotCold := b.Times("list", class)
+	if gotWarm < warm*9/10 || gotWarm > warm*13/10 || gotCold < cold*8/10 || gotCold > cold*13/10 {
+		t.Errorf("warm %s, cold %s; want %s, %s", gotWarm, gotCold, warm, cold)
+	}
+	options, usable := b.Options(request(1), v.Service("list"), now)
+	for i, u := range usable {
+		if sluggish := options[i].Slow > 3; sluggish != (u.ID == "slow") {
+			t.Errorf("%s is taken as %.1f times slower", u.ID, options[i].Slow)
+		}
+	}
+}
+
+// TestForgets drops the state of upstreams that are gone.
+func TestForgets(t *testing.T) {
+	b, v := boardOf(upstream("one", "a-1", nil))
+	u, _ := v.Upstream("one")
+	b.Follow(fleet.NewView(nil, nil, regions), false, noCold, begun)
+	if _, ok := b.Begin(u, ColdShare{}, begun); ok {
+		t.Error("an upstream that is gone takes requests")
+	}
+	b.End(&Result{Upstream: u}, begun)
+}
