upstream, entry: the own interface on the same core as the platform's

Cause: two programs stood in one: the own interface counted slots at an owner instance with a lease and a successor and relayed bodies over QUIC; the platform's face dispatched directly.

Change: both decide with placement and load and send with dispatch. Gone: ownership, lease, its walk, relay, races between owners, the steps of a hand-over, slots in status. The own protocol with upstreams tells how many requests an upstream has (Busy); small bodies that were read whole can be sent again after a refusal.

`standin try` counted "told not run" only for a request's last send; it now counts every send and compares with the runs.

--- a/command/text.go
+++ b/command/text.go
@@ -73,11 +73,10 @@
 func statusText(all []instance.Status) string {
 	var buf bytes.Buffer
 	w := tabwriter.NewWriter(&buf, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "INSTANCE\tREGION\tDOMAIN\tSTATE\tREVISION\tSLOTS\tIN FLIGHT\tNOTE")
+	fmt.Fprintln(w, "INSTANCE\tREGION\tDOMAIN\tSTATE\tREVISION\tIN FLIGHT\tNOTE")
 	for _, s := range all {
-		slots, inFlight := 0, 0
+		inFlight := 0
 		for _, u := range s.Uses {
-			slots += u.Allowed
 			inFlight += u.InFlight
 		}
 		note := ""
@@ -87,7 +86,7 @@
 		case s.Frozen:
 			note = "revision not confirmed"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", s.Name, s.Region, s.Domain, s.State, s.Revision, slots, inFlight, note)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", s.Name, s.Region, s.Domain, s.State, s.Revision, inFlight, note)
 	}
 	for _, s := range all {
 		for _, share := range s.Shares {
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -1,25 +1,35 @@
 package entry
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"hickorydrum/dispatch"
 	"hickorydrum/fault"
 	"hickorydrum/order"
 	"hickorydrum/upstream"
 )
 
-// callerBody is the body of a caller's request. It knows whether any of it was
-// read, since it can be read only once.
+// maxReplay is how much of a body is kept, in bytes, so that it can be sent again.
+const maxReplay = 64 << 10
+
+// callerBody is the body of a caller's request. A small one that was read whole can
+// be read again.
 type callerBody struct {
 	body    io.ReadCloser
 	rc      *http.ResponseController
 	size    atomic.Int64
 	touched atomic.Bool
 	done    atomic.Bool
+
+	mu     sync.Mutex
+	kept   []byte
+	replay *bytes.Reader // what is read instead of the caller's connection
 }
 
 func newCallerBody(w http.ResponseWriter, r *http.Request) *callerBody {
@@ -28,10 +38,18 @@
 
 // Read reads from the caller. A connection that breaks is a fault of the caller.
 func (b *callerBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.replay != nil {
+		return b.replay.Read(p)
+	}
 	b.touched.Store(true)
 	n, err := b.body.Read(p)
 	b.size.Add(int64(n))
-	if err != nil {
+	if len(b.kept) <= maxReplay {
+		b.kept = append(b.kept, p[:n]...)
+	}
+	if err == io.EOF {
 		b.done.Store(true)
 	}
 	if err != nil && err != io.EOF {
@@ -41,6 +59,23 @@
 	return n, err
 }
 
+// rewind reports whether the body can be read from its beginning, and sees to it.
+func (b *callerBody) rewind() bool {
+	if !b.touched.Load() {
+		return true
+	}
+	if !b.done.Load() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.kept) > maxReplay {
+		return false
+	}
+	b.replay = bytes.NewReader(b.kept)
+	return true
+}
+
 // Close ends a read that waits for the caller.
 func (b *callerBody) Close() error {
 	if b.done.Load() {
@@ -67,7 +102,7 @@
 }
 
 // Head passes the head of the answer on.
-func (a *answer) Head(h upstream.Head) error {
+func (a *answer) Head(h dispatch.Head) error {
 	a.headed = true
 	a.status = h.Status
 	a.header = h.Header
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,9 +1,11 @@
+// Package entry is the callers' side of an instance: it answers look-ups,
+// accepts requests, has them served and passes the answers back whole.
 package entry
 
 import (
 	"context"
+	"io"
 	"log/slog"
-	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
+	"hickorydrum/dispatch"
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/order"
@@ -34,9 +37,6 @@
 	retryShare  = 0.1
 	maxTokens   = 20.0
 	writeMargin = time.Second
-	// localShare is the free part of this instance's own slots from which it
-	// serves a request itself, without asking other owners.
-	localShare = 0.4
 )
 
 var (
@@ -50,49 +50,39 @@
 // CallPlacements asks a peer for the placements in force.
 const CallPlacements peer.Call = "placements"
 
-// Local serves requests at the upstreams that this instance owns.
-type Local interface {
-	Serve(ctx context.Context, ask *upstream.Ask, open upstream.OpenBody, sink upstream.Sink) error
-	Room(service string) upstream.Room
-}
-
-// Remote has other instances serve requests.
-type Remote interface {
-	Serve(
-		ctx context.Context, to peer.Target, ask *upstream.Ask, open upstream.OpenBody, sink upstream.Sink,
-		report func(upstream.Room),
-	) error
+// Upstreams has requests served by the upstreams of a region.
+type Upstreams interface {
+	// Serve sends a request to one upstream and passes the answer to the sink.
+	Serve(ctx context.Context, ask *upstream.Ask, body io.ReadCloser, sink dispatch.Sink) error
+	// Busy returns the part of the slots of a service in a region that is in use.
+	Busy(service, region string, now time.Time) float64
 }
 
 // Entry is the callers' side of an instance.
 type Entry struct {
-	self   func() roster.Member
-	local  Local
-	remote Remote
-	orders *order.Book
-	log    *slog.Logger
-	frozen func(now time.Time) bool
-	life   time.Duration // of an answer to a look-up
+	self      func() roster.Member
+	upstreams Upstreams
+	orders    *order.Book
+	log       *slog.Logger
+	frozen    func(now time.Time) bool
+	life      time.Duration // of an answer to a look-up
 
 	scope   atomic.Pointer[scope]
-	rooms   *rooms
 	flows   *flows
 	links   *links
 	budget  budget
 	leaving atomic.Bool
 
-	mu     sync.Mutex // held while scope is replaced
-	table  *steering.Table
-	view   *roster.View
-	silent map[string]bool // members that are in doubt
+	mu    sync.Mutex // held while scope is replaced
+	table *steering.Table
+	view  *roster.View
 }
 
 // scope is what one request sees: a table and a roster that fit.
 type scope struct {
-	table     *steering.Table
-	directory *directory
-	lookups   *lookups
-	home      int // the index of this instance's region, for undeclared callers
+	table   *steering.Table
+	lookups *lookups
+	home    int // the index of this instance's region, for undeclared callers
 }
 
 // Option changes an Entry while it is made.
@@ -107,13 +97,12 @@
 
 // New returns the callers' side of the instance self.
 func New(
-	self func() roster.Member, local Local, remote Remote, orders *order.Book, log *slog.Logger, opts ...Option,
+	self func() roster.Member, upstreams Upstreams, orders *order.Book, log *slog.Logger, opts ...Option,
 ) *Entry {
 	e := &Entry{
-		self: self, local: local, remote: remote, orders: orders, log: log,
+		self: self, upstreams: upstreams, orders: orders, log: log,
 		frozen: func(time.Time) bool { return false },
 		life:   3 * time.Second,
-		rooms:  newRooms(),
 		flows:  newFlows(log),
 		links:  newLinks(self().Region),
 	}
@@ -137,7 +126,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.view = v
-	e.rooms.forget(v)
 	e.rescope()
 }
 
@@ -149,10 +137,9 @@
 	home, _ := e.table.RegionIndex(e.self().Region)
 	e.links.update(e.table, e.view)
 	e.scope.Store(&scope{
-		table:     e.table,
-		directory: newDirectory(e.table, e.view),
-		lookups:   newLookups(e.table, e.view, e.silent),
-		home:      home,
+		table:   e.table,
+		lookups: newLookups(e.table, e.view),
+		home:    home,
 	})
 }
 
@@ -162,24 +149,12 @@
 // Run moves shares until the context is done.
 func (e *Entry) Run(ctx context.Context) error {
 	return period.Each(ctx, advanceEvery, func(now time.Time) {
-		e.noteSilent(now)
 		if s := e.scope.Load(); s != nil && !e.frozen(now) {
-			e.flows.advance(ctx, s.directory, e.rooms, now)
+			e.flows.advance(ctx, s.table, e.upstreams, now)
 		}
 	})
 }
 
-// noteSilent keeps members that do not answer out of look-ups.
-func (e *Entry) noteSilent(now time.Time) {
-	silent := e.rooms.silent(now)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !maps.Equal(silent, e.silent) {
-		e.silent = silent
-		e.rescope()
-	}
-}
-
 // Shares returns where traffic is served that has left its home region.
 func (e *Entry) Shares() []Share { return e.flows.shares() }
 
--- a/entry/flows.go
+++ b/entry/flows.go
@@ -18,7 +18,7 @@
 	// deadAfter is how many requests in a row must fail to reach a region before
 	// it counts as dead.
 	deadAfter = 3
-	// deadSilence is how long no owner there must have been reached.
+	// deadSilence is how long no upstream there must have been reached.
 	deadSilence = time.Second
 	// deadFor is how long a region counts as dead before it is tried again.
 	deadFor = 2 * time.Second
@@ -31,6 +31,12 @@
 	minShare = 1e-6
 )
 
+// place is one service in one region.
+type place struct {
+	service string
+	region  int
+}
+
 // outcomes counts what became of the requests to one place.
 type outcomes struct {
 	served     float64
@@ -75,7 +81,7 @@
 // reach is what is known of the way to one region.
 type reach struct {
 	failures int       // in a row
-	okAt     time.Time // when an owner there was last reached
+	okAt     time.Time // when an upstream there was last reached
 	deadTill time.Time // zero while it is not dead
 }
 
@@ -197,8 +203,8 @@
 	o.add(served, now)
 }
 
-// reached notes whether an owner in a region could be reached. A region is dead
-// when several could not and none could for a while: one instance that is gone
+// reached notes whether an upstream in a region could be reached. A region is dead
+// when several could not and none could for a while: one upstream that is gone
 // says nothing about the others.
 func (f *flows) reached(ctx context.Context, region int, ok bool, now time.Time) {
 	f.mu.Lock()
@@ -232,13 +238,13 @@
 }
 
 // advance moves every flow by at most one step towards where it should be.
-func (f *flows) advance(ctx context.Context, d *directory, rooms *rooms, now time.Time) {
+func (f *flows) advance(ctx context.Context, t *steering.Table, upstreams Upstreams, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	away := make(map[place]*steering.Flow)
 	for p, flow := range f.byPlace {
-		health := f.health(p.service, d, rooms, now)
-		plan := steering.NewPlan(p.region, health, flow.Shares(), d.table.Set().Cap(p.service))
+		health := f.health(p.service, t, upstreams, now)
+		plan := steering.NewPlan(p.region, health, flow.Shares(), t.Set().Cap(p.service))
 		if flow.Advance(now, plan.Goal(), plan.Step()) {
 			event.TrafficMoved.Log(ctx, f.log, slog.String("service", p.service),
 				slog.String("home", f.table.Regions()[p.region]), slog.Any("shares", flow.Shares()), slog.Any("goal", plan.Goal()))
@@ -253,24 +259,42 @@
 	}
 }
 
-func (f *flows) health(service string, d *directory, rooms *rooms, now time.Time) []steering.Health {
+func (f *flows) health(service string, t *steering.Table, upstreams Upstreams, now time.Time) []steering.Health {
 	regions := f.table.Regions()
 	out := make([]steering.Health, len(regions))
 	for i, name := range regions {
 		p := place{service: service, region: i}
-		owners := d.at(p)
 		var served, refused int
 		if o, ok := f.outcomes[p]; ok {
 			served, refused = o.seen(now)
 		}
-		busy, _ := rooms.busy(service, owners, now)
-		out[i] = steering.NewHealth(d.slots(p, now), served, refused, busy).
-			Drain(d.table.Set().RegionDrained(name, now)).
-			Die(len(owners) == 0 || f.dead(i, now))
+		declared, usable := slots(t, p, now)
+		out[i] = steering.NewHealth(usable, served, refused, upstreams.Busy(service, name, now)).
+			Drain(t.Set().RegionDrained(name, now)).
+			Die(declared == 0 || f.dead(i, now))
 	}
 	return out
 }
 
+// slots returns the declared slots of a service in a region, and those that no
+// drain empties.
+func slots(t *steering.Table, p place, now time.Time) (declared, usable int) {
+	service := t.ServiceNamed(p.service)
+	if service == nil {
+		return 0, 0
+	}
+	for _, w := range service.Workers() {
+		if w.Region() != t.Regions()[p.region] {
+			continue
+		}
+		declared += w.Slots()
+		if !t.Set().WorkerDrained(w, now) {
+			usable += w.Slots()
+		}
+	}
+	return declared, usable
+}
+
 // Share is where the traffic of one service from one region is served.
 type Share struct {
 	Service string             `json:"service" cbor:"1,keyasint"`
--- a/entry/link.go
+++ b/entry/link.go
@@ -7,9 +7,9 @@
 
 	"golang.org/x/time/rate"
 
+	"hickorydrum/dispatch"
 	"hickorydrum/roster"
 	"hickorydrum/steering"
-	"hickorydrum/upstream"
 )
 
 // linkBurst is how many bytes may pass at once; it is one copy buffer or more.
@@ -85,7 +85,7 @@
 
 // pacedSink passes an answer on no faster than the link allows.
 type pacedSink struct {
-	upstream.Sink
+	dispatch.Sink
 	ctx     context.Context
 	limiter *rate.Limiter
 }
@@ -112,21 +112,13 @@
 	return n, err
 }
 
-// paced returns the body's opener and the sink under the limits of the link to
-// a region.
+// paced returns the body and the sink under the limits of the link to a region.
 func (l *links) paced(
-	ctx context.Context, region string, open upstream.OpenBody, sink upstream.Sink,
-) (upstream.OpenBody, upstream.Sink) {
+	ctx context.Context, region string, body io.ReadCloser, sink dispatch.Sink,
+) (io.ReadCloser, dispatch.Sink) {
 	p := l.to(region)
 	if p == nil || region == l.region {
-		return open, sink
+		return body, sink
 	}
-	openPaced := func() (io.ReadCloser, error) {
-		body, err := open()
-		if err != nil {
-			return nil, err
-		}
-		return &pacedBody{ReadCloser: body, ctx: ctx, limiter: p.out}, nil
-	}
-	return openPaced, &pacedSink{Sink: sink, ctx: ctx, limiter: p.in}
+	return &pacedBody{ReadCloser: body, ctx: ctx, limiter: p.out}, &pacedSink{Sink: sink, ctx: ctx, limiter: p.in}
 }
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -39,13 +39,12 @@
 	all     []int      // the regions with live instances
 }
 
-// newLookups renders the answers. Silent members are named only where a region
-// has no others.
-func newLookups(table *steering.Table, view *roster.View, silent map[string]bool) *lookups {
+// newLookups renders the answers.
+func newLookups(table *steering.Table, view *roster.View) *lookups {
 	n := len(table.Regions())
 	l := &lookups{table: table, serving: make([]bool, n), answers: make([][][]byte, n)}
 	for i, name := range table.Regions() {
-		members := answering(view.Serving(name), silent)
+		members := view.Serving(name)
 		if len(members) == 0 {
 			continue
 		}
@@ -58,19 +57,6 @@
 	return l
 }
 
-func answering(members []roster.Member, silent map[string]bool) []roster.Member {
-	var out []roster.Member
-	for _, m := range members {
-		if !silent[m.ID()] {
-			out = append(out, m)
-		}
-	}
-	if len(out) == 0 {
-		return members
-	}
-	return out
-}
-
 // variantOf returns the instances that one of the answers names: a few, from
 // different failure domains where there are, beginning at the variant's.
 func variantOf(members []roster.Member, variant int) []Named {
--- a/entry/request.go
+++ b/entry/request.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"log/slog"
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -24,7 +21,6 @@
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/order"
-	"hickorydrum/peer"
 	"hickorydrum/steering"
 	"hickorydrum/upstream"
 )
@@ -139,7 +135,7 @@
 
 // replay answers a re-send from the kept answer.
 func (x *exchange) replay(kept *order.Answer) error {
-	head := upstream.Head{Status: kept.Status(), Header: kept.Header(), Length: int64(len(kept.Body()))}
+	head := dispatch.Head{Status: kept.Status(), Header: kept.Header(), Length: int64(len(kept.Body()))}
 	if err := x.answer.Head(head); err != nil {
 		return err
 	}
@@ -175,15 +171,13 @@
 	dispatch.StripHop(header)
 	header.Set("X-Forwarded-For", addr.String())
 	return &upstream.Ask{
-		ID:         x.id,
+		Request: dispatch.Request{
+			ID: x.id, Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host, Header: header, Length: r.ContentLength,
+		},
 		Service:    x.service.Name(),
-		Method:     r.Method,
-		Target:     r.URL.RequestURI(),
-		Host:       r.Host,
-		Header:     header,
-		Length:     r.ContentLength,
 		Idempotent: x.service.Idempotent(r.Method),
 		Caller:     addr.String(),
+		Deadline:   x.deadline,
 	}, nil
 }
 
@@ -217,172 +211,58 @@
 	}
 }
 
-const (
-	// handOverTries and handOverPause bound how long a request waits for upstreams
-	// that are on their way from one owner to the next.
-	handOverTries = 8
-	handOverPause = 50 * time.Millisecond
-)
-
-// serveIn has the request served in one region.
+// serveIn has the request served in one region: it tries one upstream after the
+// other until one serves it or it must not be sent again.
 func (x *exchange) serveIn(ctx context.Context, p place, ask *upstream.Ask) error {
-	for try := 0; ; try++ {
-		err := x.tryOwners(ctx, p, ask)
-		if err == nil || try == handOverTries || !handingOver(err) || !x.mayRetry(ctx, ask, err) {
-			return err
-		}
-		timer := time.NewTimer(handOverPause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
-	}
-}
-
-// handingOver reports whether the owners could be reached, but none of them had
-// the upstreams.
-func handingOver(err error) bool {
-	return fault.KindOf(err) == fault.Unavailable && fault.NotRun(err) && !peer.Unreachable(err) &&
-		fault.From(err).RetryAt().IsZero()
-}
-
-// tryOwners tries the owners in one region until one serves the request.
-func (x *exchange) tryOwners(ctx context.Context, p place, ask *upstream.Ask) error {
 	e := x.entry
 	e.budget.earn()
-	failed := make(map[string]bool)
-	var last error = fault.New(fault.Unavailable, "no instance serves the region", "retry after the given time",
-		fault.WithRetryAt(time.Now().Add(time.Second)))
+	ask.Region = x.scope.table.Regions()[p.region]
+	ask.Tried = make(map[string]bool)
+	body, sink := e.links.paced(ctx, ask.Region, x.body, x.answer)
+	var last error
 	for try := 0; try < maxTries; try++ {
-		owners := x.owners(p)
-		i := x.choose(p, owners, failed)
-		if i < 0 {
-			break
+		sent := len(ask.Tried)
+		err := e.upstreams.Serve(ctx, ask, body, sink)
+		if err != nil && last != nil && len(ask.Tried) == sent {
+			return last // no upstream is left to be tried
 		}
-		// The first owner must begin to answer soon if another could serve the
-		// request as well.
-		hurry := try == 0 && ask.Idempotent && ask.Length == 0 && len(owners) > 1
-		last = x.serveAt(ctx, p, owners[i], ask, hurry)
-		if last == nil || !x.mayRetry(ctx, ask, last) {
-			return last
+		last = err
+		x.noteReach(ctx, p, err)
+		if err == nil || !x.mayRetry(ctx, ask, err) {
+			return err
 		}
-		// A broken answer is the upstream's fault; its owner has others.
-		failed[owners[i].member.ID()] = fault.KindOf(last) != fault.Broken
 		retries.Inc()
 	}
 	return last
 }
 
-// owners returns the owners in a region as the roster has them now: they may have
-// changed since the request came, such as when one of them began to leave.
-func (x *exchange) owners(p place) []owner {
-	if s := x.entry.scope.Load(); s.table == x.scope.table {
-		return s.directory.at(p)
-	}
-	return x.scope.directory.at(p)
-}
-
-// choose returns the index of the owner that should serve next, or -1. What this
-// instance owns itself comes first while much of it is free: that saves a hop.
-func (x *exchange) choose(p place, owners []owner, failed map[string]bool) int {
-	now := time.Now()
-	self := x.entry.self().ID()
-	candidates := make([]steering.Candidate, len(owners))
-	for i, o := range owners {
-		if o.member.ID() == self && !failed[self] {
-			room := x.entry.local.Room(p.service)
-			if room.Slots > 0 && float64(room.Free) >= localShare*float64(room.Slots) {
-				return i
-			}
-		}
-		k := roomKey{service: p.service, member: o.member.ID()}
-		candidates[i] = x.entry.rooms.candidate(k, o.slots, failed[o.member.ID()], now)
-	}
-	return steering.Choose(candidates, rand.Uint64())
-}
-
-// mayRetry reports whether another try can do no harm: the request was not run
-// and its body is untouched, or it is idempotent and nothing was passed on.
+// mayRetry reports whether another try can do no harm: the request was not run,
+// or it is idempotent, nothing of an answer was passed on, and its body is at hand.
 func (x *exchange) mayRetry(ctx context.Context, ask *upstream.Ask, err error) bool {
 	f := fault.From(err)
 	safe := f.Ran() == fault.RanNo || ask.Idempotent
-	if !safe || x.answer.headed || x.body.touched.Load() || ctx.Err() != nil {
+	if !safe || x.answer.headed || ctx.Err() != nil || !x.body.rewind() {
 		return false
 	}
 	switch f.Kind() {
 	case fault.Unavailable, fault.Missing, fault.Broken, fault.Conflict, fault.Denied:
-		return true
+		return len(ask.Tried) > 0
 	case fault.Overloaded:
-		return x.entry.budget.spend()
+		return len(ask.Tried) > 0 && x.entry.budget.spend()
 	default:
 		return false
 	}
 }
 
-// headWait is how long the first owner of a request may stay without a word.
-const headWait = 700 * time.Millisecond
-
-// serveAt has one owner serve the request.
-func (x *exchange) serveAt(ctx context.Context, p place, o owner, ask *upstream.Ask, hurry bool) error {
-	e := x.entry
-	k := roomKey{service: p.service, member: o.member.ID()}
-	e.rooms.begin(k)
-	defer e.rooms.end(k)
-	ask.Remaining = time.Until(x.deadline).Milliseconds()
-	open, sink := e.links.paced(ctx, o.member.Region, x.openBody, x.answer)
-	if o.member.ID() == e.self().ID() {
-		err := e.local.Serve(ctx, ask, open, sink)
-		e.rooms.told(k, e.local.Room(p.service), time.Now())
-		e.flows.reached(ctx, p.region, true, time.Now())
-		return err
-	}
-	tryCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if hurry {
-		timer := time.AfterFunc(headWait, func() { cancel(errSilent) })
-		defer timer.Stop()
-		sink = &hurriedSink{Sink: sink, timer: timer}
-	}
-	to := peer.NewTarget(o.member.Name, o.member.Peer)
-	err := e.remote.Serve(tryCtx, to, ask, open, sink, func(room upstream.Room) { e.rooms.told(k, room, time.Now()) })
-	x.noteReach(ctx, p, k, err, errors.Is(context.Cause(tryCtx), errSilent))
-	if errors.Is(context.Cause(tryCtx), errSilent) && ctx.Err() == nil && err != nil {
-		return fault.New(fault.Unavailable, "the owner did not begin to answer", "retry", fault.WithRan(fault.From(err).Ran()))
-	}
-	return err
-}
-
-var errSilent = errors.New("no word from the owner")
-
-// noteReach notes whether an owner and its region could be reached.
-func (x *exchange) noteReach(ctx context.Context, p place, k roomKey, err error, silent bool) {
+// noteReach notes whether the upstreams of a region could be reached.
+func (x *exchange) noteReach(ctx context.Context, p place, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	lost := fault.KindOf(err) == fault.Unavailable && fault.From(err).Ran() == fault.RanUnknown
-	if silent || lost || peer.Unreachable(err) {
-		x.entry.rooms.doubt(k, time.Now())
-	}
-	x.entry.flows.reached(ctx, p.region, !peer.Unreachable(err), time.Now())
-}
-
-// hurriedSink ends the hurry once the answer begins.
-type hurriedSink struct {
-	upstream.Sink
-	timer *time.Timer
-}
-
-// Head passes the head on, unless the try was given up in the same moment.
-func (s *hurriedSink) Head(h upstream.Head) error {
-	if !s.timer.Stop() {
-		return errSilent
-	}
-	return s.Sink.Head(h)
+	unreachable := fault.KindOf(err) == fault.Unavailable && fault.NotRun(err)
+	x.entry.flows.reached(ctx, p.region, !unreachable, time.Now())
 }
 
-func (x *exchange) openBody() (io.ReadCloser, error) { return x.body, nil }
-
 // budget limits retries to a share of first tries, so that they cannot multiply
 // an overload.
 type budget struct {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -47,7 +47,6 @@
 	// every instance that answers look-ups.
 	spreadMargin    = 500 * time.Millisecond
 	stopStepTimeout = 3 * time.Second
-	handoverTimeout = 10 * time.Second
 	stopPoll        = 20 * time.Millisecond
 	stopSlack       = 5 * time.Second
 	seedWait        = 300 * time.Millisecond
@@ -65,7 +64,6 @@
 	keys     *peer.Keys
 	node     *peer.Node
 	pool     *upstream.Pool
-	owner    *upstream.Ownership
 	state    *rollout.State
 	follower *rollout.Follower
 	entry    *entry.Entry
@@ -139,19 +137,16 @@
 func (i *Instance) assemble(bind net.IP) {
 	self := i.roster.Self()
 	i.registry = roster.NewRegistry(i.platform)
-	i.pool = upstream.NewPool(self.Region, upstream.WithBind(bind))
-	i.owner = upstream.NewOwnership(i.pool, i.roster, i.node, i.registry)
+	i.pool = upstream.NewPool(self.Domain, self.Region, upstream.WithBind(bind))
 	i.state = rollout.NewState(i.onRevision)
 	i.orders = order.New(i.ctx, i.platform, i.log)
-	i.entry = entry.New(i.roster.Self, i.pool, upstream.NewRemote(i.node), i.orders, i.log,
+	i.entry = entry.New(i.roster.Self, i.pool, i.orders, i.log,
 		entry.WithFrozen(i.frozen), entry.WithLookupLife(i.settings.Duration("lookup-life")))
 	i.follower = rollout.NewFollower(i.state, i.platform, i.roster, i.node, i.log, i.onList)
 	i.callers.http.Handler = i.entry.Handler()
 	i.admin.http.Handler = i.adminHandler()
 	i.roster.OnChange(i.onView)
 	i.onView(i.roster.View())
-	i.pool.Register(i.node)
-	i.owner.Register(i.node)
 	i.follower.Register(i.node)
 	i.entry.Register(i.node)
 	i.node.Handle(CallStatus, peer.Unary(func(context.Context, string, struct{}) (Status, error) {
@@ -203,7 +198,6 @@
 	i.viewMu.Lock()
 	defer i.viewMu.Unlock()
 	v := i.roster.View()
-	i.owner.OnRoster(v)
 	i.entry.SetView(v)
 	i.logMembers(v)
 }
@@ -271,7 +265,7 @@
 	i.serveHTTP(i.callers)
 	i.serveHTTP(i.admin)
 	for _, run := range []func(context.Context) error{
-		i.watcher.Run, i.follower.Run, i.owner.Run, i.entry.Run, upstream.NewProber(i.pool).Run, i.refresh, i.reloadKeys,
+		i.watcher.Run, i.follower.Run, i.entry.Run, upstream.NewProber(i.pool).Run, i.refresh, i.reloadKeys,
 		i.clean, i.join,
 	} {
 		i.group.Go(func() error { return run(i.ctx) })
@@ -299,7 +293,7 @@
 }
 
 // join takes over what the peers know, then registers; only a registered
-// instance owns upstreams and is named to callers.
+// instance is named to callers.
 func (i *Instance) join(ctx context.Context) error {
 	// What the peers know comes first: it needs no platform, and an instance that
 	// cannot register yet serves callers who ask it all the same.
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/drain"
 	"hickorydrum/roster"
-	"hickorydrum/upstream"
 )
 
 // stopSteps returns the steps of a planned stop.
@@ -31,7 +29,6 @@
 			i.roster.SetSelf(roster.Leaving)
 			return i.publish(ctx, roster.Leaving)
 		}),
-		drain.When("hand over", stopPoll, func() time.Time { return leftAt.Add(handoverTimeout) }, i.handedOver),
 		drain.Until("expire", func() time.Time {
 			return leftAt.Add(i.settings.Duration("lookup-life") + spreadMargin)
 		}),
@@ -60,16 +57,3 @@
 	})
 	return group.Wait()
 }
-
-// handedOver reports whether other instances own what this one owned, or there
-// is none that could.
-func (i *Instance) handedOver() bool {
-	self := i.roster.Self()
-	others := slices.DeleteFunc(i.roster.View().Serving(self.Region), func(m roster.Member) bool {
-		return m.ID() == self.ID() || m.State != roster.Live
-	})
-	if len(others) == 0 {
-		return true
-	}
-	return !slices.ContainsFunc(i.pool.Uses(time.Now()), func(u upstream.Use) bool { return u.Owned })
-}
--- a/load/load.go
+++ b/load/load.go
@@ -168,11 +168,22 @@
 func (b *Board) Options(r *Request, upstreams []*fleet.Upstream, now time.Time) ([]placement.Option, []*fleet.Upstream) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	options, usable := b.options(r, upstreams, now, false)
+	if len(options) == 0 {
+		// All are avoided: a fault that they share must not empty the service.
+		return b.options(r, upstreams, now, true)
+	}
+	return options, usable
+}
+
+func (b *Board) options(
+	r *Request, upstreams []*fleet.Upstream, now time.Time, avoided bool,
+) ([]placement.Option, []*fleet.Upstream) {
 	options := make([]placement.Option, 0, len(upstreams))
 	usable := make([]*fleet.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
 		g, ok := b.gauges[u.ID]
-		if !ok || r.Tried[u.ID] || !r.Allows(u) || now.Before(g.avoidTill) {
+		if !ok || r.Tried[u.ID] || !r.Allows(u) || !avoided && now.Before(g.avoidTill) {
 			continue
 		}
 		if now.Before(g.coldTill) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -115,7 +115,7 @@
 		soonest = min(soonest, expected)
 		cost := expected + costs.way(o.Distance, d.Bytes) + d.displacement(i, o, homes) +
 			time.Duration(o.Failing*failurePrice*float64(d.Objective))
-		if cost < bestCost {
+		if cost < bestCost || cost == bestCost && best.Index >= 0 && o.Rank > options[best.Index].Rank {
 			best, bestCost = Choice{Index: i, Expected: expected}, cost
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -70,6 +70,10 @@
 			demand:  demand(func(d *Demand) { d.Sticky, d.Region = false, -1 }),
 			options: []Option{option(9, busy(4)), option(1, busy(1)), option(2, busy(3))}, index: 1, reason: ReasonFree,
 		},
+		"no object, all alike: by rank": {
+			demand:  demand(func(d *Demand) { d.Sticky, d.Region = false, -1 }),
+			options: []Option{option(1, nil), option(9, nil), option(2, nil)}, index: 1, reason: ReasonFree,
+		},
 		"the region of the shares": {
 			demand:  demand(func(d *Demand) { d.Region = 1 }),
 			options: []Option{option(9, nil), option(5, far)}, index: 1, reason: ReasonHome,
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -48,7 +48,8 @@
 type Facts struct {
 	Runs       map[string]int `json:"runs"`
 	Peak       int            `json:"peak"`       // most requests at once
-	Over       int            `json:"over"`       // requests beyond the slots
+	Over       int            `json:"over"`       // requests run beyond the slots
+	Refused    int            `json:"refused"`    // refused unrun, for lack of a slot
 	AfterDrain int            `json:"afterDrain"` // requests begun 2 s or more after a drain began
 	Served     int            `json:"served"`
 }
@@ -148,10 +149,14 @@
 	return c.JSON(http.StatusOK, map[string]any{"state": state, "busy": busy, "slots": u.slots})
 }
 
-// enter takes a slot, or counts that there was none.
-func (u *Upstream) enter() (cold bool) {
+// enter takes a slot, unless all are taken.
+func (u *Upstream) enter() (cold, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.inFlight >= u.slots {
+		u.facts.Refused++
+		return false, false
+	}
 	u.inFlight++
 	u.facts.Peak = max(u.facts.Peak, u.inFlight)
 	if u.inFlight > u.slots {
@@ -160,7 +165,7 @@
 	if !u.drainedAt.IsZero() && time.Since(u.drainedAt) > drainGrace {
 		u.facts.AfterDrain++
 	}
-	return u.served < coldRequests
+	return u.served < coldRequests, true
 }
 
 func (u *Upstream) leave() {
@@ -176,11 +181,12 @@
 	h := c.Response().Header()
 	h.Set("Request-Id", r.Header.Get("Request-Id"))
 	if u.hit(UpstreamShed) {
-		h.Set("Ran", "no")
-		h.Set("Retry-After", "1")
-		return c.String(http.StatusServiceUnavailable, "shed")
+		return shed(c)
+	}
+	cold, ok := u.enter()
+	if !ok {
+		return shed(c)
 	}
-	cold := u.enter()
 	defer u.leave()
 	sum := sha256.New()
 	if _, err := io.Copy(sum, r.Body); err != nil {
@@ -195,6 +201,14 @@
 	return u.answer(c, id, hex.EncodeToString(sum.Sum(nil)))
 }
 
+// shed refuses a request unrun.
+func shed(c echo.Context) error {
+	h := c.Response().Header()
+	h.Set("Ran", "no")
+	h.Set("Retry-After", "1")
+	return c.String(http.StatusServiceUnavailable, "shed")
+}
+
 func (u *Upstream) run(id string) {
 	if id == "" {
 		return
@@ -244,6 +258,9 @@
 	h := c.Response().Header()
 	h.Set(HeaderLoadID, id)
 	h.Set(HeaderSum, sum)
+	u.mu.Lock()
+	h.Set("Busy", strconv.Itoa(u.inFlight))
+	u.mu.Unlock()
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("Content-Type", echo.MIMEOctetStream)
 	c.Response().WriteHeader(http.StatusOK)
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -19,6 +19,9 @@
 	maxHealth    = 16 << 10
 	probeWorkers = 32
 	probeIdle    = 30 * time.Second
+	// usedLately is how long ago a request must have gone to an upstream for it to be
+	// probed.
+	usedLately = 5 * time.Second
 )
 
 // healthPage is what an upstream tells of itself.
@@ -30,7 +33,7 @@
 // upstream calls itself ready, or its load low, proves nothing.
 const stateDraining = "draining"
 
-// Prober asks the owned upstreams for their health.
+// Prober asks the upstreams that this instance uses for their health.
 type Prober struct {
 	pool   *Pool
 	client *http.Client
@@ -52,11 +55,11 @@
 	return period.Each(ctx, probeEvery, func(time.Time) { p.Probe(ctx) })
 }
 
-// Probe asks every owned upstream once.
+// Probe asks every upstream that was used lately once.
 func (p *Prober) Probe(ctx context.Context) {
 	var group errgroup.Group
 	group.SetLimit(probeWorkers)
-	for address, path := range p.pool.owned() {
+	for address, path := range p.pool.used(time.Now()) {
 		group.Go(func() error {
 			if state, err := p.ask(ctx, address, path); err == nil {
 				p.pool.setDraining(address, state == stateDraining)
@@ -82,26 +85,21 @@
 	return page.State, err
 }
 
-// owned returns the health paths of the owned upstreams by address.
-func (p *Pool) owned() map[string]string {
+// used returns the health paths of the upstreams that were used lately, and of
+// those that were draining, by address.
+func (p *Pool) used(now time.Time) map[string]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[string]string)
-	for address, w := range p.workers {
-		if g := p.services[w.service]; g != nil && w.tenure.Taking() {
-			out[address] = g.decl.Health()
+	if p.set == nil {
+		return out
+	}
+	for _, s := range p.set.Services() {
+		for _, w := range s.Workers() {
+			if used, ok := p.usedAt[w.Address()]; ok && now.Sub(used) < usedLately || p.draining[w.Address()] {
+				out[w.Address()] = s.Health()
+			}
 		}
 	}
 	return out
 }
-
-func (p *Pool) setDraining(address string, draining bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	w, ok := p.workers[address]
-	if !ok || w.draining == draining {
-		return
-	}
-	w.draining = draining
-	p.grant(p.services[w.service], time.Now())
-}
--- a/upstream/race.go
+++ b/upstream/race.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"sync"
+
+	"hickorydrum/dispatch"
 )
 
 var errLostRace = errors.New("another connection answered first")
@@ -11,7 +13,7 @@
 // race lets several dispatches of one idempotent request compete: the first
 // that has a head passes its answer on, the others are cancelled.
 type race struct {
-	sink Sink
+	sink dispatch.Sink
 
 	mu       sync.Mutex
 	entrants []*entrant
@@ -25,7 +27,7 @@
 	cancel context.CancelFunc
 }
 
-func newRace(sink Sink) *race { return &race{sink: sink} }
+func newRace(sink dispatch.Sink) *race { return &race{sink: sink} }
 
 func (r *race) entrant(ctx context.Context) *entrant {
 	r.mu.Lock()
@@ -58,7 +60,7 @@
 }
 
 // Head passes the head on if this dispatch is the first to have one.
-func (e *entrant) Head(h Head) error {
+func (e *entrant) Head(h dispatch.Head) error {
 	e.race.mu.Lock()
 	if e.race.winner != nil {
 		e.race.mu.Unlock()
--- a/upstream/serve.go
+++ b/upstream/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,15 +13,15 @@
 
 	"hickorydrum/dispatch"
 	"hickorydrum/fault"
+	"hickorydrum/load"
 )
 
 // hedgeAfter is how long an idempotent request waits on a reused connection
 // before a second one is raced on a new connection.
 const hedgeAfter = 400 * time.Millisecond
 
-// maxShedPause is how long an upstream that sheds gets no work at most. It is less
-// than a request may wait in the queue, which would else be refused whole.
-const maxShedPause = maxQueueWait / 2
+// maxIdle is how many idle connections to one upstream are kept.
+const maxIdle = 16
 
 var (
 	hedges     = metrics.GetOrCreateCounter(`hickorydrum_hedges_total`)
@@ -28,45 +29,43 @@
 	servedFail = metrics.GetOrCreateCounter(`hickorydrum_upstream_failures_total`)
 )
 
-// Serve admits a request, dispatches it and passes the answer to the sink. A
-// fault states whether the request was run. After the sink got a head, a fault
-// means that the answer is not whole.
-func (p *Pool) Serve(ctx context.Context, ask *Ask, open OpenBody, sink Sink) error {
-	deadline := ask.Deadline(time.Now())
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+// Serve admits a request, sends it to one upstream and passes the answer to the
+// sink. A fault states whether the request was run. After the sink got a head, a
+// fault means that the answer is not whole. The address of the upstream is added to
+// those that were tried.
+func (p *Pool) Serve(ctx context.Context, ask *Ask, body io.ReadCloser, sink dispatch.Sink) error {
+	ctx, cancel := context.WithDeadline(ctx, ask.Deadline)
 	defer cancel()
-	slot, err := p.Acquire(ctx, ask.Service, ask.Caller, deadline)
+	slot, err := p.Acquire(ctx, ask)
 	if err != nil {
 		return err
 	}
-	body, err := open()
-	if err != nil {
-		slot.Release(time.Now())
-		return fault.From(err)
+	if ask.Tried != nil {
+		ask.Tried[slot.Address()] = true
 	}
 	if !ask.Idempotent || ask.Length != 0 {
-		return slot.dispatch(ctx, ask, deadline, body, sink, true)
+		return slot.dispatch(ctx, ask, body, sink, true)
 	}
-	return p.serveHedged(ctx, slot, ask, deadline, sink)
+	return p.serveHedged(ctx, slot, ask, sink)
 }
 
 // serveHedged serves an idempotent request without a body. When the connection
 // stays silent, it races a second one. The first dispatch runs on the caller's
 // goroutine: a hand-over to another costs more than the rest of the way.
-func (p *Pool) serveHedged(ctx context.Context, slot *Slot, ask *Ask, deadline time.Time, sink Sink) error {
+func (p *Pool) serveHedged(ctx context.Context, slot *Slot, ask *Ask, sink dispatch.Sink) error {
 	race := newRace(sink)
 	defer race.end()
 	first := race.entrant(ctx)
 	second := make(chan error, 1)
 	hedge := time.AfterFunc(hedgeAfter, func() {
 		defer close(second)
-		if s := p.hedgeSlot(race, ask.Service); s != nil {
+		if s := p.hedgeSlot(race, ask); s != nil {
 			hedges.Inc()
 			e := race.entrant(ctx)
-			second <- s.dispatch(e.ctx, ask, deadline, noBody{}, e, true)
+			second <- s.dispatch(e.ctx, ask, http.NoBody, e, true)
 		}
 	})
-	err := slot.dispatch(first.ctx, ask, deadline, noBody{}, first, false)
+	err := slot.dispatch(first.ctx, ask, http.NoBody, first, false)
 	if hedge.Stop() {
 		return err
 	}
@@ -82,82 +81,73 @@
 
 // hedgeSlot returns a slot for a second dispatch, or nil when the first one has
 // an answer or none is free.
-func (p *Pool) hedgeSlot(race *race, service string) *Slot {
+func (p *Pool) hedgeSlot(race *race, ask *Ask) *Slot {
 	if race.started() {
 		return nil
 	}
-	return p.TryAcquire(service)
+	again := *ask
+	again.Tried = nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pick(&again, time.Now())
 }
 
-type noBody struct{}
-
-func (noBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (noBody) Close() error             { return nil }
-
 // dispatch runs one request on the slot and releases it.
-func (s *Slot) dispatch(
-	ctx context.Context, ask *Ask, deadline time.Time, body io.ReadCloser, sink Sink, proven bool,
-) error {
+func (s *Slot) dispatch(ctx context.Context, ask *Ask, body io.ReadCloser, sink dispatch.Sink, proven bool) error {
 	ctx, span := otel.Tracer("hickorydrum").Start(ctx, "upstream")
 	defer span.End()
 	span.SetAttributes(attribute.String("service", ask.Service), attribute.String("upstream", s.Address()))
 	begun := time.Now()
 	c, err := s.connect(ctx, begun, proven)
 	if err != nil {
-		s.finish(begun, err, false)
+		s.finish(begun, outcomeOf(err, ctx))
 		return err
 	}
-	request := ask.request()
+	request := ask.Request
+	request.Header = ask.Header.Clone()
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
-	x := dispatch.NewExchange(request, dialect{}, deadline, c)
-	reusable, err := x.Run(ctx, body, headSink{sink})
+	d := &dialect{tell: func(busy int) { s.pool.board.Told(s.upstream.ID, busy, 0, time.Now()) }}
+	reusable, err := dispatch.NewExchange(&request, d, ask.Deadline, c).Run(ctx, body, sink)
 	if reusable && err == nil {
-		s.worker.dialer.Put(c, time.Now(), s.slots)
+		s.dialer.Put(c, time.Now(), maxIdle)
+	} else {
+		_ = c.Close()
+	}
+	if err == nil {
+		served.UpdateDuration(begun)
 	}
-	s.finish(begun, err, ctx.Err() != nil)
+	s.finish(begun, outcomeOf(err, ctx))
 	return err
 }
 
-// connect returns a connection and checks the right to the slot last, since the
-// process may have been paused since its admission.
+// connect returns a connection and asks last whether the upstream may still get the
+// request, since the process may have been paused since its admission.
 func (s *Slot) connect(ctx context.Context, now time.Time, proven bool) (*dispatch.Conn, error) {
-	c, err := s.worker.dialer.Get(ctx, now, proven)
+	c, err := s.dialer.Get(ctx, now, proven)
 	if err != nil {
 		return nil, err
 	}
-	if !s.Holds(time.Now()) {
+	if !s.Holds() {
 		_ = c.Close()
-		// Not an overload: another instance has the slots now, and is to be asked.
-		return nil, notRun(fault.Unavailable, "the upstream was handed over or leaves", "try another instance")
+		return nil, notRun(fault.Unavailable, "the upstream leaves", "try another upstream")
 	}
 	return c, nil
 }
 
-// finish notes the outcome and releases the slot.
-func (s *Slot) finish(begun time.Time, err error, cancelled bool) {
-	now := time.Now()
-	s.note(now, begun, err, cancelled)
-	if err != nil && fault.From(err).Ran() == fault.RanUnknown {
-		time.AfterFunc(cancelSettle, func() { s.Release(time.Now()) })
-		return
-	}
-	s.Release(now)
-}
-
-func (s *Slot) note(now, begun time.Time, err error, cancelled bool) {
-	s.pool.mu.Lock()
-	defer s.pool.mu.Unlock()
+// outcomeOf returns what a dispatch that ended with err says of its upstream.
+func outcomeOf(err error, ctx context.Context) load.Outcome {
 	switch {
 	case err == nil:
-		served.UpdateDuration(begun)
-		s.worker.succeeded(now.Sub(begun))
-	case cancelled:
+		return load.Answered
+	case ctx.Err() != nil:
+		return load.Abandoned
 	case fault.KindOf(err) == fault.Overloaded:
-		if at := fault.From(err).RetryAt(); at.After(now) && fault.NotRun(err) {
-			s.worker.shedTill = now.Add(min(at.Sub(now), maxShedPause))
-		}
+		return load.Refused
+	case fault.NotRun(err):
+		servedFail.Inc()
+		return load.Unreachable
 	default:
 		servedFail.Inc()
-		s.worker.failed(now)
+		return load.Failed
 	}
 }
