--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -215,3 +215,16 @@
 	fmt.Println(choice.Index, choice.Reason)
 	// Output: 1 known
 }
+
+func BenchmarkChoose(b *testing.B) {
+	r := rand.New(rand.NewPCG(1, 1))
+	options := make([]Option, 24)
+	for i := range options {
+		options[i] = option(r.Uint64(), func(o *Option) { o.Busy, o.Region = 4*r.Float64(), i%3 })
+	}
+	d := demand(nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = Choose(d, options, costs)
+	}
+}
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -440,19 +440,14 @@
 	}
 }
 
-func BenchmarkDecision(b *testing.B) {
+func BenchmarkRoute(b *testing.B) {
 	tr := newTraffic(1, 1000, 0.001)
 	tr.run(testStart, testStart.Add(5*time.Second), 1000, drainGoal, declaration.NewStep(0.05, time.Second))
-	candidates := make([]Candidate, 6)
-	for i := range candidates {
-		candidates[i] = NewCandidate(8, i, 1, false)
-	}
 	b.ReportAllocs()
 	i := uint64(0)
 	for b.Loop() {
 		i++
 		route := tr.flow.Route(tr.blocks[i%1000], i*0x9e3779b97f4a7c15)
-		_ = Choose(candidates, i*0x9e3779b97f4a7c15)
 		tr.flow.Done(route, 1000)
 	}
 }
