ingress: shares between regions begin with an assumed demand

Cause: a region with 2 of 24 upstreams and a third of the callers kept all its requests in the first seconds, since shares move by 3% in half a second: 44% of the requests that it kept waited for a slot, 29% took as long as a cold one. Ruled out: too many objects for the two upstreams (39 each of 71).

Change: until three seconds of traffic are measured, each instance counts as the same part of what brings all slots to the target. Tests: TestSharesBeforeTraffic (fails without it), steps, homes, near shares.

--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -21,6 +21,9 @@
 	nearTarget = 0.6
 	// shareStep is by how much a share moves at most at each update.
 	shareStep = 0.03
+	// enoughIntervals is how many intervals with requests must be measured before the
+	// demand is believed.
+	enoughIntervals = 6
 	// demandMemory is the weight of the newest rate in the demand.
 	demandMemory = 0.3
 )
@@ -54,6 +57,7 @@
 	meanSize float64
 	row      []float64 // share of each region
 	near     float64   // share of the own failure domain, where ways are dear
+	measured int       // intervals with requests
 }
 
 // heavy reports whether the requests of the service are dear to move.
@@ -72,6 +76,15 @@
 	return one
 }
 
+// expect prepares the shares of services before their first request.
+func (s *shares) expect(services []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range services {
+		s.service(name)
+	}
+}
+
 // arrived counts a request and the size of its body.
 func (s *shares) arrived(service string, class route.Class, size int64) {
 	s.mu.Lock()
@@ -115,6 +128,7 @@
 		}
 		one.demand += demandMemory * (work/interval.Seconds() - one.demand)
 		if count > 0 {
+			one.measured++
 			one.meanSize += demandMemory * (float64(one.bytes)/float64(count) - one.meanSize)
 		}
 		clear(one.arrivals)
@@ -134,7 +148,8 @@
 }
 
 // update moves the shares towards the demand and the capacity of the regions.
-func (s *shares) update(demands []PlacedDemand, view *fleet.View) {
+// instances tells how many instances serve the callers of each region.
+func (s *shares) update(demands []PlacedDemand, view *fleet.View, instances []int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.own < 0 {
@@ -145,39 +160,77 @@
 		if one.heavy() {
 			target = heavyTarget
 		}
-		demand, capacity := make([]float64, len(s.place.Regions)), make([]float64, len(s.place.Regions))
-		nearDemand, nearCapacity := 0.0, 0.0
-		for _, d := range demands {
-			if at := slices.Index(s.place.Regions, d.Region); at >= 0 && d.Service == name {
-				demand[at] += d.Slots
-				if d.Domain == s.place.Domain {
-					nearDemand += d.Slots
-				}
-			}
-		}
-		for _, u := range view.Service(name) {
-			if at := slices.Index(s.place.Regions, u.Region()); at >= 0 {
-				capacity[at] += float64(u.Slots)
-				if u.Domain == s.place.Domain {
-					nearCapacity += float64(u.Slots)
-				}
-			}
+		state := s.state(name, demands, view)
+		if one.measured < enoughIntervals {
+			state.assume(target, instances)
 		}
-		next := placement.Spread(demand, capacity, target)[s.own]
+		next := placement.Spread(state.demand, state.capacity, target)[s.own]
 		one.row = placement.Approach(one.row, next, shareStep)
 		one.near = 0
-		if nearCapacity > 0 {
-			one.near = min(1, nearTarget*nearCapacity/max(nearDemand, nearTarget*nearCapacity))
+		if state.nearCapacity > 0 {
+			one.near = min(1, nearTarget*state.nearCapacity/max(state.nearDemand, nearTarget*state.nearCapacity))
+		}
+	}
+}
+
+// regionState is the slots that are needed and there, by region and in the own
+// failure domain.
+type regionState struct {
+	demand, capacity         []float64
+	nearDemand, nearCapacity float64
+}
+
+func (s *shares) state(service string, demands []PlacedDemand, view *fleet.View) *regionState {
+	r := &regionState{demand: make([]float64, len(s.place.Regions)), capacity: make([]float64, len(s.place.Regions))}
+	for _, d := range demands {
+		at := slices.Index(s.place.Regions, d.Region)
+		if at < 0 || d.Service != service {
+			continue
+		}
+		r.demand[at] += d.Slots
+		if d.Domain == s.place.Domain {
+			r.nearDemand += d.Slots
+		}
+	}
+	for _, u := range view.Service(service) {
+		at := slices.Index(s.place.Regions, u.Region())
+		if at < 0 {
+			continue
+		}
+		r.capacity[at] += float64(u.Slots)
+		if u.Domain == s.place.Domain {
+			r.nearCapacity += float64(u.Slots)
 		}
 	}
+	return r
+}
+
+// assume replaces a demand that is not measured yet: each instance has the same
+// part of what brings all slots to the target.
+func (r *regionState) assume(target float64, instances []int) {
+	slots, all := 0.0, 0
+	for i, n := range instances {
+		slots += r.capacity[i]
+		all += n
+	}
+	for i, n := range instances {
+		r.demand[i] = target * slots * float64(n) / float64(max(1, all))
+	}
 }
 
 // Balance closes an interval of the demand: it takes in what every instance needs
 // and returns what this one needs.
 func (g *Ingress) Balance(interval time.Duration, all func(own []Demand) []PlacedDemand) []Demand {
 	own := g.shares.measure(interval, g.board.MeanTime)
+	if t := g.table.Load(); t != nil {
+		g.shares.expect(t.Services())
+	}
 	if view := g.view.Load(); view != nil {
-		g.shares.update(all(own), view)
+		instances := make([]int, len(g.place.Regions))
+		for i, region := range g.place.Regions {
+			instances[i], _ = g.instances.Count(region)
+		}
+		g.shares.update(all(own), view, instances)
 	}
 	return own
 }
--- /dev/null
+++ b/ingress/shares_test.go
@@ -0,0 +1,118 @@
+package ingress
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"hickorydrum/fleet"
+	"hickorydrum/route"
+)
+
+// smallRegion is a deployment in which one of three regions has a twelfth of the
+// upstreams and a third of the callers.
+func smallRegion() (*shares, *fleet.View) {
+	regions := map[string]string{"a-1": "a", "b-1": "b", "c-1": "c"}
+	var upstreams []fleet.Upstream
+	for domain, n := range map[string]int{"a-1": 12, "b-1": 2, "c-1": 10} {
+		for i := range n {
+			upstreams = append(upstreams, fleet.Upstream{ID: domain + string(rune('a'+i)), Service: "list", Domain: domain, Slots: 4})
+		}
+	}
+	s := newShares(Place{Domain: "b-1", Region: "b", Regions: []string{"a", "b", "c"}})
+	s.expect([]string{"list"})
+	return s, fleet.NewView(upstreams, nil, regions)
+}
+
+// TestSharesBeforeTraffic sends a part of a small region's requests away from the
+// first one on, so that its few upstreams are not swamped while the demand is learnt.
+func TestSharesBeforeTraffic(t *testing.T) {
+	s, view := smallRegion()
+	s.update(nil, view, []int{4, 4, 4})
+	if local := s.services["list"].row[1]; local > 0.4 || local < 0.1 {
+		t.Errorf("the small region keeps %.2f of its requests", local)
+	}
+}
+
+// TestSharesStep moves no share by more than a step when the demand jumps.
+func TestSharesStep(t *testing.T) {
+	s, view := smallRegion()
+	class := route.Class{Sticky: true}
+	meanTime := func(string, route.Class) time.Duration { return 72 * time.Millisecond }
+	var before []float64
+	for i := range 60 {
+		perInterval := 10
+		if i > 20 && i < 40 {
+			perInterval = 90
+		}
+		for range perInterval {
+			s.arrived("list", class, 100)
+		}
+		own := s.measure(500*time.Millisecond, meanTime)
+		var all []PlacedDemand
+		for _, d := range own {
+			all = append(all, PlacedDemand{Demand: d, Domain: "b-1", Region: "b"})
+		}
+		s.update(all, view, []int{4, 4, 4})
+		row := append([]float64(nil), s.services["list"].row...)
+		sum := 0.0
+		for r, share := range row {
+			sum += share
+			if before != nil && math.Abs(share-before[r]) > shareStep+1e-9 {
+				t.Errorf("interval %d: region %d went from %.3f to %.3f", i, r, before[r], share)
+			}
+		}
+		if math.Abs(sum-1) > 1e-9 {
+			t.Errorf("interval %d: the shares %v", i, row)
+		}
+		before = row
+	}
+	if before[1] < 0.9 {
+		t.Errorf("with little demand the small region keeps %.2f of its requests", before[1])
+	}
+}
+
+// TestHomesBind keeps objects of a route with homes in them, whatever the shares.
+func TestHomesBind(t *testing.T) {
+	s, view := smallRegion()
+	s.update(nil, view, []int{4, 4, 4})
+	bound := &route.Route{Homes: []string{"b"}}
+	for i := range uint64(200) {
+		if got := s.region("list", i*0x9e3779b97f4a7c15, bound); got != 1 {
+			t.Fatalf("an object is served in region %d", got)
+		}
+	}
+	if got := s.region("list", 1, &route.Route{Homes: []string{"nowhere"}}); got != -1 {
+		t.Errorf("an object of no region is served in region %d", got)
+	}
+}
+
+// TestNear keeps requests that are dear to move in their failure domain as far as its
+// slots reach.
+func TestNear(t *testing.T) {
+	s, view := smallRegion()
+	class := route.Class{}
+	near := func() int {
+		n := 0
+		for i := range uint64(1000) {
+			if s.near("list", i*0x9e3779b97f4a7c15) {
+				n++
+			}
+		}
+		return n
+	}
+	for range 10 {
+		for range 10 {
+			s.arrived("list", class, 60<<10)
+		}
+		own := s.measure(500*time.Millisecond, func(string, route.Class) time.Duration { return 100 * time.Millisecond })
+		s.update([]PlacedDemand{{Demand: own[0], Domain: "b-1", Region: "b"}}, view, []int{4, 4, 4})
+	}
+	if n := near(); n != 1000 {
+		t.Errorf("with room %d of 1000 objects stay", n)
+	}
+	s.update([]PlacedDemand{{Demand: Demand{Service: "list", Slots: 48}, Domain: "b-1", Region: "b"}}, view, []int{4, 4, 4})
+	if n := near(); n > 200 || n < 50 {
+		t.Errorf("at ten times the room %d of 1000 objects stay", n)
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -131,6 +132,9 @@
 	return Service{Name: name}
 }
 
+// Services returns the names of the declared services.
+func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.services)) }
+
 // Match returns the route with the longest prefix of the path at the host.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
