placement: strangers are dearer the busier the service is

Change: the price of an upstream that is no home grows with the part of the slots in use. Test: a queue at home against strangers, with and without free slots.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,6 +58,8 @@
 	Region int
 	// Near states that the object should be served within the failure domain.
 	Near bool
+
+	pressure float64 // of the options' slots in use, 1 when all are
 }
 
 // Costs weigh what is not time, as if it were.
@@ -92,26 +94,32 @@
 )
 
 const (
-	failurePrice  = 2.0  // a failure counts as so many objectives
-	homeChance    = 0.85 // that the home of a region knows an object that others sent there
-	awayChance    = 0.2  // that a home outside the region of the shares, or within a failure domain, does
-	awayShare     = 0.15 // of the gain of a known object, for a home in another region than that of the shares
-	strangeShare  = 0.4  // of the same gain, for an upstream that is no home
-	waitSmoothing = 0.15 // of the service time, when all slots are taken
-	kibibyte      = 1024.0
-	unavoidable   = math.MaxInt64
+	failurePrice = 2.0  // a failure counts as so many objectives
+	homeChance   = 0.85 // that the home of a region knows an object that others sent there
+	awayChance   = 0.2  // that a home outside the region of the shares, or within a failure domain, does
+	awayShare    = 0.15 // of the gain of a known object, for a home in another region than that of the shares
+	strangeShare = 0.4  // of the same gain, for an upstream that is no home
+	// strangePressure is added to strangeShare when all slots are in use: a request that
+	// is served by an upstream that does not know its object holds a slot for longer.
+	strangePressure = 1.5
+	easyPressure    = 0.5  // the utilization up to which nothing is added
+	waitSmoothing   = 0.15 // of the service time, when all slots are taken
+	kibibyte        = 1024.0
+	unavoidable     = math.MaxInt64
 )
 
 // Choose returns the option with the least cost: the expected time to the answer,
 // and what its way and its failures cost.
 func Choose(d Demand, options []Option, costs Costs) Choice {
 	homes := findHomes(options)
+	d.pressure = pressure(options)
 	best := Choice{Index: -1, Reason: ReasonNone}
 	bestCost := time.Duration(unavoidable)
 	soonest := time.Duration(unavoidable)
 	for i := range options {
 		o := &options[i]
-		expected := d.expected(o, d.chance(i, o, homes))
+		chance := d.chance(i, o, homes)
+		expected := d.expected(o, chance)
 		soonest = min(soonest, expected)
 		cost := expected + costs.way(o.Distance, d.Bytes) + d.displacement(i, o, homes) +
 			time.Duration(o.Failing*failurePrice*float64(d.Objective))
@@ -151,7 +159,7 @@
 	case o.Known:
 		return 0
 	default:
-		return time.Duration(strangeShare * gain)
+		return time.Duration((strangeShare + strangePressure*max(0, d.pressure-easyPressure)/(1-easyPressure)) * gain)
 	}
 }
 
@@ -178,6 +186,19 @@
 	return o.RoundTrip + time.Duration(service) + o.wait(d)
 }
 
+// pressure returns the part of the options' slots that is in use.
+func pressure(options []Option) float64 {
+	slots, busy := 0.0, 0.0
+	for i := range options {
+		slots += float64(options[i].Slots)
+		busy += min(options[i].Busy, float64(options[i].Slots))
+	}
+	if slots == 0 {
+		return 0
+	}
+	return busy / slots
+}
+
 // wait returns the time that a request waits for a slot.
 func (o *Option) wait(d *Demand) time.Duration {
 	mean := float64(d.ColdTime)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -86,6 +86,15 @@
 			demand:  demand(func(d *Demand) { d.Bytes = 60 << 10 }),
 			options: []Option{option(9, busy(6)), option(5, far)}, index: 0, reason: ReasonHome,
 		},
+		"all are busy: a queue at home is better than a stranger": {
+			demand:  demand(nil),
+			options: []Option{option(1, busy(3.5)), option(9, busy(10)), option(2, busy(4)), option(3, busy(4))},
+			index:   1, reason: ReasonHome,
+		},
+		"the same with slots free elsewhere": {
+			demand:  demand(nil),
+			options: []Option{option(1, nil), option(9, busy(16)), option(2, nil), option(3, nil)}, index: 3, reason: ReasonSpill,
+		},
 		"no time is left": {
 			demand:  demand(func(d *Demand) { d.Left = 30 * time.Millisecond }),
 			options: []Option{option(9, nil)}, index: -1, reason: ReasonNoTime,
