load: slowness and failures of an upstream fade

What was learnt of an upstream stayed until its next answer, and an upstream taken as slow gets none. Test: TestFaultsFade fails without the change. Kept because it ends a state that nothing else ends.

--- a/load/load.go
+++ b/load/load.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// faultHalfLife is after which time the slowness and the failures of an upstream
+	// weigh half, if nothing new is learnt.
+	faultHalfLife = 2 * time.Second
 	// toldHalfLife is after which time what an upstream told of other instances'
 	// requests weighs half.
 	toldHalfLife = 600 * time.Millisecond
@@ -56,6 +59,7 @@
 	fullTill  time.Time
 	slow      float64
 	failing   float64
+	learntAt  time.Time // when slow and failing were last learnt
 	hits      float64
 	failures  int // failed connections in a row
 	avoidTill time.Time
@@ -201,9 +205,10 @@
 func (b *Board) option(g *Gauge, u *fleet.Upstream, r *Request, now time.Time) placement.Option {
 	o := placement.Option{
 		Rank: placement.Rank(r.Object, u.Hash()), Distance: b.distance(u), RoundTrip: b.roundTrip(u),
-		Slots: u.Slots, Busy: g.busy(now), Hits: g.hits, Slow: g.slow, Failing: g.failing,
+		Slots: u.Slots, Busy: g.busy(now), Hits: g.hits,
 		Region: b.regionNumber(u.Region()),
 	}
+	o.Slow, o.Failing = g.faults(now)
 	if now.Before(g.fullTill) {
 		o.Busy = max(o.Busy, float64(3*u.Slots))
 	}
@@ -213,6 +218,13 @@
 	return o
 }
 
+// faults returns the slowness and the failure rate. What was learnt long ago fades,
+// so that an upstream that nobody uses any more is tried again.
+func (g *Gauge) faults(now time.Time) (slow, failing float64) {
+	fade := math.Exp2(-float64(now.Sub(g.learntAt)) / float64(faultHalfLife))
+	return 1 + fade*(g.slow-1), fade * g.failing
+}
+
 // busy returns the expected number of requests at the upstream.
 func (g *Gauge) busy(now time.Time) float64 {
 	if g.toldAt.IsZero() {
@@ -344,6 +356,7 @@
 	case Answered:
 		b.answered(g, r, now)
 	case Failed:
+		g.fade(now)
 		g.failing += failMemory * (1 - g.failing)
 	case Refused:
 		g.fullTill = now.Add(shedPause)
@@ -353,6 +366,12 @@
 	}
 }
 
+// fade takes the passing of time into what was learnt.
+func (g *Gauge) fade(now time.Time) {
+	g.slow, g.failing = g.faults(now)
+	g.learntAt = now
+}
+
 func (g *Gauge) unreachable(coldTime time.Duration, now time.Time) {
 	g.failures++
 	if g.failures < failuresToAvoid {
@@ -368,6 +387,7 @@
 
 func (b *Board) answered(g *Gauge, r *Result, now time.Time) {
 	g.failures = 0
+	g.fade(now)
 	g.failing -= failMemory * g.failing
 	served, sent := g.objects[r.Object]
 	known := r.Sticky && sent && now.Sub(served) < objectMemory
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -264,6 +264,29 @@
 	}
 }
 
+// TestFaultsFade tries an upstream again that was slow and failed, once some time has
+// passed in which nobody used it.
+func TestFaultsFade(t *testing.T) {
+	b, v := boardOf(upstream("one", "a-1", nil))
+	u, _ := v.Upstream("one")
+	now := begun
+	for range 20 {
+		now = now.Add(10 * time.Millisecond)
+		send(t, b, u, Result{Outcome: Answered, Took: 3 * time.Second}, now)
+		send(t, b, u, Result{Outcome: Failed}, now)
+	}
+	at := func(now time.Time) placement.Option {
+		options, _ := b.Options(request(1), v.Service("list"), now)
+		return options[0]
+	}
+	if o := at(now); o.Slow < 5 || o.Failing < 0.3 {
+		t.Errorf("at once: slow %.1f, failing %.2f", o.Slow, o.Failing)
+	}
+	if o := at(now.Add(10 * time.Second)); o.Slow > 1.6 || o.Failing > 0.05 {
+		t.Errorf("after ten seconds: slow %.1f, failing %.2f", o.Slow, o.Failing)
+	}
+}
+
 // TestForgets drops the state of upstreams that are gone.
 func TestForgets(t *testing.T) {
 	b, v := boardOf(upstream("one", "a-1", nil))
