--- a/command/command.go
+++ b/command/command.go
@@ -40,7 +40,7 @@
 	p := printer{out: out, err: errOut}
 	commander.Register(commander.HelpCommand(), "")
 	for _, c := range []subcommands.Command{
-		newServe(p), newHost(p), newCheck(p), newPlan(p), newApply(p), newStatus(p), newLookup(p), newCertify(p), newVersion(p),
+		newServe(p), newHost(p), newCheck(p), newPlan(p), newApply(p), newStatus(p), newLookup(p), newExplain(p), newCertify(p), newVersion(p),
 	} {
 		commander.Register(c, "")
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/dispatch"
@@ -42,6 +43,12 @@
 	stopPoll     = 50 * time.Millisecond
 )
 
+var (
+	versionInForce   = metrics.GetOrCreateGauge(`hickorydrum_configuration_version`, nil)
+	upstreamsKnown   = metrics.GetOrCreateGauge(`hickorydrum_upstreams_known`, nil)
+	domainsEvacuated = metrics.GetOrCreateGauge(`hickorydrum_domains_evacuated`, nil)
+)
+
 // Instance is one running instance.
 type Instance struct {
 	file     string
@@ -168,6 +175,7 @@
 	}
 	i.ingress.SetTable(table)
 	i.servers.setIdle(table.Limits().IdleTimeout)
+	versionInForce.Set(float64(table.Version()))
 	event.RevisionTaken.Log(context.Background(), i.log, slog.Uint64("version", table.Version()),
 		slog.Uint64("revision", o.Version), slog.Int("routes", table.Len()))
 	i.lookAround()
@@ -201,6 +209,8 @@
 	i.known = i.ingress.Table() != nil
 	i.ingress.SetView(view)
 	i.mesh.SetReady(i.ingress.Ready())
+	upstreamsKnown.Set(float64(len(upstreams)))
+	domainsEvacuated.Set(float64(len(domains)))
 	event.ViewTaken.Log(context.Background(), i.log, slog.Int("upstreams", len(upstreams)),
 		slog.Int("evacuated", len(domains)))
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"hickorydrum/dispatch"
@@ -270,6 +271,7 @@
 	} else {
 		_ = conn.Close()
 	}
+	metrics.GetOrCreateHistogram(`hickorydrum_upstream_seconds{service="` + x.service + `"}`).UpdateDuration(now)
 	outcome, done = x.conclude(err, answer)
 	return done
 }
