--- a/dispatch/conn.go
+++ b/dispatch/conn.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"hickorydrum/fault"
+	"hickorydrum/socket"
 )
 
 const (
@@ -160,7 +161,7 @@
 
 // Dial makes a new connection.
 func (d *Dialer) Dial(ctx context.Context) (*Conn, error) {
-	nd := &net.Dialer{Timeout: d.timeout(), Control: d.setUserTimeout}
+	nd := &net.Dialer{Timeout: d.timeout(), Control: socket.UserTimeout(d.userTimeout)}
 	if d.bind != nil {
 		nd.LocalAddr = &net.TCPAddr{IP: d.bind}
 	}
@@ -174,14 +175,6 @@
 	return NewConn(raw), nil
 }
 
-func (d *Dialer) setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 // Put keeps a connection whose last answer ended cleanly, among at most so many.
 func (d *Dialer) Put(c *Conn, now time.Time, most int) {
 	c.answered = now
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -8,7 +8,6 @@
 	"errors"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"strconv"
 	"sync"
@@ -24,6 +23,7 @@
 	"hickorydrum/gossip"
 	"hickorydrum/ingress"
 	"hickorydrum/load"
+	"hickorydrum/period"
 	"hickorydrum/platform"
 )
 
@@ -289,17 +289,5 @@
 
 // sweep closes connections of callers that were idle for too long.
 func (i *Instance) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			i.servers.closeIdle(now)
-		}
-	}
+	return period.Each(ctx, sweepEvery, i.servers.closeIdle)
 }
-
-// Handler returns the callers' side, for tests.
-func (i *Instance) Handler() http.Handler { return i.ingress }
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -9,18 +9,17 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/gossip"
 	"hickorydrum/platform"
+	"hickorydrum/socket"
 )
 
 const (
@@ -74,7 +73,7 @@
 }
 
 func listen(address string, handler http.Handler) (*server, error) {
-	config := net.ListenConfig{Control: setCallerTimeout}
+	config := net.ListenConfig{Control: socket.UserTimeout(callerTimeout)}
 	listener, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "the address "+address+" cannot be listened on", "free the address",
@@ -86,16 +85,6 @@
 	}}, nil
 }
 
-// setCallerTimeout ends connections whose other side no longer acknowledges.
-// Accepted connections inherit it.
-func setCallerTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(callerTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 func (s *servers) all() []*server { return []*server{s.front, s.ready, s.directory, s.control} }
 
 func (s *servers) serve(group *errgroup.Group, log *slog.Logger) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -11,12 +11,10 @@
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/xid"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"hickorydrum/declaration"
 	"hickorydrum/drain"
@@ -30,6 +28,7 @@
 	"hickorydrum/rollout"
 	"hickorydrum/roster"
 	"hickorydrum/setting"
+	"hickorydrum/socket"
 	"hickorydrum/steering"
 	"hickorydrum/upstream"
 )
@@ -161,7 +160,7 @@
 }
 
 func listenHTTP(address, flag string) (*server, error) {
-	config := net.ListenConfig{Control: setUserTimeout}
+	config := net.ListenConfig{Control: socket.UserTimeout(callerUserTimeout)}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "the address "+address+" cannot be listened on",
@@ -173,16 +172,6 @@
 	}}, nil
 }
 
-// setUserTimeout ends connections whose other side no longer acknowledges.
-// Accepted connections inherit it.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(callerUserTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 func (i *Instance) frozen(now time.Time) bool {
 	return now.Sub(i.state.ConfirmedAt()) > frozenAfter
 }
--- /dev/null
+++ b/load/fault.go
@@ -0,0 +1,32 @@
+package load
+
+import (
+	"math"
+	"time"
+)
+
+// faults returns the slowness and the failure rate. What was learnt long ago fades,
+// so that an upstream that nobody uses any more is tried again.
+func (g *Gauge) faults(now time.Time) (slow, failing float64) {
+	fade := math.Exp2(-float64(now.Sub(g.learntAt)) / float64(faultHalfLife))
+	return 1 + fade*(g.slow-1), fade * g.failing
+}
+
+// fade takes the passing of time into what was learnt.
+func (g *Gauge) fade(now time.Time) {
+	g.slow, g.failing = g.faults(now)
+	g.learntAt = now
+}
+
+func (g *Gauge) unreachable(coldTime time.Duration, now time.Time) {
+	g.failures++
+	if g.failures < failuresToAvoid {
+		return
+	}
+	wait := min(firstAvoid<<min(g.failures-failuresToAvoid, 4), maxAvoid)
+	g.avoidTill = now.Add(wait)
+	// An upstream that comes back may have started anew.
+	g.chill(g.avoidTill.Add(coldTime))
+	clear(g.objects)
+	g.dialer.Drop()
+}
--- a/load/load.go
+++ b/load/load.go
@@ -130,31 +130,6 @@
 	}
 }
 
-// chill notes that the upstream is cold until an instant.
-func (g *Gauge) chill(till time.Time) {
-	if till.After(g.coldTill) {
-		g.coldTill = till
-	}
-}
-
-// Chill notes that the upstreams for which the function holds are cold until an
-// instant.
-func (b *Board) Chill(view *fleet.View, till time.Time, which func(u *fleet.Upstream) bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for id, g := range b.gauges {
-		if u, ok := view.Upstream(id); ok && which(u) {
-			g.chill(till)
-		}
-	}
-}
-
-// ColdShare is this instance's part of what a cold upstream bears.
-type ColdShare struct {
-	PerSecond float64
-	Burst     float64
-}
-
 // Request is what the board must know of a request to weigh upstreams for it.
 type Request struct {
 	Service string
@@ -218,13 +193,6 @@
 	return o
 }
 
-// faults returns the slowness and the failure rate. What was learnt long ago fades,
-// so that an upstream that nobody uses any more is tried again.
-func (g *Gauge) faults(now time.Time) (slow, failing float64) {
-	fade := math.Exp2(-float64(now.Sub(g.learntAt)) / float64(faultHalfLife))
-	return 1 + fade*(g.slow-1), fade * g.failing
-}
-
 // busy returns the expected number of requests at the upstream.
 func (g *Gauge) busy(now time.Time) float64 {
 	if g.toldAt.IsZero() {
@@ -247,50 +215,6 @@
 	}
 }
 
-// Round trips that are assumed until a connection was made.
-const (
-	tripSameDomain  = 500 * time.Microsecond
-	tripSameRegion  = 2 * time.Millisecond
-	tripOtherRegion = 40 * time.Millisecond
-	tripMemory      = 0.2
-)
-
-func (b *Board) roundTrip(u *fleet.Upstream) time.Duration {
-	if trip, ok := b.trips[u.Domain]; ok {
-		return trip
-	}
-	switch b.distance(u) {
-	case placement.SameDomain:
-		return tripSameDomain
-	case placement.SameRegion:
-		return tripSameRegion
-	default:
-		return tripOtherRegion
-	}
-}
-
-// RoundTrip returns the time of one round trip to an upstream.
-func (b *Board) RoundTrip(u *fleet.Upstream) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.roundTrip(u)
-}
-
-// Dialed takes in how long a connection to a failure domain took to be made.
-func (b *Board) Dialed(domain string, took time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if trip, ok := b.trips[domain]; ok {
-		// The least times are those without delays at either end.
-		if took > trip {
-			took = trip + time.Duration(tripMemory*tripMemory*float64(took-trip))
-		}
-		b.trips[domain] = trip + time.Duration(tripMemory*float64(took-trip))
-		return
-	}
-	b.trips[domain] = took
-}
-
 // Begin counts a request on its way to an upstream and returns its dialer. It
 // fails when the upstream is gone or cold and may get no more now.
 func (b *Board) Begin(u *fleet.Upstream, cold ColdShare, now time.Time) (*dispatch.Dialer, bool) {
@@ -366,25 +290,6 @@
 	}
 }
 
-// fade takes the passing of time into what was learnt.
-func (g *Gauge) fade(now time.Time) {
-	g.slow, g.failing = g.faults(now)
-	g.learntAt = now
-}
-
-func (g *Gauge) unreachable(coldTime time.Duration, now time.Time) {
-	g.failures++
-	if g.failures < failuresToAvoid {
-		return
-	}
-	wait := min(firstAvoid<<min(g.failures-failuresToAvoid, 4), maxAvoid)
-	g.avoidTill = now.Add(wait)
-	// An upstream that comes back may have started anew.
-	g.chill(g.avoidTill.Add(coldTime))
-	clear(g.objects)
-	g.dialer.Drop()
-}
-
 func (b *Board) answered(g *Gauge, r *Result, now time.Time) {
 	g.failures = 0
 	g.fade(now)
@@ -403,12 +308,3 @@
 	took := max(0, r.Took-b.roundTrip(r.Upstream))
 	b.work(r.Upstream.Service, r.Class).learn(g, took, r.Sticky, known, now.Before(g.coldTill))
 }
-
-// Reachable notes that a connection to an avoided upstream was made.
-func (b *Board) Reachable(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if g, ok := b.gauges[id]; ok {
-		g.failures = 0
-	}
-}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,8 +19,7 @@
 	cursor  uint64
 	newest  uint64
 
-	confirmedAt time.Time // when the platform or a peer last told the newest state
-	holdTill    time.Time // until when objects that go missing are kept
+	holdTill time.Time // until when objects that go missing are kept
 }
 
 // Option changes a Mirror while it is made.
@@ -58,9 +57,6 @@
 // Verified notes that nothing up to a revision is missing.
 func (m *Mirror) Verified(revision uint64) { m.newest = max(m.newest, revision) }
 
-// ConfirmedAt returns when the state was last told to be the newest.
-func (m *Mirror) ConfirmedAt() time.Time { return m.confirmedAt }
-
 // Returned notes that the platform answers again after it was away.
 func (m *Mirror) Returned(now time.Time) {
 	if m.hold > 0 && m.cursor > 0 {
@@ -87,7 +83,6 @@
 		}
 	}
 	m.cursor = page.Cursor
-	m.confirmedAt = now
 	return changed
 }
 
@@ -109,7 +104,6 @@
 	if len(page.Objects) > 0 {
 		m.cursor = max(m.cursor, page.Cursor)
 	}
-	m.confirmedAt = now
 	return changed
 }
 
