--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -15,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rows := append(Serve().Rows(), Platform(), Instance())
+	rows := slices.Concat(Serve().Rows(), Host().Rows(), []Setting{Platform(), Instance()})
 	var want []string
 	for _, r := range rows {
 		want = append(want, fmt.Sprintf("| `-%s` | `%s` | %s | %s |", r.Name(), r.Env(), r.Fallback(), r.Usage()))
