hosted: the wait of watches grows with the number of instances

Cause: with a fixed wait of 6 to 8 s every instance's watches begin anew, though one that begins each second is enough: heartbeats tell the others what it found.

Change: a watch waits a second for each instance, 5 to 20 s. Tests: TestDeafWatch (a change that a watch does not tell, and one that is not there), TestWatchWait. TestRefusals sent to a worker that was new to an instance of under two seconds, which is cold and rightly gets nothing; it passed while the entry came early enough. The worker now is there first. Planned stops in the tests have a grace period of 2 s, but for TestStop, whose steps could have met the end of 3 s on a busy machine: 12 s.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -19,9 +19,13 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change, more or less by watchJitter,
-	// so that the instances' watches do not end together.
-	watchWait   = 6 * time.Second
+	// watchEach is how often one of all instances begins a watch of a kind anew: that
+	// bounds for how long a change can be missed by all. Each watch waits for its part
+	// of that, within the least and the most, and up to watchJitter longer, so that the
+	// instances' watches do not end together.
+	watchEach   = time.Second
+	watchLeast  = 5 * time.Second
+	watchMost   = 20 * time.Second
 	watchJitter = 2 * time.Second
 	// missedAfter is for how long a change that a peer knows may be missing here
 	// before the watch counts as deaf, and checkWait is how long the next one waits.
@@ -54,11 +58,12 @@
 // follower keeps the mirrors up to date, from the store or, while it is away,
 // from peers.
 type follower struct {
-	store    Store
-	peers    func() []string
-	client   *http.Client
-	log      *slog.Logger
-	onChange func(kind string)
+	store     Store
+	peers     func() []string
+	instances func() int
+	client    *http.Client
+	log       *slog.Logger
+	onChange  func(kind string)
 
 	mu        sync.Mutex
 	mirrors   map[string]*mirror.Mirror
@@ -83,9 +88,11 @@
 	return []string{platform.KindConfiguration, platform.KindEvacuations, platform.KindUpstreams}
 }
 
-func newFollower(store Store, peers func() []string, log *slog.Logger, onChange func(kind string)) *follower {
+func newFollower(
+	store Store, peers func() []string, instances func() int, log *slog.Logger, onChange func(kind string),
+) *follower {
 	f := &follower{
-		store: store, peers: peers, log: log, onChange: onChange, mirrors: make(map[string]*mirror.Mirror),
+		store: store, peers: peers, instances: instances, log: log, onChange: onChange, mirrors: make(map[string]*mirror.Mirror),
 		watches: make(map[string]*watch),
 		client:  &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -189,7 +196,7 @@
 	w.check = false
 	f.mu.Unlock()
 	defer context.AfterFunc(restart, cancel)()
-	wait := watchWait + time.Duration(rand.Int64N(int64(watchJitter)))
+	wait := watchWait(f.instances()) + time.Duration(rand.Int64N(int64(watchJitter)))
 	if check {
 		wait = checkWait
 	}
@@ -216,6 +223,11 @@
 	return nil
 }
 
+// watchWait returns how long a watch waits among so many instances.
+func watchWait(instances int) time.Duration {
+	return min(watchMost, max(watchLeast, time.Duration(instances)*watchEach))
+}
+
 // newest returns the revision of the last known change of each kind.
 func (f *follower) newest() []uint64 {
 	f.mu.Lock()
--- /dev/null
+++ b/hosted/follow_test.go
@@ -0,0 +1,117 @@
+package hosted
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/platform"
+	"hickorydrum/standin"
+)
+
+// deafStore is a store whose watches tell nothing while it is deaf.
+type deafStore struct {
+	*standin.Store
+
+	mu   sync.Mutex
+	deaf bool
+}
+
+func (s *deafStore) setDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
+// Watch begins in the state that the store is in, and stays in it.
+func (s *deafStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Page, error) {
+	s.mu.Lock()
+	deaf := s.deaf
+	s.mu.Unlock()
+	if !deaf {
+		return s.Store.Watch(ctx, prefix, cursor, wait)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return platform.Page{}, ctx.Err()
+	case <-timer.C:
+		page, err := s.List(ctx, prefix)
+		return platform.Page{Cursor: page.Cursor}, err
+	}
+}
+
+// Pulse answers.
+func (s *deafStore) Pulse(context.Context) error { return nil }
+
+// TestDeafWatch makes a change that a watch under way does not tell. A peer knows it:
+// the watch begins anew at once, and not again for the same change.
+func TestDeafWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &deafStore{Store: standin.NewStore()}
+		put := func(key string) uint64 {
+			t.Helper()
+			version, err := store.Put(t.Context(), key, []byte("{}"), 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return version
+		}
+		put(platform.KindEvacuations + "/a")
+		var changes int
+		f := newFollower(store, func() []string { return nil }, func() int { return 100 }, slog.New(slog.DiscardHandler),
+			func(string) { changes++ })
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		store.setDeaf(true)
+		group.Go(func() error { return f.follow(ctx, platform.KindEvacuations) })
+		synctest.Wait()
+		version := put(platform.KindEvacuations + "/b")
+		store.setDeaf(false)
+		newest := make([]uint64, len(kinds()))
+		for i, kind := range kinds() {
+			if kind == platform.KindEvacuations {
+				newest[i] = version
+			}
+		}
+		for range 3 {
+			f.news(newest)
+			time.Sleep(missedAfter)
+		}
+		synctest.Wait()
+		if objects, _ := f.objects(platform.KindEvacuations); len(objects) != 2 || changes != 2 {
+			t.Errorf("%d objects are known after %d changes, want 2 after 2", len(objects), changes)
+		}
+		// A peer that says more than there is costs one look, not one at each heartbeat.
+		newest = append([]uint64(nil), newest...)
+		for i := range newest {
+			newest[i] = version + 5
+		}
+		readsBefore, _ := store.Calls()
+		for range 20 {
+			f.news(newest)
+			time.Sleep(missedAfter)
+		}
+		if reads, _ := store.Calls(); reads-readsBefore > 6 {
+			t.Errorf("%d calls for a change that is not there", reads-readsBefore)
+		}
+		cancel()
+		_ = group.Wait()
+	})
+}
+
+func TestWatchWait(t *testing.T) {
+	for instances, want := range map[int]time.Duration{
+		1: watchLeast, 3: watchLeast, 12: 12 * time.Second, 70: watchMost, 6400: watchMost,
+	} {
+		if got := watchWait(instances); got != want {
+			t.Errorf("%d instances: %s, want %s", instances, got, want)
+		}
+	}
+}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -95,7 +95,7 @@
 	place := ingress.Place{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
 	i.ingress = ingress.New(place, i.board, i.mesh,
 		settings.Bounds, log)
-	i.follower = newFollower(i.store, i.mesh.Controls, log, i.believe)
+	i.follower = newFollower(i.store, i.mesh.Controls, func() int { return len(i.mesh.Live()) }, log, i.believe)
 	return i, i.listen()
 }
 
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -147,12 +147,13 @@
 // TestRefusals checks what callers are told before anything is sent.
 func TestRefusals(t *testing.T) {
 	c := newCluster(t)
+	// The worker is there before the instance: a new one would be cold.
+	w := c.worker("list", "one-a", nil)
 	m := c.start("a", "one-a")
 	if got := c.send(m, ask{path: "/read/x", id: "1"}); got.Status != 503 {
 		t.Errorf("without a configuration: %d", got.Status)
 	}
 	c.configure(reads, rule{prefix: "/home/", kind: "safe", service: "list", homes: []string{"two"}})
-	w := c.worker("list", "one-a", nil)
 	c.ready(m, 1)
 	tests := map[string]struct {
 		ask    ask
@@ -346,6 +347,7 @@
 // and look-ups forget the instance at once, every request gets its answer.
 func TestStop(t *testing.T) {
 	c := newCluster(t)
+	c.grace = 12 // no step of the test may meet its end, however busy the machine
 	c.configure(orders)
 	w := c.worker("list", "one-a", func(w *standin.WorkerConfig) {
 		w.Cold = 400 * time.Millisecond
