hosted, load, ingress: read as a newcomer; repeats left as a metric

What peers tell has its own file, the context of a send its own function, the costs of ways have names. Behaviour stays but for the new metric.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -41,11 +39,6 @@
 	// holdLapsed is how long entries that went missing during an outage of the store
 	// are kept after its return.
 	holdLapsed = 2 * time.Second
-	// askPeersAfter is for how long the store must be away before peers are asked.
-	askPeersAfter = 700 * time.Millisecond
-	peersEvery    = 500 * time.Millisecond
-	peerTimeout   = time.Second
-	maxState      = 16 << 20
 )
 
 // Store is the part of the platform's client that following needs.
@@ -290,69 +283,6 @@
 	return nil
 }
 
-// stateMessage is what instances tell each other while the store is away.
-type stateMessage struct {
-	Kinds map[string]platform.Page `json:"kinds"`
-}
-
-// state returns what this instance knows, for a peer.
-func (f *follower) state() stateMessage {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := stateMessage{Kinds: make(map[string]platform.Page)}
-	for kind, m := range f.mirrors {
-		if m.Cursor() > 0 {
-			s.Kinds[kind] = m.Page()
-		}
-	}
-	return s
-}
-
-// askPeers learns from peers while the store is away.
-func (f *follower) askPeers(ctx context.Context) error {
-	for ctx.Err() == nil {
-		pause(ctx, peersEvery)
-		if !f.lacking() {
-			continue
-		}
-		for i, peer := range f.peers() {
-			if f.askPeer(ctx, peer) || i == 2 {
-				break
-			}
-		}
-	}
-	return nil
-}
-
-// lacking reports whether the store is away for long enough, or nothing is known.
-func (f *follower) lacking() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.awaySince.IsZero() && time.Since(f.awaySince) > askPeersAfter
-}
-
-func (f *follower) askPeer(ctx context.Context, address string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathState, nil)
-	if err != nil {
-		return false
-	}
-	resp, err := f.client.Do(req)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var s stateMessage
-	if json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(&s) != nil || len(s.Kinds) == 0 {
-		return false
-	}
-	for kind, page := range s.Kinds {
-		if _, ok := f.mirrors[kind]; ok {
-			f.change(kind, func(m *mirror.Mirror, now time.Time) bool { return m.List(page, now) })
-		}
-	}
-	return true
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -33,6 +33,8 @@
 	headGuess   = 512
 	// maxDrained is how much of a refused body is read.
 	maxDrained = 2 << 20
+	// maxIdle is how many idle connections to one upstream are kept.
+	maxIdle = 32
 	// maxTries bounds the upstreams that are tried, with those that cannot be reached.
 	maxTries = 6
 )
@@ -241,13 +243,7 @@
 			Waited: waited, ColdTime: x.table.Service(x.service).ColdTime,
 		}, time.Now())
 	}()
-	// The end of an unsafe request's connection says nothing about its run: such a
-	// request runs on when its caller leaves.
-	ctx := x.r.Context()
-	if !x.route.Idempotent {
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := x.lifetime()
 	defer cancel()
 	conn, err := dialer.Get(ctx, now, !x.route.Idempotent)
 	if err != nil {
@@ -269,15 +265,23 @@
 	if err == nil && reusable {
 		dialer.Put(conn, time.Now(), maxIdle)
 	} else {
-		_ = conn.Close()
+		_ = conn.Close() // the send's own fault, if any, is what counts
 	}
 	metrics.GetOrCreateHistogram(`hickorydrum_upstream_seconds{service="` + x.service + `"}`).UpdateDuration(now)
 	outcome, done = x.conclude(err, answer)
 	return done
 }
 
-// maxIdle is how many idle connections to one upstream are kept.
-const maxIdle = 32
+// lifetime returns the context of a send. Idempotent work is cancelled when its
+// caller leaves; other requests run on, since the end of their connection would say
+// nothing about their run.
+func (x *exchange) lifetime() (context.Context, context.CancelFunc) {
+	ctx := x.r.Context()
+	if !x.route.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, x.deadline)
+}
 
 func (x *exchange) request() *dispatch.Request {
 	header := x.r.Header.Clone()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -62,13 +62,18 @@
 // WithCosts sets what the ways of requests cost.
 func WithCosts(costs placement.Costs) Option { return func(g *Ingress) { g.costs = costs } }
 
-// defaultCosts are those of ways without a setting.
-var defaultCosts = placement.Costs{DomainPerKiB: 1200 * time.Microsecond, RegionPerKiB: 2600 * time.Microsecond}
+// What a KiB costs that crosses failure domains, or regions, as a time that a request
+// may take longer to avoid it.
+const (
+	domainPerKiB = 1200 * time.Microsecond
+	regionPerKiB = 2600 * time.Microsecond
+)
 
 // New returns the ingress of an instance that knows no configuration yet.
 func New(place Place, board *load.Board, instances Instances, bounds platform.Bounds, log *slog.Logger, opts ...Option) *Ingress {
 	g := &Ingress{
-		place: place, board: board, instances: instances, log: log, lines: newLines(), costs: defaultCosts,
+		place: place, board: board, instances: instances, log: log, lines: newLines(),
+		costs:    placement.Costs{DomainPerKiB: domainPerKiB, RegionPerKiB: regionPerKiB},
 		splitter: route.NewSplitter(), shares: newShares(place), budgets: make(map[string]*budget.Retry),
 	}
 	g.bounds.Store(&bounds)
@@ -137,6 +142,19 @@
 	g.budget(service, g.bounds.Load()).Request(now)
 }
 
+// tellBudgets sets the metrics of how many repeats are left.
+func (g *Ingress) tellBudgets(now time.Time) {
+	bounds := g.bounds.Load()
+	_, all := g.instances.Count(g.place.Region)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, b := range g.budgets {
+		left := b.Left(now, bounds.RetryRatio, bounds.RetrySlack, all)
+		metrics.GetOrCreateGauge(`hickorydrum_repeats_left{service="`+service+`"}`, nil).Set(left)
+	}
+}
+
+// budget returns the budget of a service. The lock is held.
 func (g *Ingress) budget(service string, bounds *platform.Bounds) *budget.Retry {
 	b, ok := g.budgets[service]
 	if !ok {
--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -221,6 +221,7 @@
 // Balance closes an interval of the demand: it takes in what every instance needs
 // and returns what this one needs.
 func (g *Ingress) Balance(interval time.Duration, all func(own []Demand) []PlacedDemand) []Demand {
+	g.tellBudgets(time.Now())
 	own := g.shares.measure(interval, g.board.MeanTime)
 	if t := g.table.Load(); t != nil {
 		g.shares.expect(t.Services())
--- a/load/fault.go
+++ b/load/fault.go
@@ -7,18 +7,18 @@
 
 // faults returns the slowness and the failure rate. What was learnt long ago fades,
 // so that an upstream that nobody uses any more is tried again.
-func (g *Gauge) faults(now time.Time) (slow, failing float64) {
+func (g *gauge) faults(now time.Time) (slow, failing float64) {
 	fade := math.Exp2(-float64(now.Sub(g.learntAt)) / float64(faultHalfLife))
 	return 1 + fade*(g.slow-1), fade * g.failing
 }
 
 // fade takes the passing of time into what was learnt.
-func (g *Gauge) fade(now time.Time) {
+func (g *gauge) fade(now time.Time) {
 	g.slow, g.failing = g.faults(now)
 	g.learntAt = now
 }
 
-func (g *Gauge) unreachable(coldTime time.Duration, now time.Time) {
+func (g *gauge) unreachable(coldTime time.Duration, now time.Time) {
 	g.failures++
 	if g.failures < failuresToAvoid {
 		return
--- a/load/load.go
+++ b/load/load.go
@@ -43,8 +43,8 @@
 	maxIdle      = 64
 )
 
-// Gauge is the state of one upstream.
-type Gauge struct {
+// gauge is the state of one upstream.
+type gauge struct {
 	id     string
 	dialer *dispatch.Dialer
 
@@ -73,7 +73,7 @@
 	newDialer      func(u *fleet.Upstream) *dispatch.Dialer
 
 	mu      sync.Mutex
-	gauges  map[string]*Gauge
+	gauges  map[string]*gauge
 	times   map[workKey]*workTimes
 	trips   map[string]time.Duration // by failure domain
 	regions []string                 // in the order of their numbers
@@ -84,7 +84,7 @@
 func NewBoard(domain, region string, regions []string, newDialer func(u *fleet.Upstream) *dispatch.Dialer) *Board {
 	return &Board{
 		domain: domain, region: region, newDialer: newDialer,
-		gauges: make(map[string]*Gauge), times: make(map[workKey]*workTimes),
+		gauges: make(map[string]*gauge), times: make(map[workKey]*workTimes),
 		trips: make(map[string]time.Duration), regions: regions,
 	}
 }
@@ -114,7 +114,7 @@
 		if ok {
 			g.dialer.Close()
 		}
-		g = &Gauge{id: u.ID, dialer: b.newDialer(u), born: u.Born, slow: 1, hits: firstHits, objects: make(map[uint64]time.Time)}
+		g = &gauge{id: u.ID, dialer: b.newDialer(u), born: u.Born, slow: 1, hits: firstHits, objects: make(map[uint64]time.Time)}
 		b.gauges[u.ID] = g
 		if !first {
 			g.chill(now.Add(coldTime))
@@ -177,7 +177,7 @@
 	return options, usable
 }
 
-func (b *Board) option(g *Gauge, u *fleet.Upstream, r *Request, now time.Time) placement.Option {
+func (b *Board) option(g *gauge, u *fleet.Upstream, r *Request, now time.Time) placement.Option {
 	o := placement.Option{
 		Rank: placement.Rank(r.Object, u.Hash()), Distance: b.distance(u), RoundTrip: b.roundTrip(u),
 		Slots: u.Slots, Busy: g.busy(now), Hits: g.hits,
@@ -194,7 +194,7 @@
 }
 
 // busy returns the expected number of requests at the upstream.
-func (g *Gauge) busy(now time.Time) float64 {
+func (g *gauge) busy(now time.Time) float64 {
 	if g.toldAt.IsZero() {
 		return float64(g.inFlight)
 	}
@@ -290,7 +290,7 @@
 	}
 }
 
-func (b *Board) answered(g *Gauge, r *Result, now time.Time) {
+func (b *Board) answered(g *gauge, r *Result, now time.Time) {
 	g.failures = 0
 	g.fade(now)
 	g.failing -= failMemory * g.failing
--- a/load/times.go
+++ b/load/times.go
@@ -80,7 +80,7 @@
 // learn takes in the time of an answer that did not wait for a slot. What the
 // time itself says goes before what was believed: another instance may have sent
 // the object before.
-func (t *workTimes) learn(g *Gauge, took time.Duration, sticky, known, chilled bool) {
+func (t *workTimes) learn(g *gauge, took time.Duration, sticky, known, chilled bool) {
 	if chilled {
 		return
 	}
