order: let a re-send wait for the end of the claim that it asks about

The answer goes to the caller before the claim's end is written; on a busy machine the re-send comes between the two. Ruled out: a second run of the order (it ran once), the new core (the claim is not in it).

Change: a re-send reads a claim that is under way again for up to half a second before it says so. Test: TestResend "answered, its end on the way" failed before the change.

--- a/order/order.go
+++ b/order/order.go
@@ -32,6 +32,10 @@
 	// claimMargin is how much longer than its request a claim counts as under
 	// way: clocks may differ by this much.
 	claimMargin = 5 * time.Second
+	// settleWait is how long a re-send waits for the end of a send under way, which it
+	// reads each settlePoll.
+	settleWait = 500 * time.Millisecond
+	settlePoll = 50 * time.Millisecond
 	// KeepFor is how long claims and their answers are kept.
 	KeepFor      = 24 * time.Hour
 	storeTimeout = 5 * time.Second
@@ -138,14 +142,9 @@
 	if fault.KindOf(err) != fault.Conflict {
 		return c.begun(err)
 	}
-	found, err := b.store.Get(ctx, c.object)
+	found, old, err := c.settled(ctx)
 	if err != nil {
-		return nil, nil, b.unreachable(err)
-	}
-	var old record
-	if err := json.Unmarshal(found.Value, &old); err != nil {
-		return nil, nil, fault.New(fault.Broken, "the claim of the key is damaged", "use a new key",
-			fault.WithRan(fault.RanUnknown), fault.WithCause(err))
+		return nil, nil, err
 	}
 	if old.State == stateReleased && old.Print == c.rec.Print {
 		return c.begun(c.put(ctx, found.Version))
@@ -154,6 +153,28 @@
 	return nil, answer, err
 }
 
+// settled reads the record of an earlier send. While that is under way it reads again
+// for a moment: a caller that has its answer may send again before the end of the
+// claim is written.
+func (c *Claim) settled(ctx context.Context) (platform.Object, record, error) {
+	until := c.book.now().Add(settleWait)
+	for {
+		found, err := c.book.store.Get(ctx, c.object)
+		if err != nil {
+			return found, record{}, c.book.unreachable(err)
+		}
+		var old record
+		if err := json.Unmarshal(found.Value, &old); err != nil {
+			return found, record{}, fault.New(fault.Broken, "the claim of the key is damaged", "use a new key",
+				fault.WithRan(fault.RanUnknown), fault.WithCause(err))
+		}
+		underWay := old.State == stateClaimed && old.Print == c.rec.Print && c.book.now().Before(old.Until)
+		if !underWay || !c.book.now().Before(until) || !sleep(ctx, settlePoll) {
+			return found, old, nil
+		}
+	}
+}
+
 // begun returns the claim, or what its write's failure means.
 func (c *Claim) begun(err error) (*Claim, *Answer, error) {
 	switch fault.KindOf(err) {
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -93,6 +93,18 @@
 			first: func(b *bench) { b.mustClaim().Finish(NewAnswer(http.StatusOK, nil, make([]byte, MaxKept+1))) },
 			want:  result{Kind: fault.Conflict, Ran: fault.RanYes},
 		},
+		"answered, its end on the way": {
+			first: func(b *bench) {
+				c := b.mustClaim()
+				// The caller has its answer already and sends again at once.
+				b.book.group.Go(func() error {
+					time.Sleep(settleWait / 2)
+					c.Finish(NewAnswer(http.StatusOK, nil, []byte("done")))
+					return nil
+				})
+			},
+			want: result{Body: "done"},
+		},
 		"under way":                  {first: func(b *bench) { b.mustClaim() }, want: underWayResult},
 		"holder gone, still in time": {first: func(b *bench) { b.mustClaim() }, wait: 14 * time.Second, want: underWayResult},
 		"holder gone, time over": {
