period: one pause for all that wait between tries

The same wait for a time or the end of a context stood in rollout, hosted, order and twice in instance; it is period.Pause now.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -13,6 +13,7 @@
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/mirror"
+	"hickorydrum/period"
 	"hickorydrum/platform"
 )
 
@@ -161,7 +162,7 @@
 			listed = false
 		default:
 			failures++
-			pause(ctx, min(mostRetry, firstRetry<<min(failures-1, 4)))
+			period.Pause(ctx, min(mostRetry, firstRetry<<min(failures-1, 4)))
 		}
 	}
 	return nil
@@ -206,7 +207,7 @@
 	f.answered()
 	if len(page.Objects) > 0 {
 		f.change(kind, func(m *mirror.Mirror, now time.Time) bool { return m.Events(page, now) })
-		pause(ctx, gather)
+		period.Pause(ctx, gather)
 	}
 	if check {
 		f.mu.Lock()
@@ -269,7 +270,7 @@
 // noticed while the watches wait, and drops entries whose hold is over.
 func (f *follower) pulse(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, pulseEvery)
+		period.Pause(ctx, pulseEvery)
 		call, cancel := context.WithTimeout(ctx, pulseTimeout)
 		err := f.store.Pulse(call)
 		cancel()
@@ -282,12 +283,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hickorydrum/mirror"
+	"hickorydrum/period"
 	"hickorydrum/platform"
 )
 
@@ -41,7 +42,7 @@
 // askPeers learns from peers while the store is away.
 func (f *follower) askPeers(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, peersEvery)
+		period.Pause(ctx, peersEvery)
 		if !f.lacking() {
 			continue
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -231,12 +231,7 @@
 		if failures == 0 {
 			event.RegisterFailed.Log(ctx, i.log, slog.String("member", m.ID()), slog.String("error", err.Error()))
 		}
-		timer := time.NewTimer(platform.Backoff(failures))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		period.Pause(ctx, platform.Backoff(failures))
 	}
 	return false
 }
@@ -319,12 +314,7 @@
 	}
 	for try := 0; ctx.Err() == nil && i.state.Revision() == 0 && len(seeds) > 0 && try < seedTries; try++ {
 		i.follower.Bootstrap(ctx, seeds)
-		timer := time.NewTimer(seedWait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		period.Pause(ctx, seedWait)
 	}
 }
 
--- a/order/order.go
+++ b/order/order.go
@@ -19,6 +19,7 @@
 
 	"hickorydrum/event"
 	"hickorydrum/fault"
+	"hickorydrum/period"
 	"hickorydrum/platform"
 )
 
@@ -169,7 +170,7 @@
 				fault.WithRan(fault.RanUnknown), fault.WithCause(err))
 		}
 		underWay := old.State == stateClaimed && old.Print == c.rec.Print && c.book.now().Before(old.Until)
-		if !underWay || !c.book.now().Before(until) || !sleep(ctx, settlePoll) {
+		if !underWay || !c.book.now().Before(until) || !period.Pause(ctx, settlePoll) {
 			return found, old, nil
 		}
 	}
@@ -258,23 +259,12 @@
 		}
 		// A missing object may still be written by a call that is on its way, so
 		// it is looked for again until the time is over.
-		if !sleep(ctx, platform.Backoff(failures)) {
+		if !period.Pause(ctx, platform.Backoff(failures)) {
 			return
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Finish keeps the answer for re-sends.
 func (c *Claim) Finish(a Answer) {
 	c.rec.State = stateDone
@@ -306,7 +296,7 @@
 		if err == nil {
 			return
 		}
-		if fault.KindOf(err) == fault.Conflict || !sleep(ctx, platform.Backoff(failures)) {
+		if fault.KindOf(err) == fault.Conflict || !period.Pause(ctx, platform.Backoff(failures)) {
 			event.AnswerNotKept.Log(ctx, c.book.log, slog.String("object", c.object), slog.String("error", err.Error()))
 			return
 		}
--- a/period/period.go
+++ b/period/period.go
@@ -1,4 +1,4 @@
-// Package period repeats work at an interval.
+// Package period repeats work at an interval, and waits.
 package period
 
 import (
@@ -20,3 +20,16 @@
 		}
 	}
 }
+
+// Pause waits for a while, or until the context is done. It reports whether the whole
+// time has passed.
+func Pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -13,6 +13,7 @@
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/peer"
+	"hickorydrum/period"
 	"hickorydrum/platform"
 	"hickorydrum/roster"
 )
@@ -150,14 +151,14 @@
 	for ctx.Err() == nil {
 		if !f.relay(time.Now()) {
 			cursor = nil
-			pause(ctx, relayCheck)
+			period.Pause(ctx, relayCheck)
 			continue
 		}
 		next, err := f.watchOnce(ctx, cursor)
 		if err != nil {
 			f.watchFailed(ctx, err)
 			cursor = nil
-			pause(ctx, platform.Backoff(failures))
+			period.Pause(ctx, platform.Backoff(failures))
 			failures++
 			continue
 		}
@@ -180,15 +181,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // watchOnce lists at first, then waits for changes.
 func (f *Follower) watchOnce(ctx context.Context, cursor *uint64) (uint64, error) {
 	if cursor == nil {
