placement: spills follow one order of upstreams for each object

Logs with the object of every request show why: each region has its own objects (81 of purchases, an upstream keeps about 28), a spill went to whichever upstream looked best, so that every upstream saw all objects, none stayed known, and runs took three times as long.

Change: upstreams have a standing for each object, by region and rank; a step of standing costs more, the more slots are in use, unless the object is known there. How likely it is known is learnt by standing and begins at nothing, where constants stood before.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -216,7 +216,8 @@
 	x.choice = placement.Choose(placement.Demand{
 		Bytes: int64(len(x.body)) + answerGuess + headGuess, Left: x.deadline.Sub(now),
 		Objective: x.route.Objective, WarmTime: warm, ColdTime: cold, Sticky: x.sticky,
-		Region: g.shares.region(x.service, x.object, x.route), Near: g.shares.near(x.service, x.object),
+		Chances: g.board.Chances(x.service),
+		Region:  g.shares.region(x.service, x.object, x.route), Near: g.shares.near(x.service, x.object),
 	}, options, g.costs)
 	if x.choice.Index < 0 {
 		return false
@@ -239,7 +240,7 @@
 	var waited bool
 	defer func() {
 		g.board.End(&load.Result{
-			Upstream: u, Class: x.route.Class(), Object: x.object, Sticky: x.sticky, Outcome: outcome, Took: time.Since(now),
+			Upstream: u, Class: x.route.Class(), Object: x.object, Sticky: x.sticky, Outcome: outcome, Took: time.Since(now), Standing: x.choice.Standing,
 			Waited: waited, ColdTime: x.table.Service(x.service).ColdTime,
 		}, time.Now())
 	}()
--- /dev/null
+++ b/load/chance.go
@@ -0,0 +1,38 @@
+package load
+
+import "hickorydrum/placement"
+
+const (
+	// chanceMemory is the weight of the newest outcome in a chance.
+	chanceMemory = 0.05
+)
+
+// chances are the probabilities, by standing, that an upstream of a service knows an
+// object that another instance may have sent there.
+type chances [placement.Standings]float64
+
+func (c *chances) learn(standing int, hit bool) {
+	outcome := 0.0
+	if hit {
+		outcome = 1
+	}
+	c[standing] += chanceMemory * (outcome - c[standing])
+}
+
+// chances returns those of a service. The lock is held.
+func (b *Board) chances(service string) *chances {
+	c, ok := b.known[service]
+	if !ok {
+		c = &chances{}
+		b.known[service] = c
+	}
+	return c
+}
+
+// Chances returns the probabilities, by standing, that an upstream of a service knows
+// an object that this instance did not send there.
+func (b *Board) Chances(service string) [placement.Standings]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return *b.chances(service)
+}
--- a/load/load.go
+++ b/load/load.go
@@ -75,6 +75,7 @@
 	mu      sync.Mutex
 	gauges  map[string]*gauge
 	times   map[workKey]*workTimes
+	known   map[string]*chances      // by service
 	trips   map[string]time.Duration // by failure domain
 	regions []string                 // in the order of their numbers
 }
@@ -84,7 +85,7 @@
 func NewBoard(domain, region string, regions []string, newDialer func(u *fleet.Upstream) *dispatch.Dialer) *Board {
 	return &Board{
 		domain: domain, region: region, newDialer: newDialer,
-		gauges: make(map[string]*gauge), times: make(map[workKey]*workTimes),
+		gauges: make(map[string]*gauge), times: make(map[workKey]*workTimes), known: make(map[string]*chances),
 		trips: make(map[string]time.Duration), regions: regions,
 	}
 }
@@ -260,6 +261,8 @@
 	Sticky   bool
 	Outcome  Outcome
 	Took     time.Duration
+	// Standing is that of the upstream for the object.
+	Standing int
 	// Waited states that the request had to wait at the upstream, so that its time
 	// tells nothing about the service.
 	Waited bool
@@ -306,5 +309,8 @@
 		return
 	}
 	took := max(0, r.Took-b.roundTrip(r.Upstream))
-	b.work(r.Upstream.Service, r.Class).learn(g, took, r.Sticky, known, now.Before(g.coldTill))
+	hit := b.work(r.Upstream.Service, r.Class).learn(g, took, r.Sticky, known, now.Before(g.coldTill))
+	if r.Sticky && !known {
+		b.chances(r.Upstream.Service).learn(r.Standing, hit)
+	}
 }
--- a/load/times.go
+++ b/load/times.go
@@ -80,12 +80,12 @@
 // learn takes in the time of an answer that did not wait for a slot. What the
 // time itself says goes before what was believed: another instance may have sent
 // the object before.
-func (t *workTimes) learn(g *gauge, took time.Duration, sticky, known, chilled bool) {
+func (t *workTimes) learn(g *gauge, took time.Duration, sticky, known, chilled bool) (hit bool) {
 	if chilled {
-		return
+		return false
 	}
 	own := time.Duration(float64(took) / g.slow)
-	hit := sticky && t.isWarm(own)
+	hit = sticky && t.isWarm(own)
 	if known {
 		outcome := 0.0
 		if hit {
@@ -101,13 +101,14 @@
 	g.slow = max(1, g.slow+slowMemory*(factor-g.slow))
 	switch {
 	case g.slow > plainSlow:
-		return
+		return hit
 	case hit:
 		t.warm.add(took)
 	default:
 		t.cold.add(took)
 	}
 	t.all.add(took)
+	return hit
 }
 
 // MeanTime returns how long a request holds a slot, on average.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -54,6 +54,9 @@
 	WarmTime, ColdTime time.Duration
 	// Sticky states that the object matters.
 	Sticky bool
+	// Chances are the probabilities, by standing, that an upstream knows the object
+	// though this instance did not send it there.
+	Chances [Standings]float64
 	// Region is the number of the region that should serve the object, -1 for any.
 	Region int
 	// Near states that the object should be served within the failure domain.
@@ -76,8 +79,8 @@
 	// Expected is the time until the answer.
 	Expected time.Duration
 	Reason   Reason
-	// Home states that the upstream is the object's home in its region.
-	Home bool
+	// Standing is that of the upstream for the object; the home has standing 0.
+	Standing int
 }
 
 // Reason says why an upstream was chosen, or why none was.
@@ -94,14 +97,14 @@
 )
 
 const (
-	failurePrice = 2.0  // a failure counts as so many objectives
-	homeChance   = 0.85 // that the home of a region knows an object that others sent there
-	awayChance   = 0.2  // that a home outside the region of the shares, or within a failure domain, does
-	awayShare    = 0.15 // of the gain of a known object, for a home in another region than that of the shares
-	strangeShare = 0.4  // of the same gain, for an upstream that is no home
+	failurePrice = 2.0 // a failure counts as so many objectives
+	// strangeShare is the part of the gain of a known object that a request costs for
+	// each step of standing, if the upstream does not know its object: it takes the
+	// place of another there.
+	strangeShare = 0.4
 	// strangePressure is added to strangeShare when all slots are in use: a request that
 	// is served by an upstream that does not know its object holds a slot for longer.
-	strangePressure = 1.5
+	strangePressure = 8.0
 	easyPressure    = 0.5  // the utilization up to which nothing is added
 	waitSmoothing   = 0.15 // of the service time, when all slots are taken
 	kibibyte        = 1024.0
@@ -111,20 +114,21 @@
 // Choose returns the option with the least cost: the expected time to the answer,
 // and what its way and its failures cost.
 func Choose(d Demand, options []Option, costs Costs) Choice {
-	homes := findHomes(options)
+	var few [fewOptions]uint8
+	standings := d.standings(options, few[:0])
 	d.pressure = pressure(options)
 	best := Choice{Index: -1, Reason: ReasonNone}
 	bestCost := time.Duration(unavoidable)
 	soonest := time.Duration(unavoidable)
 	for i := range options {
 		o := &options[i]
-		chance := d.chance(i, o, homes)
-		expected := d.expected(o, chance)
+		standing := int(standings[i])
+		expected := d.expected(o, d.chance(o, standing))
 		soonest = min(soonest, expected)
-		cost := expected + costs.way(o.Distance, d.Bytes) + d.displacement(i, o, homes) +
+		cost := expected + costs.way(o.Distance, d.Bytes) + d.displacement(o, standing) +
 			time.Duration(o.Failing*failurePrice*float64(d.Objective))
 		if cost < bestCost || cost == bestCost && best.Index >= 0 && o.Rank > options[best.Index].Rank {
-			best, bestCost = Choice{Index: i, Expected: expected}, cost
+			best, bestCost = Choice{Index: i, Expected: expected, Standing: standing}, cost
 		}
 	}
 	if best.Index < 0 {
@@ -133,41 +137,26 @@
 	if soonest > d.Left {
 		return Choice{Index: -1, Expected: soonest, Reason: ReasonNoTime}
 	}
-	best.Home = d.home(best.Index, &options[best.Index], homes)
 	best.Reason = d.reason(&best, &options[best.Index])
 	return best
 }
 
-// home reports whether an option is the one that should serve the object.
-func (d *Demand) home(i int, o *Option, h homes) bool {
-	if d.Near && h.domain >= 0 {
-		return h.domain == i
-	}
-	return h.region[o.Region] == i && (d.Region < 0 || o.Region == d.Region)
-}
-
 // displacement returns what it costs that the object takes the place of others at
 // an upstream that would else not know it.
-func (d *Demand) displacement(i int, o *Option, h homes) time.Duration {
-	if !d.Sticky || d.home(i, o, h) {
+func (d *Demand) displacement(o *Option, standing int) time.Duration {
+	if !d.Sticky {
 		return 0
 	}
-	gain := float64(d.ColdTime - d.WarmTime)
-	switch {
-	case h.region[o.Region] == i, h.domain == i:
-		return time.Duration(awayShare * gain)
-	case o.Known:
-		return 0
-	default:
-		return time.Duration((strangeShare + strangePressure*max(0, d.pressure-easyPressure)/(1-easyPressure)) * gain)
-	}
+	missing := 1 - d.chance(o, standing)
+	share := strangeShare + strangePressure*max(0, d.pressure-easyPressure)/(1-easyPressure)
+	return time.Duration(float64(standing) * missing * share * float64(d.ColdTime-d.WarmTime))
 }
 
 func (d *Demand) reason(c *Choice, o *Option) Reason {
 	switch {
 	case !d.Sticky:
 		return ReasonFree
-	case c.Home:
+	case c.Standing == 0:
 		return ReasonHome
 	case o.Known:
 		return ReasonKnown
@@ -224,38 +213,12 @@
 	}
 }
 
-// homes holds the indices of the options with the highest rank.
-type homes struct {
-	region map[int]int // by region
-	domain int         // in this instance's failure domain, or -1
-}
-
-func findHomes(options []Option) homes {
-	h := homes{region: make(map[int]int), domain: -1}
-	for i := range options {
-		o := &options[i]
-		if home, ok := h.region[o.Region]; !ok || o.Rank > options[home].Rank {
-			h.region[o.Region] = i
-		}
-		if o.Distance == SameDomain && (h.domain < 0 || o.Rank > options[h.domain].Rank) {
-			h.domain = i
-		}
-	}
-	return h
-}
-
 // chance returns the probability that an option knows the request's object.
-func (d *Demand) chance(i int, o *Option, h homes) float64 {
-	switch {
-	case o.Known:
+func (d *Demand) chance(o *Option, standing int) float64 {
+	if o.Known {
 		return o.Hits
-	case d.home(i, o, h):
-		return homeChance * o.Hits
-	case h.region[o.Region] == i, h.domain == i:
-		return awayChance * o.Hits
-	default:
-		return 0
 	}
+	return d.Chances[standing] * o.Hits
 }
 
 // Rank returns the rank of an upstream for an object, by their hashes.
