--- a/load/chance.go
+++ b/load/chance.go
@@ -7,6 +7,10 @@
 	chanceMemory = 0.05
 )
 
+// firstChances are assumed until the first answers: a start of this instance is mostly
+// no start of the upstreams.
+var firstChances = chances{0.8, 0.2}
+
 // chances are the probabilities, by standing, that an upstream of a service knows an
 // object that another instance may have sent there.
 type chances [placement.Standings]float64
@@ -23,7 +27,8 @@
 func (b *Board) chances(service string) *chances {
 	c, ok := b.known[service]
 	if !ok {
-		c = &chances{}
+		first := firstChances
+		c = &first
 		b.known[service] = c
 	}
 	return c
