budget: a new run begins with a small allowance

Repeats saved up in a quiet time were spent in four seconds, then all instances lost power, and each began with a whole allowance, the whole slack among them, since it knew of no other instance yet.

Change: the first window of a run allows a quarter of the ratio and no slack; both grow to what they were in the second window. Test: TestRestarts fails without it (1488 repeats, bound 1264).

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -10,6 +10,10 @@
 	// margin is the share of the allowance that is used: instances count apart, and
 	// their views of each other are late.
 	margin = 0.7
+	// youngMargin is used, without the slack, in the first window of a Retry: a run of
+	// this instance before may have spent its allowance moments ago, and the other
+	// instances are not known yet. In the second window it grows to the margin.
+	youngMargin = 0.25
 )
 
 // Retry bounds the repeats for one service within any window: a ratio of the
@@ -18,6 +22,7 @@
 	window   time.Duration
 	counts   [parts + 1]count
 	newest   int64 // number of the newest part
+	youngTo  time.Time
 	requests float64
 	repeats  float64
 }
@@ -36,9 +41,7 @@
 
 // Spend counts a repeat and reports whether it is allowed.
 func (r *Retry) Spend(now time.Time, ratio, slack float64, instances int) bool {
-	r.advance(now)
-	allowed := margin * (ratio*r.requests + slack/float64(max(1, instances)))
-	if r.repeats+1 > allowed {
+	if r.Left(now, ratio, slack, instances) < 1 {
 		return false
 	}
 	r.counts[r.newest%(parts+1)].repeats++
@@ -49,11 +52,16 @@
 // Left returns how many repeats are allowed now.
 func (r *Retry) Left(now time.Time, ratio, slack float64, instances int) float64 {
 	r.advance(now)
-	return margin*(ratio*r.requests+slack/float64(max(1, instances))) - r.repeats
+	grown := min(1, max(0, float64(now.Sub(r.youngTo))/float64(r.window)))
+	allowed := (youngMargin + grown*(margin-youngMargin)) * ratio * r.requests
+	return allowed + grown*margin*slack/float64(max(1, instances)) - r.repeats
 }
 
 // advance forgets the parts that have left the window.
 func (r *Retry) advance(now time.Time) {
+	if r.youngTo.IsZero() {
+		r.youngTo = now.Add(r.window)
+	}
 	part := now.UnixNano() / int64(r.window/parts)
 	if part-r.newest > parts {
 		r.counts = [parts + 1]count{}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -104,3 +105,67 @@
 		t.Errorf("a minute later %.1f are left", left)
 	}
 }
+
+// TestRestarts has all instances start anew right after they spent what a quiet time
+// had left them. They know nothing of that, nor of each other, and still keep the
+// bound in every window.
+func TestRestarts(t *testing.T) {
+	const (
+		window    = 10 * time.Second
+		tick      = 10 * time.Millisecond
+		ratio     = 0.2
+		slack     = 64.0
+		instances = 12
+		ticks     = 6000
+		// settles is after how many ticks restarted instances know each other.
+		settles = 200
+	)
+	tests := map[string][]int{
+		"once":                {3400},
+		"twice in a window":   {3400, 3900},
+		"after the first one": {1200, 3400},
+	}
+	for name, restarts := range tests {
+		t.Run(name, func(t *testing.T) {
+			budgets := make([]*Retry, instances)
+			for i := range budgets {
+				budgets[i] = NewRetry(window)
+			}
+			var requests, repeats [ticks]int
+			now := time.Unix(100, 0)
+			known := instances
+			for n := range ticks {
+				now = now.Add(tick)
+				if slices.Contains(restarts, n-settles) {
+					known = instances
+				}
+				if slices.Contains(restarts, n) {
+					known = 1
+					for i := range budgets {
+						budgets[i] = NewRetry(window)
+					}
+				}
+				for i, b := range budgets {
+					if (n+i)%2 == 0 {
+						b.Request(now)
+						requests[n]++
+					}
+					for n > 3000 && b.Spend(now, ratio, slack, known) {
+						repeats[n]++
+					}
+				}
+			}
+			span := int(window / tick)
+			for end := span; end <= ticks; end++ {
+				sent, again := 0, 0
+				for i := end - span; i < end; i++ {
+					sent += requests[i]
+					again += repeats[i]
+				}
+				if bound := ratio*float64(sent) + slack; float64(again) > bound {
+					t.Fatalf("%d repeats of %d requests in the window that ends at tick %d, bound %.0f", again, sent, end, bound)
+				}
+			}
+		})
+	}
+}
