planner: the decisions of an instance without its network

Change: planner holds it, with every time passed in; ingress accepts, sends and answers. Behaviour stays. Tests: those of the shares moved along; planner, hosted ok.

--- a/hosted/balance.go
+++ b/hosted/balance.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"hickorydrum/gossip"
-	"hickorydrum/ingress"
 	"hickorydrum/period"
+	"hickorydrum/planner"
 	"hickorydrum/platform"
 )
 
@@ -20,8 +20,8 @@
 
 // balance tells the others the demand of this instance and takes in theirs.
 func (i *Instance) balance(ctx context.Context) error {
-	return period.Each(ctx, balanceEvery, func(time.Time) {
-		demand := i.ingress.Balance(balanceEvery, i.demands)
+	return period.Each(ctx, balanceEvery, func(now time.Time) {
+		demand := i.planner.Balance(balanceEvery, now, i.demands)
 		told := make([]gossip.Demand, len(demand))
 		for n, d := range demand {
 			told[n] = gossip.Demand{Service: d.Service, Millislots: int(d.Slots * millislots)}
@@ -34,18 +34,18 @@
 }
 
 // demands returns the demand of all live instances.
-func (i *Instance) demands(own []ingress.Demand) []ingress.PlacedDemand {
-	var out []ingress.PlacedDemand
+func (i *Instance) demands(own []planner.Demand) []planner.PlacedDemand {
+	var out []planner.PlacedDemand
 	for _, d := range own {
-		out = append(out, ingress.PlacedDemand{Demand: d, Domain: i.settings.Domain, Region: i.settings.Region})
+		out = append(out, planner.PlacedDemand{Demand: d, Domain: i.settings.Domain, Region: i.settings.Region})
 	}
 	for _, m := range i.mesh.Live() {
 		if m.Name == i.settings.Name {
 			continue
 		}
 		for _, d := range m.Demand {
-			demand := ingress.Demand{Service: d.Service, Slots: float64(d.Millislots) / millislots}
-			out = append(out, ingress.PlacedDemand{Demand: demand, Domain: m.Domain, Region: m.Region})
+			demand := planner.Demand{Service: d.Service, Slots: float64(d.Millislots) / millislots}
+			out = append(out, planner.PlacedDemand{Demand: demand, Domain: m.Domain, Region: m.Region})
 		}
 	}
 	return out
--- a/hosted/cluster_test.go
+++ b/hosted/cluster_test.go
@@ -253,7 +253,7 @@
 func (c *cluster) ready(m *member, workers int) {
 	c.t.Helper()
 	c.await(fmt.Sprintf("%d workers known", workers), func() bool {
-		v := m.instance.ingress.View()
+		v := m.instance.planner.View()
 		return m.instance.ingress.Ready() && v != nil && len(v.All()) == workers
 	})
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -24,6 +24,7 @@
 	"hickorydrum/ingress"
 	"hickorydrum/load"
 	"hickorydrum/period"
+	"hickorydrum/planner"
 	"hickorydrum/platform"
 )
 
@@ -58,6 +59,7 @@
 	follower *follower
 	mesh     *gossip.Mesh
 	board    *load.Board
+	planner  *planner.Planner
 	ingress  *ingress.Ingress
 	servers  servers
 	group    errgroup.Group
@@ -92,13 +94,17 @@
 		return nil, err
 	}
 	i.board = load.NewBoard(settings.Domain, settings.Region, regionNames(&settings), i.newDialer)
-	place := ingress.Place{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
-	i.ingress = ingress.New(place, i.board, i.mesh,
-		settings.Bounds, log)
+	place := planner.Place{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
+	i.planner = planner.New(place, i.board, i.mesh, retryBounds(settings.Bounds))
+	i.ingress = ingress.New(i.planner, i.board, log)
 	i.follower = newFollower(i.store, i.mesh.Controls, func() int { return len(i.mesh.Live()) }, log, i.believe)
 	return i, i.listen()
 }
 
+func retryBounds(b platform.Bounds) planner.RetryBounds {
+	return planner.RetryBounds{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
+}
+
 func (i *Instance) newDialer(u *fleet.Upstream) *dispatch.Dialer {
 	return dispatch.NewDialer(u.Address,
 		dispatch.WithUserTimeout(upstreamTimeout),
@@ -170,10 +176,10 @@
 		event.RevisionRefused.Log(context.Background(), i.log, slog.String("error", err.Error()))
 		return
 	}
-	if old := i.ingress.Table(); old != nil && old.Version() >= table.Version() {
+	if old := i.planner.Table(); old != nil && old.Version() >= table.Version() {
 		return
 	}
-	i.ingress.SetTable(table)
+	i.planner.SetTable(table)
 	i.servers.setIdle(table.Limits().IdleTimeout)
 	versionInForce.Set(float64(table.Version()))
 	event.RevisionTaken.Log(context.Background(), i.log, slog.Uint64("version", table.Version()),
@@ -206,8 +212,8 @@
 	view := fleet.NewView(upstreams, domains, i.settings.Regions)
 	i.board.Follow(view, !i.known, i.coldTime, now)
 	i.noteEvacuations(view, domains, now)
-	i.known = i.ingress.Table() != nil
-	i.ingress.SetView(view)
+	i.known = i.planner.Table() != nil
+	i.planner.SetView(view)
 	i.mesh.SetReady(i.ingress.Ready())
 	upstreamsKnown.Set(float64(len(upstreams)))
 	domainsEvacuated.Set(float64(len(domains)))
@@ -217,7 +223,7 @@
 
 // coldTime returns how long the upstreams of a service are cold after a start.
 func (i *Instance) coldTime(service string) time.Duration {
-	if t := i.ingress.Table(); t != nil {
+	if t := i.planner.Table(); t != nil {
 		return t.Service(service).ColdTime
 	}
 	return 0
@@ -279,7 +285,7 @@
 			event.SettingsRefused.Log(ctx, i.log, slog.String("error", err.Error()))
 			continue
 		}
-		i.ingress.SetBounds(settings.Bounds)
+		i.planner.SetBounds(retryBounds(settings.Bounds))
 		i.mesh.SetSeeds(settings.Seeds)
 		if signalled {
 			event.SettingsTaken.Log(ctx, i.log)
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -201,7 +201,7 @@
 			c.store.Fail(fault, 0)
 			c.configure(reads, orders)
 			c.await("the new configuration at both", func() bool {
-				return first.instance.ingress.Table().Version() == c.versions && late.instance.ingress.Table().Version() == c.versions
+				return first.instance.planner.Table().Version() == c.versions && late.instance.planner.Table().Version() == c.versions
 			})
 		})
 	}
@@ -440,7 +440,7 @@
 	text := c.settings("a", "one-a", m.ip, strings.TrimPrefix(c.api.URL, "http://"), nil)
 	writeFile(t, m.file, strings.Replace(text, "budgetSlack = 60", "budgetSlack = 61", 1))
 	m.reload <- nil
-	c.await("the new bounds", func() bool { return m.instance.ingress.Bounds().RetrySlack == before+1 })
+	c.await("the new bounds", func() bool { return m.instance.planner.Bounds().Slack == before+1 })
 	writeFile(t, m.file, "[self\n")
 	m.reload <- nil
 	if got := c.send(m, ask{path: "/read/x", id: "1"}); got.Status != 200 {
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -84,7 +84,7 @@
 // honest returns the status for the caller. An upstream that answers with one that
 // promises that nothing was run, without stating so, may have run the request.
 func (x *exchange) honest(status int) int {
-	if x.route.Idempotent {
+	if x.ask.Route.Idempotent {
 		return status
 	}
 	switch status {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -18,8 +18,8 @@
 	"hickorydrum/fleet"
 	"hickorydrum/load"
 	"hickorydrum/placement"
+	"hickorydrum/planner"
 	"hickorydrum/platform"
-	"hickorydrum/route"
 )
 
 const (
@@ -28,9 +28,6 @@
 	// firstRetryAfter and lastRetryAfter bound when refused callers come back.
 	firstRetryAfter = 40 * time.Millisecond
 	lastRetryAfter  = 250 * time.Millisecond
-	// answerGuess is the expected size of an answer in bytes.
-	answerGuess = 1 << 10
-	headGuess   = 512
 	// maxDrained is how much of a refused body is read.
 	maxDrained = 2 << 20
 	// maxIdle is how many idle connections to one upstream are kept.
@@ -45,18 +42,11 @@
 	w       http.ResponseWriter
 	r       *http.Request
 
-	id       string
-	arrived  time.Time
-	deadline time.Time
-	table    *route.Table
-	view     *fleet.View
-	route    *route.Route
-	service  string
-	object   uint64
-	sticky   bool
-	body     []byte
+	id      string
+	arrived time.Time
+	ask     planner.Ask
+	body    []byte
 
-	tried map[string]bool
 	sends int // upstreams that may have got the request
 	// doubtful states that a send may have run the request.
 	doubtful bool
@@ -77,14 +67,14 @@
 func newExchange(g *Ingress, w http.ResponseWriter, r *http.Request) *exchange {
 	return &exchange{
 		ingress: g, w: w, r: r, id: platform.RequestID(r.Header), arrived: time.Now(),
-		table: g.table.Load(), view: g.view.Load(),
+		ask: planner.Ask{Table: g.planner.Table(), View: g.planner.View()},
 	}
 }
 
 // serve answers the request.
 func (x *exchange) serve() {
-	if x.table == nil || x.view == nil {
-		x.deadline = x.arrived.Add(time.Second)
+	if x.ask.Table == nil || x.ask.View == nil {
+		x.ask.Deadline = x.arrived.Add(time.Second)
 		x.refuse("no configuration is known yet")
 		return
 	}
@@ -92,28 +82,27 @@
 	if !strings.HasPrefix(path, "/") {
 		path = x.r.URL.Path
 	}
-	match, ok := x.table.Match(x.r.Host, path)
+	match, ok := x.ask.Table.Match(x.r.Host, path)
 	if !ok {
 		x.fail(http.StatusNotFound, "no-route", "no route has the host and path")
 		return
 	}
-	x.route = match
-	x.deadline = x.limit()
+	x.ask.Route = match
+	x.ask.Deadline = x.limit()
 	if !x.readBody() {
 		return
 	}
-	x.object, x.sticky = x.findObject()
-	x.service = x.ingress.splitter.Choose(match, x.object, x.arrived)
-	x.ingress.count(x.service, x.arrived)
-	x.ingress.shares.arrived(x.service, match.Class(), int64(len(x.body)))
+	x.ask.Object, x.ask.Sticky = x.findObject()
+	x.ask.Bytes = int64(len(x.body))
+	x.ingress.planner.Arrived(&x.ask, x.arrived)
 	x.attempt()
 }
 
 // limit returns the instant by which the request needs its answer.
 func (x *exchange) limit() time.Time {
 	limit := x.arrived.Add(defaultWait)
-	if x.route.Timeout > 0 {
-		limit = x.arrived.Add(x.route.Timeout)
+	if x.ask.Route.Timeout > 0 {
+		limit = x.arrived.Add(x.ask.Route.Timeout)
 	}
 	if named, ok := platform.Deadline(x.r.Header, x.arrived); ok && named.Before(limit) {
 		limit = named
@@ -125,7 +114,7 @@
 // without one are spread.
 func (x *exchange) findObject() (hash uint64, sticky bool) {
 	key := platform.AffinityKey(x.r)
-	if key == "" || !x.route.Sticky {
+	if key == "" || !x.ask.Route.Sticky {
 		return rand.Uint64(), false
 	}
 	return xxhash.Sum64String(key), true
@@ -137,13 +126,13 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	most := x.table.Limits().BodyBytes
+	most := x.ask.Table.Limits().BodyBytes
 	if most > 0 && x.r.ContentLength > most {
 		x.tooLarge()
 		return false
 	}
 	rc := http.NewResponseController(x.w)
-	_ = rc.SetReadDeadline(x.deadline) // a connection without deadlines reads until the caller closes it
+	_ = rc.SetReadDeadline(x.ask.Deadline) // a connection without deadlines reads until the caller closes it
 	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	var buf bytes.Buffer
 	if x.r.ContentLength > 0 {
@@ -178,7 +167,7 @@
 // attempt sends the request to one upstream after the other until it is answered
 // or must not be sent again.
 func (x *exchange) attempt() {
-	x.tried = make(map[string]bool)
+	x.ask.Tried = make(map[string]bool)
 	for range maxTries {
 		if x.r.Context().Err() != nil {
 			x.result = result{outcome: "caller-gone", detail: "the caller left"}
@@ -190,7 +179,7 @@
 			return
 		}
 		if x.sends > 0 {
-			if !x.ingress.spend(x.service, now) {
+			if !x.ingress.planner.Spend(x.ask.Service, now) {
 				x.refuse("the budget for repeats is used up")
 				return
 			}
@@ -205,24 +194,12 @@
 
 // choose picks the upstream for the next send.
 func (x *exchange) choose(now time.Time) bool {
-	g := x.ingress
-	request := load.Request{
-		Service: x.service, Object: x.object, Sticky: x.sticky, Tried: x.tried,
-		Cold:   func(u *fleet.Upstream) load.ColdShare { return g.coldShare(x.table, u) },
-		Allows: func(u *fleet.Upstream) bool { return x.route.Allows(u.Region()) },
-	}
-	options, upstreams := g.board.Options(&request, x.view.Service(x.service), now)
-	warm, cold := g.board.Times(x.service, x.route.Class())
-	x.choice = placement.Choose(placement.Demand{
-		Bytes: int64(len(x.body)) + answerGuess + headGuess, Left: x.deadline.Sub(now),
-		Objective: x.route.Objective, WarmTime: warm, ColdTime: cold, Sticky: x.sticky,
-		Chances: g.board.Chances(x.service),
-		Region:  g.shares.region(x.service, x.object, x.route), Near: g.shares.near(x.service, x.object),
-	}, options, g.costs)
-	if x.choice.Index < 0 {
+	choice, u := x.ingress.planner.Choose(&x.ask, now)
+	x.choice = choice
+	if u == nil {
 		return false
 	}
-	x.chosen = upstreams[x.choice.Index]
+	x.chosen = u
 	return true
 }
 
@@ -230,23 +207,23 @@
 // has its answer; if not, it may be sent to another.
 func (x *exchange) send() (done bool) {
 	g, u := x.ingress, x.chosen
-	x.tried[u.ID] = true
+	x.ask.Tried[u.ID] = true
 	now := time.Now()
-	dialer, ok := g.board.Begin(u, g.coldShare(x.table, u), now)
+	dialer, ok := g.planner.Begin(&x.ask, u, now)
 	if !ok {
 		return false
 	}
 	outcome := load.Abandoned
 	var waited bool
 	defer func() {
-		g.board.End(&load.Result{
-			Upstream: u, Class: x.route.Class(), Object: x.object, Sticky: x.sticky, Outcome: outcome, Took: time.Since(now), Standing: x.choice.Standing,
-			Waited: waited, ColdTime: x.table.Service(x.service).ColdTime,
-		}, time.Now())
+		ended := time.Now()
+		g.planner.End(&x.ask, &load.Result{
+			Upstream: u, Outcome: outcome, Took: ended.Sub(now), Standing: x.choice.Standing, Waited: waited,
+		}, ended)
 	}()
 	ctx, cancel := x.lifetime()
 	defer cancel()
-	conn, err := dialer.Get(ctx, now, !x.route.Idempotent)
+	conn, err := dialer.Get(ctx, now, !x.ask.Route.Idempotent)
 	if err != nil {
 		outcome = load.Unreachable
 		if x.r.Context().Err() != nil || ctx.Err() != nil {
@@ -261,14 +238,14 @@
 	})
 	answer := newAnswer(x)
 	request := x.request()
-	d := dispatch.NewExchange(request, dialect, x.deadline, conn)
+	d := dispatch.NewExchange(request, dialect, x.ask.Deadline, conn)
 	reusable, err := d.Run(ctx, io.NopCloser(bytes.NewReader(x.body)), answer)
 	if err == nil && reusable {
 		dialer.Put(conn, time.Now(), maxIdle)
 	} else {
 		_ = conn.Close() // the send's own fault, if any, is what counts
 	}
-	metrics.GetOrCreateHistogram(`hickorydrum_upstream_seconds{service="` + x.service + `"}`).UpdateDuration(now)
+	metrics.GetOrCreateHistogram(`hickorydrum_upstream_seconds{service="` + x.ask.Service + `"}`).UpdateDuration(now)
 	outcome, done = x.conclude(err, answer)
 	return done
 }
@@ -278,10 +255,10 @@
 // nothing about their run.
 func (x *exchange) lifetime() (context.Context, context.CancelFunc) {
 	ctx := x.r.Context()
-	if !x.route.Idempotent {
+	if !x.ask.Route.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithDeadline(ctx, x.deadline)
+	return context.WithDeadline(ctx, x.ask.Deadline)
 }
 
 func (x *exchange) request() *dispatch.Request {
@@ -316,7 +293,7 @@
 		return load.Refused, x.exhausted("the upstream refused it for lack of room", f)
 	case f.Ran() == fault.RanNo:
 		return load.Unreachable, x.exhausted("the upstream could not be reached", f)
-	case x.route.Idempotent:
+	case x.ask.Route.Idempotent:
 		x.doubtful = true
 		return load.Failed, x.exhausted("the upstream's answer was lost", f)
 	default:
@@ -327,7 +304,7 @@
 
 // exhausted ends a request that must not be sent again and reports whether it did.
 func (x *exchange) exhausted(detail string, f *fault.Error) bool {
-	if x.sends < x.route.MaxAttempts && time.Until(x.deadline) > 0 {
+	if x.sends < x.ask.Route.MaxAttempts && time.Until(x.ask.Deadline) > 0 {
 		return false
 	}
 	if f.Ran() == fault.RanNo {
@@ -340,7 +317,7 @@
 
 // lost answers a request that may have run without an answer.
 func (x *exchange) lost(f *fault.Error) {
-	if f.Kind() == fault.Expired || !time.Now().Before(x.deadline) {
+	if f.Kind() == fault.Expired || !time.Now().Before(x.ask.Deadline) {
 		x.fail(http.StatusGatewayTimeout, "expired", f.Text())
 		return
 	}
@@ -352,7 +329,7 @@
 func (x *exchange) answered(a *answer) (load.Outcome, bool) {
 	status := a.head.Status
 	if status >= http.StatusInternalServerError && !a.started {
-		again := x.route.Idempotent && status != http.StatusGatewayTimeout && x.sends < x.route.MaxAttempts
+		again := x.ask.Route.Idempotent && status != http.StatusGatewayTimeout && x.sends < x.ask.Route.MaxAttempts
 		if again {
 			x.doubtful, x.failure = true, a
 			return load.Failed, false
@@ -374,7 +351,7 @@
 		x.fail(http.StatusBadGateway, "lost", detail)
 		return
 	}
-	left := time.Until(x.deadline)
+	left := time.Until(x.ask.Deadline)
 	wait := firstRetryAfter + time.Duration(rand.Int64N(int64(lastRetryAfter-firstRetryAfter)))
 	platform.SetRetryAfter(x.w.Header(), min(wait, max(0, left/3)))
 	x.fail(http.StatusServiceUnavailable, "refused", detail)
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -69,11 +69,11 @@
 		slog.String("id", x.id), slog.String("outcome", x.result.outcome), slog.Int("status", x.result.status),
 		slog.Int64("took_ms", now.Sub(x.arrived).Milliseconds()), slog.Int("sends", x.sends),
 		slog.String("reason", string(x.choice.Reason)), slog.Int64("expected_ms", x.choice.Expected.Milliseconds()),
-		slog.Int64("limit_ms", x.deadline.Sub(x.arrived).Milliseconds()),
+		slog.Int64("limit_ms", x.ask.Deadline.Sub(x.arrived).Milliseconds()),
 	}
-	if x.route != nil {
-		attrs = append(attrs, slog.String("route", x.route.Name), slog.Uint64("version", x.table.Version()),
-			slog.String("service", x.service))
+	if x.ask.Route != nil {
+		attrs = append(attrs, slog.String("route", x.ask.Route.Name), slog.Uint64("version", x.ask.Table.Version()),
+			slog.String("service", x.ask.Service))
 	}
 	if x.chosen != nil {
 		attrs = append(attrs, slog.String("upstream", x.chosen.ID), slog.String("domain", x.chosen.Domain))
--- a/ingress/shares.go
+++ b/planner/shares.go
@@ -1,4 +1,4 @@
-package ingress
+package planner
 
 import (
 	"slices"
@@ -217,21 +217,3 @@
 		r.demand[i] = target * slots * float64(n) / float64(max(1, all))
 	}
 }
-
-// Balance closes an interval of the demand: it takes in what every instance needs
-// and returns what this one needs.
-func (g *Ingress) Balance(interval time.Duration, all func(own []Demand) []PlacedDemand) []Demand {
-	g.tellBudgets(time.Now())
-	own := g.shares.measure(interval, g.board.MeanTime)
-	if t := g.table.Load(); t != nil {
-		g.shares.expect(t.Services())
-	}
-	if view := g.view.Load(); view != nil {
-		instances := make([]int, len(g.place.Regions))
-		for i, region := range g.place.Regions {
-			instances[i], _ = g.instances.Count(region)
-		}
-		g.shares.update(all(own), view, instances)
-	}
-	return own
-}
--- a/ingress/shares_test.go
+++ b/planner/shares_test.go
@@ -1,4 +1,4 @@
-package ingress
+package planner
 
 import (
 	"math"
