planner: compare regions by the work time of requests

The demand of a region in slots was counted with the times that it measured itself; a region whose upstreams did not know their objects seemed to need three times the slots, so that the level of all regions rose over one and a small region kept all its requests. A log of the shares showed demands of 21, 60 and 41 slots where 16, 26 and 30 were true. They also showed a demand of none for a region of which no datagram had come yet, and shares that moved by steps from all-at-home for 3.5 s though no request had come.

Change: demand counts the time of a request whose object is known; members tell the demand of those they tell of; shares move without steps until the first request; 3 intervals of demand are enough for a start.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -194,9 +194,7 @@
 	var out []Member
 	for _, k := range m.others {
 		if now.Sub(k.heardAt) < lostAfter {
-			other := k.member
-			other.Demand = nil // each tells of its own
-			out = append(out, other)
+			out = append(out, k.member)
 		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
@@ -294,9 +292,6 @@
 		event.MemberJoined.Log(context.Background(), m.log, slog.String("member", other.Name))
 	case k.member.Run == other.Run:
 		if other.Beat > k.member.Beat {
-			if !direct {
-				other.Demand = k.member.Demand
-			}
 			k.member, k.heardAt = other, now
 		}
 	case direct, now.Sub(k.heardAt) > replacedAfter && other.Run > k.member.Run:
--- a/load/times.go
+++ b/load/times.go
@@ -48,7 +48,7 @@
 
 // workTimes is how long the upstreams of a service take for a class of requests.
 type workTimes struct {
-	warm, cold, all average
+	warm, cold average
 }
 
 func (b *Board) work(service string, class route.Class) *workTimes {
@@ -107,13 +107,18 @@
 	default:
 		t.cold.add(took)
 	}
-	t.all.add(took)
 	return hit
 }
 
-// MeanTime returns how long a request holds a slot, on average.
-func (b *Board) MeanTime(service string, class route.Class) time.Duration {
+// WorkTime returns how long a request holds a slot at an upstream that knows its
+// object, if the class has any. Regions are compared by it, so it must not depend on
+// how well a region fares.
+func (b *Board) WorkTime(service string, class route.Class) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.work(service, class).all.value(firstWarm)
+	t := b.work(service, class)
+	if class.Sticky {
+		return t.warm.value(firstWarm)
+	}
+	return t.cold.value(firstWarm)
 }
--- a/planner/shares.go
+++ b/planner/shares.go
@@ -23,7 +23,7 @@
 	shareStep = 0.03
 	// enoughIntervals is how many intervals with requests must be measured before the
 	// demand is believed.
-	enoughIntervals = 6
+	enoughIntervals = 3
 	// demandMemory is the weight of the newest rate in the demand.
 	demandMemory = 0.3
 )
@@ -114,9 +114,9 @@
 	return placement.Region(object, row)
 }
 
-// measure closes an interval and returns this instance's demand. meanTime tells
-// how long a request of a class holds a slot.
-func (s *shares) measure(interval time.Duration, meanTime func(service string, class route.Class) time.Duration) []Demand {
+// measure closes an interval and returns this instance's demand. workTime tells how
+// long a request of a class holds a slot at its best.
+func (s *shares) measure(interval time.Duration, workTime func(service string, class route.Class) time.Duration) []Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]Demand, 0, len(s.services))
@@ -124,13 +124,14 @@
 		count, work := 0, 0.0
 		for class, n := range one.arrivals {
 			count += n
-			work += float64(n) * meanTime(name, class).Seconds()
+			work += float64(n) * workTime(name, class).Seconds()
 		}
-		one.demand += demandMemory * (work/interval.Seconds() - one.demand)
 		if count > 0 {
 			one.measured++
 			one.meanSize += demandMemory * (float64(one.bytes)/float64(count) - one.meanSize)
 		}
+		weight := max(demandMemory, 1/float64(max(1, one.measured)))
+		one.demand += weight * (work/interval.Seconds() - one.demand)
 		clear(one.arrivals)
 		one.bytes = 0
 		out = append(out, Demand{Service: name, Slots: one.demand})
@@ -165,6 +166,9 @@
 			state.assume(target, instances)
 		}
 		next := placement.Spread(state.demand, state.capacity, target)[s.own]
+		if one.measured == 0 {
+			one.row = next // nothing moves yet
+		}
 		one.row = placement.Approach(one.row, next, shareStep)
 		one.near = 0
 		if state.nearCapacity > 0 {
--- a/planner/shares_test.go
+++ b/planner/shares_test.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// TestSharesAtOnce sets the shares without steps as long as no request came: nothing
+// moves yet, and upstreams may become known one after the other.
+func TestSharesAtOnce(t *testing.T) {
+	s, view := smallRegion()
+	s.update(nil, fleet.NewView(nil, nil, map[string]string{"a-1": "a", "b-1": "b", "c-1": "c"}), []int{4, 4, 4})
+	s.update(nil, view, []int{4, 4, 4})
+	if local := s.services["list"].row[1]; local > 0.4 {
+		t.Errorf("the small region keeps %.2f of its requests", local)
+	}
+}
+
 // TestSharesStep moves no share by more than a step when the demand jumps.
 func TestSharesStep(t *testing.T) {
 	s, view := smallRegion()
