load: a refusal of an upstream with an empty queue is a fault

Each refusal counted as a full queue for 150 ms, so the service seemed to be full. Ruled out: the price of failures (all upstreams of the service refuse alike).

Change: where the last answer tells that nothing waits, a refusal counts as a failure. Test: TestRefused (nothing waits) fails without it.

--- a/load/fault.go
+++ b/load/fault.go
@@ -18,6 +18,17 @@
 	g.learntAt = now
 }
 
+// refused takes in a refusal. One of an upstream whose queue is empty by its own word
+// is a fault of it, and says nothing about its load.
+func (g *gauge) refused(now time.Time) {
+	if g.toldAt.IsZero() || g.queued {
+		g.fullTill = now.Add(shedPause)
+		return
+	}
+	g.fade(now)
+	g.failing += failMemory * (1 - g.failing)
+}
+
 func (g *gauge) unreachable(coldTime time.Duration, now time.Time) {
 	g.failures++
 	if g.failures < failuresToAvoid {
--- a/load/load.go
+++ b/load/load.go
@@ -56,6 +56,7 @@
 	told      float64 // running and waiting, by its own last word
 	toldOwn   int     // of these, this instance's own
 	toldAt    time.Time
+	queued    bool // requests were waiting, by its own last word
 	fullTill  time.Time
 	slow      float64
 	failing   float64
@@ -237,7 +238,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if g, ok := b.gauges[id]; ok {
-		g.told, g.toldOwn, g.toldAt = float64(running+waiting), g.inFlight, now
+		g.told, g.toldOwn, g.toldAt, g.queued = float64(running+waiting), g.inFlight, now, waiting > 0
 	}
 }
 
@@ -286,7 +287,7 @@
 		g.fade(now)
 		g.failing += failMemory * (1 - g.failing)
 	case Refused:
-		g.fullTill = now.Add(shedPause)
+		g.refused(now)
 	case Unreachable:
 		g.unreachable(r.ColdTime, now)
 	case Abandoned:
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -264,6 +264,52 @@
 	}
 }
 
+// TestWorkTime compares regions by what a request costs at its best: a region that is
+// full of objects that its upstreams do not know does not seem to need more slots.
+func TestWorkTime(t *testing.T) {
+	const warm, cold = 70 * time.Millisecond, 240 * time.Millisecond
+	b, v := boardOf(upstream("one", "a-1", nil))
+	u, _ := v.Upstream("one")
+	now := begun
+	for i := range 600 {
+		now = now.Add(20 * time.Millisecond)
+		took := warm
+		if i >= 200 {
+			took = cold
+		}
+		send(t, b, u, Result{Object: uint64(i), Outcome: Answered, Took: took}, now)
+	}
+	if got := b.WorkTime("list", class); got < warm*9/10 || got > warm*12/10 {
+		t.Errorf("a request holds a slot for %s, want about %s", got, warm)
+	}
+}
+
+// TestRefused takes a refusal for a full queue only where the upstream tells of one.
+func TestRefused(t *testing.T) {
+	tests := map[string]struct {
+		waiting int
+		full    bool
+	}{
+		"requests wait": {waiting: 6, full: true},
+		"nothing waits": {waiting: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, v := boardOf(upstream("one", "a-1", nil))
+			u, _ := v.Upstream("one")
+			b.Told("one", 2, test.waiting, begun)
+			send(t, b, u, Result{Outcome: Refused}, begun)
+			options, _ := b.Options(request(1), v.Service("list"), begun)
+			if full := options[0].Busy >= float64(2*u.Slots); full != test.full {
+				t.Errorf("%.1f requests are expected there", options[0].Busy)
+			}
+			if fails := options[0].Failing > 0; fails == test.full {
+				t.Errorf("it is taken to fail with %.2f", options[0].Failing)
+			}
+		})
+	}
+}
+
 // TestFaultsFade tries an upstream again that was slow and failed, once some time has
 // passed in which nobody used it.
 func TestFaultsFade(t *testing.T) {
