placement: refuse at once what all queues are too long for

Change: a request is refused, with the reason busy, when the queues of all upstreams of its service mean a wait of 0.2 objectives and that of the best one 0.7. The package simulation plays patterns of load against the planner in virtual time.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -62,7 +62,8 @@
 	// Near states that the object should be served within the failure domain.
 	Near bool
 
-	pressure float64 // of the options' slots in use, 1 when all are
+	pressure float64       // part of the options' slots in use
+	backlog  time.Duration // mean wait in the options' queues
 }
 
 // Costs weigh what is not time, as if it were.
@@ -94,6 +95,7 @@
 	ReasonFree   Reason = "free"    // no object: the upstream with the least expected time
 	ReasonNone   Reason = "none"    // no upstream may be used
 	ReasonNoTime Reason = "no-time" // no upstream can answer in the time left
+	ReasonBusy   Reason = "busy"    // the queue of the best upstream is too long
 )
 
 const (
@@ -107,8 +109,13 @@
 	strangePressure = 8.0
 	easyPressure    = 0.5  // the utilization up to which nothing is added
 	waitSmoothing   = 0.15 // of the service time, when all slots are taken
-	kibibyte        = 1024.0
-	unavoidable     = math.MaxInt64
+	// A request is refused when, in objectives, the queues of all upstreams mean a wait of
+	// longestBacklog, and that of the best one a wait of longestWait: then requests come
+	// faster than they are served, and in longer queues all of them are late.
+	longestBacklog = 0.2
+	longestWait    = 0.7
+	kibibyte       = 1024.0
+	unavoidable    = math.MaxInt64
 )
 
 // Choose returns the option with the least cost: the expected time to the answer,
@@ -116,7 +123,7 @@
 func Choose(d Demand, options []Option, costs Costs) Choice {
 	var few [fewOptions]uint8
 	standings := d.standings(options, few[:0])
-	d.pressure = pressure(options)
+	d.measure(options)
 	best := Choice{Index: -1, Reason: ReasonNone}
 	bestCost := time.Duration(unavoidable)
 	soonest := time.Duration(unavoidable)
@@ -137,6 +144,9 @@
 	if soonest > d.Left {
 		return Choice{Index: -1, Expected: soonest, Reason: ReasonNoTime}
 	}
+	if d.crowded(&options[best.Index]) {
+		return Choice{Index: -1, Expected: best.Expected, Reason: ReasonBusy}
+	}
 	best.Reason = d.reason(&best, &options[best.Index])
 	return best
 }
@@ -175,29 +185,42 @@
 	return o.RoundTrip + time.Duration(service) + o.wait(d)
 }
 
-// pressure returns the part of the options' slots that is in use.
-func pressure(options []Option) float64 {
-	slots, busy := 0.0, 0.0
+// measure takes in how busy the options are as a whole.
+func (d *Demand) measure(options []Option) {
+	slots, busy, queued := 0.0, 0.0, 0.0
 	for i := range options {
-		slots += float64(options[i].Slots)
-		busy += min(options[i].Busy, float64(options[i].Slots))
+		o := &options[i]
+		slots += float64(o.Slots)
+		busy += min(o.Busy, float64(o.Slots))
+		queued += max(0, o.Busy-float64(o.Slots)) * float64(o.holds(d))
 	}
-	if slots == 0 {
-		return 0
+	if slots > 0 {
+		d.pressure, d.backlog = busy/slots, time.Duration(queued/slots)
 	}
-	return busy / slots
+}
+
+// crowded reports whether requests come faster than they are served, so that one more
+// in the queue of the option makes all of them late.
+func (d *Demand) crowded(o *Option) bool {
+	objective := float64(d.Objective)
+	return float64(d.backlog) > longestBacklog*objective && float64(o.wait(d)) > longestWait*objective
 }
 
 // wait returns the time that a request waits for a slot.
 func (o *Option) wait(d *Demand) time.Duration {
+	slots := float64(max(1, o.Slots))
+	ahead := max(0, o.Busy+1-slots) / slots
+	crowd := waitSmoothing * min(1, o.Busy/slots)
+	return time.Duration((ahead + crowd) * float64(o.holds(d)))
+}
+
+// holds returns how long a request holds a slot of the option, on average.
+func (o *Option) holds(d *Demand) time.Duration {
 	mean := float64(d.ColdTime)
 	if d.Sticky {
 		mean = o.Hits*float64(d.WarmTime) + (1-o.Hits)*float64(d.ColdTime)
 	}
-	slots := float64(max(1, o.Slots))
-	ahead := max(0, o.Busy+1-slots) / slots
-	crowd := waitSmoothing * min(1, o.Busy/slots)
-	return time.Duration((ahead + crowd) * mean * o.Slow)
+	return time.Duration(mean * o.Slow)
 }
 
 // way returns the price of the way.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -100,6 +100,21 @@
 			demand:  demand(func(d *Demand) { d.Left = 30 * time.Millisecond }),
 			options: []Option{option(9, nil)}, index: -1, reason: ReasonNoTime,
 		},
+		"longer queues everywhere than requests can wait in": {
+			demand:  demand(nil),
+			options: []Option{option(1, busy(9)), option(9, busy(14)), option(2, busy(10)), option(3, busy(9))},
+			index:   -1, reason: ReasonBusy,
+		},
+		"a long queue at one upstream alone": {
+			demand:  demand(nil),
+			options: []Option{option(1, nil), option(9, busy(10)), option(2, nil), option(3, nil), option(4, nil)},
+			index:   4, reason: ReasonSpill,
+		},
+		"queues everywhere in which requests can wait": {
+			demand:  demand(nil),
+			options: []Option{option(1, busy(5)), option(9, busy(6)), option(2, busy(5)), option(3, busy(5))},
+			index:   1, reason: ReasonHome,
+		},
 		"no time is left in the queues": {
 			demand:  demand(func(d *Demand) { d.Left = 300 * time.Millisecond }),
 			options: []Option{option(9, busy(40)), option(1, busy(60))}, index: -1, reason: ReasonNoTime,
--- /dev/null
+++ b/simulation/patterns.go
@@ -0,0 +1,102 @@
+package simulation
+
+import (
+	"math"
+	"time"
+
+	"hickorydrum/placement"
+)
+
+// The phases of a region's wave and its troubles are those of a day of half a minute.
+const (
+	day  = 32 * time.Second
+	wave = 36 * time.Second
+)
+
+// Travellers returns the pattern of a deployment in which one of three regions has an
+// eighth of the upstreams: many reads, some purchases.
+func Travellers() *Pattern {
+	return &Pattern{
+		Name: "travellers", Length: day, Load: 1, Wave: Wave{Swing: 0.55, Period: wave},
+		Domains: []Domain{
+			{Name: "a-1", Region: "a", Instances: 2},
+			{Name: "a-2", Region: "a", Instances: 1},
+			{Name: "b-1", Region: "b", Instances: 2},
+			{Name: "b-2", Region: "b", Instances: 1},
+			{Name: "c-1", Region: "c", Instances: 2},
+			{Name: "c-2", Region: "c", Instances: 1},
+		},
+		Services: []Service{
+			{
+				Name: "packs", Slots: 6, Queue: 18, Keeps: 66,
+				Upstreams: map[string]int{"a-1": 1, "a-2": 1, "b-1": 3, "b-2": 3, "c-1": 4, "c-2": 4},
+			},
+			{
+				Name: "sales", Slots: 3, Queue: 9, Keeps: 28,
+				Upstreams: map[string]int{"a-1": 1, "a-2": 1, "b-1": 2, "b-2": 2, "c-1": 3, "c-2": 3},
+			},
+		},
+		Kinds: []Kind{
+			{
+				Name: "pull", Service: "packs", Idempotent: true, Priority: 2, PerSecond: 363, Objects: 90,
+				Work: 360 * time.Millisecond, Gain: 0.7, Objective: 300 * time.Millisecond, Worth: 1, Late: 0.2,
+				Timeout: 800 * time.Millisecond, Patience: 2 * time.Second, Bytes: 0, MaxAttempts: 2,
+			},
+			{
+				Name: "purchase", Service: "sales", Priority: 1, PerSecond: 108, Objects: 27,
+				Work: 480 * time.Millisecond, Gain: 0.7, Objective: 400 * time.Millisecond, Worth: 2, Late: 0.4,
+				Timeout: time.Second, Patience: 2500 * time.Millisecond, Bytes: 300, MaxAttempts: 2,
+			},
+		},
+		InDomain: 100 * time.Microsecond, CrossDomain: 500 * time.Microsecond, CrossRegion: 35 * time.Millisecond,
+		ToCaller: 3 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second,
+	}
+}
+
+// Find returns the pattern of a name.
+func Find(name string) (*Pattern, bool) {
+	for _, p := range Patterns() {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return nil, false
+}
+
+// LeastBusy chooses the upstream with the fewest requests for its slots, whatever the
+// object. Policies are compared with it.
+func LeastBusy(_ placement.Demand, options []placement.Option, _ placement.Costs) placement.Choice {
+	choice := placement.Choice{Index: -1, Reason: placement.ReasonNone}
+	least := math.Inf(1)
+	for i, o := range options {
+		if busy := o.Busy / float64(o.Slots); busy < least {
+			least, choice = busy, placement.Choice{Index: i, Reason: placement.ReasonFree}
+		}
+	}
+	return choice
+}
+
+// Patterns returns the named patterns: the deployment at several loads, with the
+// troubles that days of high load bring.
+func Patterns() []*Pattern {
+	calm := Travellers()
+	calm.Name, calm.Load = "calm", 0.66
+	busy := Travellers()
+	busy.Name, busy.Load = "busy", 1.3
+	busy.Troubles = []Trouble{{Kind: Down, At: 11 * time.Second, For: 4 * time.Second, Share: 0.22, Times: 2}}
+	slow := Travellers()
+	slow.Name, slow.Load = "slow", 1.07
+	slow.Troubles = []Trouble{{Kind: Slow, At: 10 * time.Second, For: 9 * time.Second, Service: "packs", Share: 0.4, Times: 12}}
+	burst := Travellers()
+	burst.Name = "burst"
+	burst.Troubles = []Trouble{{Kind: Burst, At: 12 * time.Second, For: 4 * time.Second, Share: 1, Times: 1.7}}
+	restart := Travellers()
+	restart.Name = "restart"
+	restart.Troubles = []Trouble{{Kind: Restart, At: 16 * time.Second}}
+	short := Travellers()
+	short.Name, short.Load = "short", 1.34
+	short.Services[0].Upstreams = map[string]int{"a-1": 1, "a-2": 1, "b-1": 2, "b-2": 1, "c-1": 4, "c-2": 4}
+	short.Services[1].Upstreams = map[string]int{"a-1": 1, "a-2": 1, "b-1": 1, "b-2": 1, "c-1": 3, "c-2": 3}
+	short.Troubles = []Trouble{{Kind: Burst, At: 10 * time.Second, For: 3 * time.Second, Share: 1, Times: 1.5}}
+	return []*Pattern{calm, busy, slow, burst, restart, short}
+}
