hosted: followers are quiet while the store is away

During an outage of eight seconds each instance tried three watches every half second; refused calls are priced too.

Change: after a failed call a follower waits longer, up to 3 s, or until the small pulse is answered; pulses come every half second while the store is away. Test: TestQuietWhileAway (ten seconds away, then all is known within half a second).

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -35,8 +35,13 @@
 	// pulseEvery and pulseTimeout find out whether the store still answers.
 	pulseEvery   = time.Second
 	pulseTimeout = 600 * time.Millisecond
+	// firstRetry and mostRetry bound how long a follower waits after a failed call,
+	// unless a pulse is answered before.
 	firstRetry   = 100 * time.Millisecond
-	mostRetry    = 500 * time.Millisecond
+	mostRetry    = 3 * time.Second
+	maxDoublings = 5
+	// awayPulseEvery is how often an outage is found to be over.
+	awayPulseEvery = 500 * time.Millisecond
 	// holdLapsed is how long entries that went missing during an outage of the store
 	// are kept after its return.
 	holdLapsed = 2 * time.Second
@@ -162,12 +167,23 @@
 			listed = false
 		default:
 			failures++
-			period.Pause(ctx, min(mostRetry, firstRetry<<min(failures-1, 4)))
+			f.awaitStore(ctx, min(mostRetry, firstRetry<<min(failures-1, maxDoublings)))
 		}
 	}
 	return nil
 }
 
+// awaitStore waits for a time, or until the store answers after it was away.
+func (f *follower) awaitStore(ctx context.Context, wait time.Duration) {
+	f.mu.Lock()
+	restart := f.restart
+	f.mu.Unlock()
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(restart, cancel)()
+	period.Pause(waitCtx, wait)
+}
+
 func (f *follower) list(ctx context.Context, kind string) error {
 	page, err := f.store.List(ctx, kind+"/")
 	if err != nil {
@@ -266,11 +282,21 @@
 	}
 }
 
+// pulseWait returns how long to wait for the next pulse.
+func (f *follower) pulseWait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.awaySince.IsZero() {
+		return pulseEvery
+	}
+	return awayPulseEvery
+}
+
 // pulse asks the store for something small at an interval, so that an outage is
 // noticed while the watches wait, and drops entries whose hold is over.
 func (f *follower) pulse(ctx context.Context) error {
 	for ctx.Err() == nil {
-		period.Pause(ctx, pulseEvery)
+		period.Pause(ctx, f.pulseWait())
 		call, cancel := context.WithTimeout(ctx, pulseTimeout)
 		err := f.store.Pulse(call)
 		cancel()
--- a/hosted/follow_test.go
+++ b/hosted/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"testing"
@@ -115,3 +116,85 @@
 		}
 	}
 }
+
+// awayStore is a store that answers nothing while it is away, and counts the calls
+// that are not pulses.
+type awayStore struct {
+	*standin.Store
+
+	mu    sync.Mutex
+	away  bool
+	calls int
+}
+
+var errAway = errors.New("the store is away")
+
+func (s *awayStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.calls = away, 0
+}
+
+func (s *awayStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *awayStore) call(counts int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls += counts
+	if s.away {
+		return errAway
+	}
+	return nil
+}
+
+func (s *awayStore) List(ctx context.Context, prefix string) (platform.Page, error) {
+	if err := s.call(1); err != nil {
+		return platform.Page{}, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *awayStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Page, error) {
+	if err := s.call(1); err != nil {
+		return platform.Page{}, err
+	}
+	return s.Store.Watch(ctx, prefix, cursor, wait)
+}
+
+func (s *awayStore) Pulse(context.Context) error { return s.call(0) }
+
+// TestQuietWhileAway starts while the store is away: the followers ask seldom, and
+// know everything soon after its return.
+func TestQuietWhileAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &awayStore{Store: standin.NewStore()}
+		if _, err := store.Put(t.Context(), platform.KindEvacuations+"/a", []byte("{}"), 0); err != nil {
+			t.Fatal(err)
+		}
+		f := newFollower(store, func() []string { return nil }, func() int { return 12 }, slog.New(slog.DiscardHandler), func(string) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		store.setAway(true)
+		for _, kind := range kinds() {
+			group.Go(func() error { return f.follow(ctx, kind) })
+		}
+		group.Go(func() error { return f.pulse(ctx) })
+		time.Sleep(10 * time.Second)
+		if got, most := store.count(), len(kinds())*9; got > most {
+			t.Errorf("%d calls in ten seconds, want at most %d", got, most)
+		}
+		store.setAway(false)
+		time.Sleep(awayPulseEvery + 10*time.Millisecond)
+		for _, kind := range kinds() {
+			if _, known := f.objects(kind); !known {
+				t.Errorf("%s is not known after the return", kind)
+			}
+		}
+		cancel()
+		_ = group.Wait()
+	})
+}
