placement, planner: the region of the shares holds while queues are long everywhere

Two causes: with queues in every region single requests go to and fro after the shortest one; and instances that learnt different work times told demands that cannot be compared (127 slots beside 30 where the requests were alike).

Change: while the queues of all upstreams are long, other regions than that of the shares are passed over; demand is told as if each request held a slot for its objective, and each instance applies its own times to all regions. Tests: TestChoose, three cases (the first fails without the change), TestSharesAgree.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -63,7 +63,8 @@
 	Newest []uint64 `cbor:"11,keyasint"`
 }
 
-// Demand is the slots that the requests of a service at one instance need.
+// Demand is the slots that the requests of a service at one instance need if each holds
+// one for as long as its objective.
 type Demand struct {
 	Service string `cbor:"1,keyasint"`
 	// Millislots are thousandths of a slot.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -127,8 +128,12 @@
 	best := Choice{Index: -1, Reason: ReasonNone}
 	bestCost := time.Duration(unavoidable)
 	soonest := time.Duration(unavoidable)
+	full := d.full(options)
 	for i := range options {
 		o := &options[i]
+		if full && o.Region != d.Region {
+			continue
+		}
 		standing := int(standings[i])
 		expected := d.expected(o, d.chance(o, standing))
 		soonest = min(soonest, expected)
@@ -199,6 +204,16 @@
 	}
 }
 
+// full reports whether all upstreams have queues while the region of the shares has
+// upstreams at all: no other region is better then, and requests that went to and fro
+// would only make each region's load jump.
+func (d *Demand) full(options []Option) bool {
+	if float64(d.backlog) <= longestBacklog*float64(d.Objective) {
+		return false
+	}
+	return slices.ContainsFunc(options, func(o Option) bool { return o.Region == d.Region })
+}
+
 // crowded reports whether requests come faster than they are served, so that one more
 // in the queue of the option makes all of them late.
 func (d *Demand) crowded(o *Option) bool {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -100,6 +100,21 @@
 			demand:  demand(func(d *Demand) { d.Left = 30 * time.Millisecond }),
 			options: []Option{option(9, nil)}, index: -1, reason: ReasonNoTime,
 		},
+		"queues in every region: the region of the shares": {
+			demand:  demand(func(d *Demand) { d.Objective = time.Second }),
+			options: []Option{option(9, busy(18)), option(5, func(o *Option) { far(o); o.Busy, o.Known = 10, true })},
+			index:   0, reason: ReasonHome,
+		},
+		"a queue in the region of the shares alone": {
+			demand:  demand(func(d *Demand) { d.Objective = time.Second }),
+			options: []Option{option(9, busy(18)), option(5, func(o *Option) { far(o); o.Known = true }), option(4, far)},
+			index:   1, reason: ReasonKnown,
+		},
+		"queues in every region, none in that of the shares": {
+			demand:  demand(func(d *Demand) { d.Objective, d.Region = time.Second, 2 }),
+			options: []Option{option(9, busy(18)), option(5, func(o *Option) { far(o); o.Busy = 10 })},
+			index:   1, reason: ReasonSpill,
+		},
 		"longer queues everywhere than requests can wait in": {
 			demand:  demand(nil),
 			options: []Option{option(1, busy(9)), option(9, busy(14)), option(2, busy(10)), option(3, busy(9))},
--- a/planner/shares.go
+++ b/planner/shares.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -26,9 +27,13 @@
 	enoughIntervals = 3
 	// demandMemory is the weight of the newest rate in the demand.
 	demandMemory = 0.3
+	// defaultObjective stands for the objective of routes without one.
+	defaultObjective = 200 * time.Millisecond
 )
 
-// Demand is the slots that the requests of a service at one instance need.
+// Demand is the slots that the requests of a service at one instance need if each holds
+// one for as long as its objective. How long they really do is learnt by each instance
+// apart, so it would not be comparable.
 type Demand struct {
 	Service string
 	Slots   float64
@@ -53,7 +58,8 @@
 type serviceShares struct {
 	arrivals map[route.Class]int
 	bytes    int64
-	demand   float64 // slots
+	demand   float64 // slots that requests need if each holds one for its objective
+	hold     float64 // part of its objective for which a request holds a slot
 	meanSize float64
 	row      []float64 // share of each region
 	near     float64   // share of the own failure domain, where ways are dear
@@ -121,24 +127,30 @@
 	defer s.mu.Unlock()
 	out := make([]Demand, 0, len(s.services))
 	for name, one := range s.services {
-		count, work := 0, 0.0
-		for class, n := range one.arrivals {
-			count += n
-			work += float64(n) * workTime(name, class).Seconds()
-		}
-		if count > 0 {
-			one.measured++
-			one.meanSize += demandMemory * (float64(one.bytes)/float64(count) - one.meanSize)
-		}
-		weight := max(demandMemory, 1/float64(max(1, one.measured)))
-		one.demand += weight * (work/interval.Seconds() - one.demand)
-		clear(one.arrivals)
-		one.bytes = 0
+		one.measure(interval, func(class route.Class) time.Duration { return workTime(name, class) })
 		out = append(out, Demand{Service: name, Slots: one.demand})
 	}
 	return out
 }
 
+func (s *serviceShares) measure(interval time.Duration, workTime func(class route.Class) time.Duration) {
+	count, work, allowed := 0, 0.0, 0.0
+	for class, n := range s.arrivals {
+		count += n
+		work += float64(n) * workTime(class).Seconds()
+		allowed += float64(n) * cmp.Or(class.Objective, defaultObjective).Seconds()
+	}
+	if count > 0 {
+		s.measured++
+		s.meanSize += demandMemory * (float64(s.bytes)/float64(count) - s.meanSize)
+		s.hold = work / allowed
+	}
+	weight := max(demandMemory, 1/float64(max(1, s.measured)))
+	s.demand += weight * (allowed/interval.Seconds() - s.demand)
+	clear(s.arrivals)
+	s.bytes = 0
+}
+
 // near reports whether an object of a service whose requests are dear to move is
 // served within the failure domain.
 func (s *shares) near(service string, object uint64) bool {
@@ -161,7 +173,7 @@
 		if one.heavy() {
 			target = heavyTarget
 		}
-		state := s.state(name, demands, view)
+		state := s.state(name, one.hold, demands, view)
 		if one.measured < enoughIntervals {
 			state.assume(target, instances)
 		}
@@ -184,16 +196,18 @@
 	nearDemand, nearCapacity float64
 }
 
-func (s *shares) state(service string, demands []PlacedDemand, view *fleet.View) *regionState {
+// state adds up what a service needs and has. hold is the part of their objective for
+// which requests hold a slot.
+func (s *shares) state(service string, hold float64, demands []PlacedDemand, view *fleet.View) *regionState {
 	r := &regionState{demand: make([]float64, len(s.place.Regions)), capacity: make([]float64, len(s.place.Regions))}
 	for _, d := range demands {
 		at := slices.Index(s.place.Regions, d.Region)
 		if at < 0 || d.Service != service {
 			continue
 		}
-		r.demand[at] += d.Slots
+		r.demand[at] += hold * d.Slots
 		if d.Domain == s.place.Domain {
-			r.nearDemand += d.Slots
+			r.nearDemand += hold * d.Slots
 		}
 	}
 	for _, u := range view.Service(service) {
--- a/planner/shares_test.go
+++ b/planner/shares_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"hickorydrum/fleet"
 	"hickorydrum/route"
 )
@@ -45,6 +47,23 @@
 	}
 }
 
+// TestSharesAgree gives two instances different beliefs of how long requests take. What
+// they tell of their demand is the same, so that no region seems to need more.
+func TestSharesAgree(t *testing.T) {
+	class := route.Class{Sticky: true, Objective: 200 * time.Millisecond}
+	told := make(map[time.Duration][]Demand)
+	for _, work := range []time.Duration{70 * time.Millisecond, 240 * time.Millisecond} {
+		s, _ := smallRegion()
+		for range 50 {
+			s.arrived("list", class, 100)
+		}
+		told[work] = s.measure(500*time.Millisecond, func(string, route.Class) time.Duration { return work })
+	}
+	if diff := cmp.Diff(told[70*time.Millisecond], told[240*time.Millisecond]); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestSharesStep moves no share by more than a step when the demand jumps.
 func TestSharesStep(t *testing.T) {
 	s, view := smallRegion()
