--- a/trial/command.go
+++ b/trial/command.go
@@ -33,6 +33,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	for _, c := range []*command{
 		platformCommand(), upstreamCommand(out), linkCommand(), loadCommand(out), tryCommand(out), slopeCommand(out),
+		simulateCommand(out),
 	} {
 		c.err = errOut
 		commander.Register(c, "")
