story, hosted: the page for engineers on call is held by a test

docs/OPERATIONS.md told how to get from the id of a failed request to its cause; nothing showed that it works. TestOperations causes its three kinds against a real instance, stand-ins of store and upstream, and follows each with the instance's logs alone.

--- /dev/null
+++ b/hosted/operations_test.go
@@ -0,0 +1,104 @@
+package hosted
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"hickorydrum/standin"
+	"hickorydrum/story"
+)
+
+// TestOperations causes the kinds of failed request of docs/OPERATIONS.md, and follows
+// each from its id to its cause as the page says, with nothing but the instance's logs.
+func TestOperations(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		// onPage is the cause as the page lists it, and told is what the story says.
+		onPage string
+		told   []string
+		cause  func(c *cluster, m *member, w *standin.Worker) string // returns the request's id
+	}{
+		"refused early": {
+			onPage: "no upstream can serve it: none",
+			told:   []string{"refused, status 503", "cause: no upstream can serve it: none", "before it"},
+			cause: func(c *cluster, m *member, w *standin.Worker) string {
+				c.enter(w, "list", "one-a", "draining")
+				c.await("the drain", func() bool { return len(m.instance.planner.View().Service("list")) == 0 })
+				c.send(m, ask{path: "/read/x", id: "early"})
+				return "early"
+			},
+		},
+		"502 after a lost answer": {
+			onPage: "the connection to the upstream ended without an answer",
+			told:   []string{"lost, status 502", "cause: the connection to the upstream ended without an answer", "last upstream: i-", "sent to 1 in all"},
+			cause: func(c *cluster, m *member, w *standin.Worker) string {
+				w.Fail(standin.WorkerReset, -1)
+				c.send(m, ask{method: http.MethodPost, path: "/order/x", id: "lost", body: "b", object: "7"})
+				return "lost"
+			},
+		},
+		"served late by a spill": {
+			onPage: "last choice: spill",
+			told:   []string{"answered, status 200", "last choice: spill", "last upstream: i-"},
+			cause: func(c *cluster, m *member, w *standin.Worker) string {
+				w.Fail(standin.WorkerFail, -1)
+				other := c.worker("list", "one-a", func(w *standin.WorkerConfig) {
+					w.Warm, w.Cold = 150*time.Millisecond, 150*time.Millisecond
+				})
+				c.ready(m, 2)
+				id := ""
+				c.await("a spill", func() bool {
+					id += "x"
+					c.send(m, ask{path: "/read/x", id: id, object: "object-" + id})
+					return other.Runs(id) == 1 && strings.Contains(lineOf(m, id), `"reason":"spill"`)
+				})
+				return id
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if !strings.Contains(string(page), test.onPage) {
+				t.Fatalf("the page does not tell of %q", test.onPage)
+			}
+			c := newCluster(t)
+			c.configure(reads, orders)
+			w := c.worker("list", "one-a", nil)
+			m := c.start("a", "one-a")
+			c.ready(m, 1)
+			c.await("an answer", func() bool { return c.send(m, ask{path: "/read/x", id: "first"}).Status == http.StatusOK })
+			id := test.cause(c, m, w)
+			c.await("the line about the request", func() bool { return lineOf(m, id) != "" })
+			told, err := story.Collect(strings.NewReader(m.logs.String()), id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out bytes.Buffer
+			if err := told.Write(&out); err != nil {
+				t.Fatal(err)
+			}
+			for _, want := range test.told {
+				if !strings.Contains(out.String(), want) {
+					t.Errorf("%q is missing in:\n%s", want, out.String())
+				}
+			}
+		})
+	}
+}
+
+// lineOf returns the line that an instance logged about a request, or "".
+func lineOf(m *member, id string) string {
+	for _, line := range strings.Split(m.logs.String(), "\n") {
+		if strings.Contains(line, `"id":"`+id+`"`) {
+			return line
+		}
+	}
+	return ""
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -99,6 +99,19 @@
 	ReasonBusy   Reason = "busy"    // the queue of the best upstream is too long
 )
 
+var reasonTexts = map[Reason]string{
+	ReasonHome:   "the object's home among the upstreams",
+	ReasonKnown:  "not the home, but an upstream that had the object lately",
+	ReasonSpill:  "an upstream that did not have the object: the home was busy, slow or failing",
+	ReasonFree:   "the upstream with the least expected time; the request names no object",
+	ReasonNone:   "no upstream may be used: none is ready in the allowed regions, or all were tried",
+	ReasonNoTime: "no upstream was expected to answer in the time left",
+	ReasonBusy:   "requests come faster than they are served: the queues of all upstreams are long",
+}
+
+// Text explains the reason to an operator; it is empty for an unknown one.
+func (r Reason) Text() string { return reasonTexts[r] }
+
 const (
 	failurePrice = 2.0 // a failure counts as so many objectives
 	// strangeShare is the part of the gain of a known object that a request costs for
