placement: a route without an objective is not refused for a short queue

Cause: found in reading: the two waits of a refusal count in objectives; a route without one (0) would be refused as soon as anything waits. Change: without an objective the time of a request at an upstream that does not know its object stands in. The two conditions on the backlog are one; the check of windows in the tests of budget stands once. Test: TestChoose, no objective (fails without it).

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -44,17 +44,7 @@
 					}
 				}
 			}
-			span := int(window / (10 * time.Millisecond))
-			for end := span; end <= ticks; end++ {
-				sent, again := 0, 0
-				for i := end - span; i < end; i++ {
-					sent += requests[i]
-					again += repeats[i]
-				}
-				if bound := ratio*float64(sent) + slack; float64(again) > bound {
-					t.Fatalf("%d repeats of %d requests in the window that ends at tick %d, bound %.0f", again, sent, end, bound)
-				}
-			}
+			checkWindows(t, requests, repeats, int(window/(10*time.Millisecond)), ratio, slack)
 		})
 	}
 }
@@ -155,17 +145,22 @@
 					}
 				}
 			}
-			span := int(window / tick)
-			for end := span; end <= ticks; end++ {
-				sent, again := 0, 0
-				for i := end - span; i < end; i++ {
-					sent += requests[i]
-					again += repeats[i]
-				}
-				if bound := ratio*float64(sent) + slack; float64(again) > bound {
-					t.Fatalf("%d repeats of %d requests in the window that ends at tick %d, bound %.0f", again, sent, end, bound)
-				}
-			}
+			checkWindows(t, requests[:], repeats[:], int(window/tick), ratio, slack)
 		})
 	}
 }
+
+// checkWindows holds the operators' bound in every window of span ticks.
+func checkWindows(t *testing.T, requests, repeats []int, span int, ratio, slack float64) {
+	t.Helper()
+	for end := span; end <= len(requests); end++ {
+		sent, again := 0, 0
+		for i := end - span; i < end; i++ {
+			sent += requests[i]
+			again += repeats[i]
+		}
+		if bound := ratio*float64(sent) + slack; float64(again) > bound {
+			t.Fatalf("%d repeats of %d requests in the window that ends at tick %d, bound %.0f", again, sent, end, bound)
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -141,17 +142,17 @@
 	best := Choice{Index: -1, Reason: ReasonNone}
 	bestCost := time.Duration(unavoidable)
 	soonest := time.Duration(unavoidable)
-	full := d.full(options)
+	stays := d.stays(options)
 	for i := range options {
 		o := &options[i]
-		if full && o.Region != d.Region {
+		if stays && o.Region != d.Region {
 			continue
 		}
 		standing := int(standings[i])
 		expected := d.expected(o, d.chance(o, standing))
 		soonest = min(soonest, expected)
 		cost := expected + costs.way(o.Distance, d.Bytes) + d.displacement(o, standing) +
-			time.Duration(o.Failing*failurePrice*float64(d.Objective))
+			time.Duration(o.Failing*failurePrice*d.objective())
 		if cost < bestCost || cost == bestCost && best.Index >= 0 && o.Rank > options[best.Index].Rank {
 			best, bestCost = Choice{Index: i, Expected: expected, Standing: standing}, cost
 		}
@@ -217,21 +218,23 @@
 	}
 }
 
-// full reports whether all upstreams have queues while the region of the shares has
-// upstreams at all: no other region is better then, and requests that went to and fro
-// would only make each region's load jump.
-func (d *Demand) full(options []Option) bool {
-	if float64(d.backlog) <= longestBacklog*float64(d.Objective) {
-		return false
-	}
-	return slices.ContainsFunc(options, func(o Option) bool { return o.Region == d.Region })
+// queued reports whether the queues of all upstreams together are long.
+func (d *Demand) queued() bool { return float64(d.backlog) > longestBacklog*d.objective() }
+
+// objective returns the objective in nanoseconds, or without one the time of a request.
+func (d *Demand) objective() float64 { return float64(cmp.Or(d.Objective, d.ColdTime)) }
+
+// stays reports whether the request stays in the region of the shares, if there are
+// upstreams: while all queues are long no region is better, and requests that went to
+// and fro would only make each region's load jump.
+func (d *Demand) stays(options []Option) bool {
+	return d.queued() && slices.ContainsFunc(options, func(o Option) bool { return o.Region == d.Region })
 }
 
 // crowded reports whether requests come faster than they are served, so that one more
 // in the queue of the option makes all of them late.
 func (d *Demand) crowded(o *Option) bool {
-	objective := float64(d.Objective)
-	return float64(d.backlog) > longestBacklog*objective && float64(o.wait(d)) > longestWait*objective
+	return d.queued() && float64(o.wait(d)) > longestWait*d.objective()
 }
 
 // wait returns the time that a request waits for a slot.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -115,6 +115,11 @@
 			options: []Option{option(9, busy(18)), option(5, func(o *Option) { far(o); o.Busy = 10 })},
 			index:   1, reason: ReasonSpill,
 		},
+		"no objective: a short queue is no reason to refuse": {
+			demand:  demand(func(d *Demand) { d.Objective = 0 }),
+			options: []Option{option(1, busy(5)), option(9, busy(5)), option(2, busy(5)), option(3, busy(5))},
+			index:   1, reason: ReasonHome,
+		},
 		"longer queues everywhere than requests can wait in": {
 			demand:  demand(nil),
 			options: []Option{option(1, busy(9)), option(9, busy(14)), option(2, busy(10)), option(3, busy(9))},
