--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -96,7 +96,7 @@
 	i.board = load.NewBoard(settings.Domain, settings.Region, regionNames(&settings), i.newDialer)
 	place := planner.Place{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
 	i.planner = planner.New(place, i.board, i.mesh, retryBounds(settings.Bounds))
-	i.ingress = ingress.New(i.planner, i.board, log)
+	i.ingress = ingress.New(i.planner, log)
 	i.follower = newFollower(i.store, i.mesh.Controls, func() int { return len(i.mesh.Live()) }, log, i.believe)
 	return i, i.listen()
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -32,8 +32,6 @@
 	maxDrained = 2 << 20
 	// maxIdle is how many idle connections to one upstream are kept.
 	maxIdle = 32
-	// maxTries bounds the upstreams that are tried, with those that cannot be reached.
-	maxTries = 6
 )
 
 // exchange is one request of a caller.
@@ -168,7 +166,7 @@
 // or must not be sent again.
 func (x *exchange) attempt() {
 	x.ask.Tried = make(map[string]bool)
-	for range maxTries {
+	for range planner.MaxTries {
 		if x.r.Context().Err() != nil {
 			x.result = result{outcome: "caller-gone", detail: "the caller left"}
 			panic(http.ErrAbortHandler)
@@ -234,7 +232,7 @@
 	x.sends++
 	dialect := platform.NewDialect(u.ID, func(l platform.Load) {
 		waited = l.Waiting > 0
-		g.board.Told(u.ID, l.Running, l.Waiting, time.Now())
+		g.planner.Told(u, l.Running, l.Waiting, time.Now())
 	})
 	answer := newAnswer(x)
 	request := x.request()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -9,23 +9,21 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"hickorydrum/load"
 	"hickorydrum/planner"
 )
 
 // Ingress serves the callers of one instance.
 type Ingress struct {
 	planner  *planner.Planner
-	board    *load.Board
 	log      *slog.Logger
 	lines    *lines
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 }
 
-// New returns the ingress of an instance. The board is the planner's.
-func New(p *planner.Planner, board *load.Board, log *slog.Logger) *Ingress {
-	return &Ingress{planner: p, board: board, log: log, lines: newLines()}
+// New returns the ingress of an instance.
+func New(p *planner.Planner, log *slog.Logger) *Ingress {
+	return &Ingress{planner: p, log: log, lines: newLines()}
 }
 
 // Ready reports whether requests can be served.
--- a/load/chance.go
+++ b/load/chance.go
@@ -2,10 +2,8 @@
 
 import "hickorydrum/placement"
 
-const (
-	// chanceMemory is the weight of the newest outcome in a chance.
-	chanceMemory = 0.05
-)
+// chanceMemory is the weight of the newest outcome in a chance.
+const chanceMemory = 0.05
 
 // firstChances are assumed until the first answers: a start of this instance is mostly
 // no start of the upstreams.
--- a/load/fault.go
+++ b/load/fault.go
@@ -25,6 +25,11 @@
 		g.fullTill = now.Add(shedPause)
 		return
 	}
+	g.failed(now)
+}
+
+// failed takes in a failure.
+func (g *gauge) failed(now time.Time) {
 	g.fade(now)
 	g.failing += failMemory * (1 - g.failing)
 }
--- a/load/load.go
+++ b/load/load.go
@@ -284,8 +284,7 @@
 	case Answered:
 		b.answered(g, r, now)
 	case Failed:
-		g.fade(now)
-		g.failing += failMemory * (1 - g.failing)
+		g.failed(now)
 	case Refused:
 		g.refused(now)
 	case Unreachable:
--- a/placement/standing.go
+++ b/placement/standing.go
@@ -28,11 +28,11 @@
 			place, region = 0, o.Region
 		}
 		standing := place
-		if near >= 0 && int(i) != near || near < 0 && d.Region >= 0 && o.Region != d.Region {
-			standing++
-		}
-		if int(i) == near {
+		switch {
+		case int(i) == near:
 			standing = 0
+		case near >= 0, d.Region >= 0 && o.Region != d.Region:
+			standing++
 		}
 		buf[i] = uint8(min(standing, Standings-1))
 		place++
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -57,6 +57,10 @@
 	headGuess   = 512
 )
 
+// MaxTries bounds the upstreams that are tried for one request, with those that cannot be
+// reached.
+const MaxTries = 6
+
 // Choose picks one of the options for a request.
 type Choose func(placement.Demand, []placement.Option, placement.Costs) placement.Choice
 
@@ -81,9 +85,6 @@
 // Option changes a Planner while it is made.
 type Option func(*Planner)
 
-// WithCosts sets what the ways of requests cost.
-func WithCosts(costs placement.Costs) Option { return func(p *Planner) { p.costs = costs } }
-
 // WithChoose sets how one of the upstreams is chosen.
 func WithChoose(choose Choose) Option { return func(p *Planner) { p.choose = choose } }
 
@@ -177,6 +178,11 @@
 	p.board.End(r, now)
 }
 
+// Told takes in the load that an upstream told.
+func (p *Planner) Told(u *fleet.Upstream, running, waiting int, now time.Time) {
+	p.board.Told(u.ID, running, waiting, now)
+}
+
 // Spend takes one repeat from the budget of a service.
 func (p *Planner) Spend(service string, now time.Time) bool {
 	bounds := p.bounds.Load()
--- a/simulation/call.go
+++ b/simulation/call.go
@@ -11,8 +11,6 @@
 	// firstReturn and lastReturn bound when a refused caller comes back.
 	firstReturn = 40 * time.Millisecond
 	lastReturn  = 250 * time.Millisecond
-	// maxTries bounds how many upstreams are tried for one request.
-	maxTries = 6
 	// leastLeft is the part of a caller's patience without which it does not come back.
 	leastLeft = 3
 )
@@ -45,17 +43,16 @@
 		Table: w.table, View: w.view, Route: w.routes[c.kind.Name], Object: c.object, Sticky: true,
 		Bytes: c.kind.Bytes, Deadline: now.Add(limit), Tried: make(map[string]bool),
 	}
-	c.sends, c.tries, c.ended = 0, 0, false
 	c.instance.planner.Arrived(&c.ask, now)
-	instance := c.instance
-	w.after(limit, func() { c.expire(instance) })
+	w.after(limit, c.expire)
 	c.attempt()
 }
 
 // attempt sends the request to the next upstream, or refuses it.
 func (c *call) attempt() {
 	w := c.world
-	for ; c.tries < maxTries; c.tries++ {
+	for c.tries < planner.MaxTries {
+		c.tries++
 		choice, u := c.instance.planner.Choose(&c.ask, w.now)
 		if u == nil || c.sends > 0 && !c.instance.planner.Spend(c.ask.Service, w.now) {
 			break
@@ -65,7 +62,6 @@
 			continue
 		}
 		c.sends++
-		c.tries++
 		target := w.workers[u.ID]
 		c.job = &job{
 			call: c, worker: target, sentAt: w.now, way: w.pattern.oneWay(c.instance.domain, target.domain), chosen: choice.Standing,
@@ -79,7 +75,7 @@
 
 // concluded takes in what came back from an upstream.
 func (c *call) concluded(j *job, outcome load.Outcome, running, waiting int) {
-	c.instance.board.Told(j.worker.entry.ID, running, waiting, c.world.now)
+	c.instance.planner.Told(j.worker.entry, running, waiting, c.world.now)
 	c.finish(j, outcome, waiting > 0)
 	if c.ended {
 		return
@@ -102,8 +98,8 @@
 }
 
 // expire ends an attempt whose time is over.
-func (c *call) expire(at *instance) {
-	if c.ended || c.instance != at {
+func (c *call) expire() {
+	if c.ended {
 		return
 	}
 	if j := c.job; j != nil && j.state != over {
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -26,7 +26,6 @@
 // instance is one instance, without its network.
 type instance struct {
 	domain  *Domain
-	board   *load.Board
 	planner *planner.Planner
 	demand  []planner.Demand
 }
@@ -79,6 +78,7 @@
 // world is a pattern that is being played.
 type world struct {
 	pattern *Pattern
+	regions []string // in the order of the callers' numbers
 	options []planner.Option
 	random  *rand.Rand
 	now     time.Time
@@ -97,7 +97,7 @@
 // the planners, so that policies can be compared.
 func Run(p *Pattern, seed uint64, opts ...planner.Option) *Report {
 	w := &world{
-		pattern: p, options: opts, random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
+		pattern: p, regions: p.regions(), options: opts, random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
 		routes: make(map[string]*route.Route), workers: make(map[string]*worker), report: newReport(p),
 	}
 	w.build()
@@ -175,7 +175,7 @@
 
 // start starts every instance anew.
 func (w *world) start() {
-	regions := slices.Sorted(slices.Values(w.pattern.regions()))
+	regions := slices.Sorted(slices.Values(w.regions))
 	w.instances = nil
 	for i := range w.pattern.Domains {
 		d := &w.pattern.Domains[i]
@@ -192,7 +192,7 @@
 			p := planner.New(place, board, crowd{w.pattern, w.now}, bounds, w.options...)
 			p.SetTable(w.table)
 			p.SetView(w.view)
-			w.instances = append(w.instances, &instance{domain: d, board: board, planner: p})
+			w.instances = append(w.instances, &instance{domain: d, planner: p})
 		}
 	}
 	for _, one := range w.instances {
@@ -218,7 +218,7 @@
 
 // arrivals draws the requests of one tick.
 func (w *world) arrivals() {
-	regions := w.pattern.regions()
+	regions := w.regions
 	for i := range w.pattern.Kinds {
 		k := &w.pattern.Kinds[i]
 		for region := range regions {
@@ -255,7 +255,7 @@
 
 // pick returns an instance of a region.
 func (w *world) pick(region int) *instance {
-	name := w.pattern.regions()[region]
+	name := w.regions[region]
 	var near []*instance
 	for _, one := range w.instances {
 		if one.domain.Region == name {
@@ -279,7 +279,7 @@
 	latency := w.now.Sub(c.begunAt) + w.pattern.ToCaller
 	window := min(len(w.report.Windows)-1, int(c.begunAt.Sub(epoch)/windowLength))
 	for _, t := range []*Tally{
-		&w.report.All, w.report.Kinds[c.kind.Name], w.report.Regions[w.pattern.regions()[c.region]], w.report.Windows[window],
+		&w.report.All, w.report.Kinds[c.kind.Name], w.report.Regions[w.regions[c.region]], w.report.Windows[window],
 	} {
 		t.count(c, o, latency, by)
 	}
