gossip, hosted: members by failure domain, one watcher and one holder in each

Cause: each heartbeat told three of all instances of twelve others, so with 195 a member was heard of every four seconds and taken for gone after 2.5: counts, demand and look-ups flapped. Every instance watched the store (three watches and a pulse each), and every instance of a region held a bucket of one request for each cold upstream, so that 65 could send in one second what bears 2.3.

Change: members of a failure domain tell each other of all of it, with the age of what they tell, and ask for themselves before they take one for gone; failure domains exchange sums. Ranks of hashes name one holder of the right to a cold upstream and one watcher of the store; rights end on a clock that runs through a suspension, and a start or a pause waits two seconds. A mirror keeps removals so that peers get changes only.

--- /dev/null
+++ b/gossip/role.go
@@ -0,0 +1,170 @@
+package gossip
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// watchKey ranks the members of a failure domain for watching the platform's store.
+const watchKey = 1
+
+// first reports whether this instance has the highest rank for a key among the members
+// of its failure domain that live and fit.
+func (v *view) first(key uint64, fits func(m *Member) bool, now time.Time) bool {
+	if !fits(&v.self) {
+		return false
+	}
+	own := rank(v.self.Address, key)
+	for _, k := range v.others {
+		if now.Sub(k.heardAt) < lostAfter && fits(&k.member) && rank(k.member.Address, key) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// watches reports whether this instance watches the store for its failure domain. If the
+// store refuses all members, the one that would watch else goes on trying.
+func (v *view) watches(now time.Time) bool {
+	stays := func(m *Member) bool { return !m.Leaving }
+	answered := func(m *Member) bool { return stays(m) && !m.Refused }
+	if v.first(watchKey, answered, now) {
+		return true
+	}
+	for _, k := range v.members(now) {
+		if answered(&k.member) {
+			return false
+		}
+	}
+	return !answered(&v.self) && v.first(watchKey, stays, now)
+}
+
+// part returns the part of a right that one instance has for a key, which belongs to a
+// failure domain. It is 0 for all others, and while this instance cannot know: when it
+// has just started, was paused, or hears of few of its failure domain. Parts of a failure
+// domain that lost each other divide the right.
+func (v *view) part(domain string, key uint64, now time.Time) float64 {
+	if now.Before(v.settledAt) || now.Sub(v.beatAt) > permissionFor || v.owner(domain, key) != v.domain {
+		return 0
+	}
+	live, present := v.live(now), 1+len(v.others)
+	if live*leastPart < present || !v.first(key, (*Member).serves, now) {
+		return 0
+	}
+	return float64(live) / float64(present)
+}
+
+// owner returns the failure domain whose instances have the rights of another: itself,
+// or if it has no instances another one, if possible of its region.
+func (v *view) owner(domain string, key uint64) string {
+	if _, ok := v.sums[domain]; ok || domain == v.domain {
+		return domain
+	}
+	best, bestNear, bestRank := v.domain, v.regions[v.domain] == v.regions[domain], domainRank(v.domain, key)
+	for other := range v.sums {
+		near, rank := v.regions[other] == v.regions[domain], domainRank(other, key)
+		if near != bestNear && near || near == bestNear && rank > bestRank {
+			best, bestNear, bestRank = other, near, rank
+		}
+	}
+	return best
+}
+
+func domainRank(domain string, key uint64) uint64 {
+	return rank(netip.AddrFrom4([4]byte{}), key^xxhash.Sum64String(domain))
+}
+
+// serving returns the members that callers from a failure domain should use: those of
+// the failure domain if at least two are known, else those of its region, else those of
+// this instance's failure domain, which is the nearest that the callers reach.
+func (v *view) serving(domain, region string, now time.Time) []netip.Addr {
+	if near := v.servingIn(domain, now); len(near) >= leastServing {
+		return near
+	}
+	if named, ok := v.regions[domain]; ok {
+		region = named
+	}
+	var out []netip.Addr
+	for other := range v.regions {
+		if v.regions[other] == region {
+			out = append(out, v.servingIn(other, now)...)
+		}
+	}
+	if len(out) == 0 {
+		out = v.servingIn(v.domain, now)
+	}
+	if len(out) == 0 {
+		for other := range v.sums {
+			out = append(out, v.servingIn(other, now)...)
+		}
+	}
+	slices.SortFunc(out, netip.Addr.Compare)
+	return out
+}
+
+// servingIn returns the known members of a failure domain that serve callers.
+func (v *view) servingIn(domain string, now time.Time) []netip.Addr {
+	if domain != v.domain {
+		if s, ok := v.sums[domain]; ok && now.Sub(s.madeAt) < freshFor {
+			return s.Contacts
+		}
+		return nil
+	}
+	var out []netip.Addr
+	if v.self.serves() {
+		out = append(out, v.self.Address)
+	}
+	for _, address := range v.addresses() {
+		if k := v.others[address]; k.member.serves() && now.Sub(k.heardAt) < lostAfter {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// leastServing is how many members of a failure domain its callers need.
+const leastServing = 2
+
+// count returns how many instances of a region, and of all, may be at work: those that
+// live and those that were silent for less than forgetAfter.
+func (v *view) count(region string) (inRegion, all int) {
+	all = 1 + len(v.others)
+	if v.regions[v.domain] == region {
+		inRegion = all
+	}
+	for domain, s := range v.sums {
+		all += s.Present
+		if v.regions[domain] == region {
+			inRegion += s.Present
+		}
+	}
+	return inRegion, all
+}
+
+// watchers returns how many instances watch the store: one in each failure domain.
+func (v *view) watchers() int { return 1 + len(v.sums) }
+
+// peers returns the other instances that may be asked for what they know: those of the
+// failure domain, then contacts of others, then the seeds.
+func (v *view) peers(now time.Time) []netip.Addr {
+	var out []netip.Addr
+	for _, k := range v.members(now) {
+		out = append(out, k.member.Address)
+	}
+	v.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	var far []netip.Addr
+	for _, contacts := range v.contacts {
+		far = append(far, contacts...)
+	}
+	v.random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	out = append(out, far...)
+	for _, seed := range v.seeds {
+		if seed != v.self.Address && !slices.Contains(out, seed) {
+			out = append(out, seed)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/gossip/view.go
@@ -0,0 +1,475 @@
+package gossip
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hickorydrum/event"
+)
+
+const (
+	beatEvery = 500 * time.Millisecond
+	// fanout is how many members of the failure domain get each heartbeat.
+	fanout = 2
+	// leastCrossing is how many heartbeats all members of a failure domain together send
+	// to others at each beat, at least; else one to each.
+	leastCrossing = 4
+	// membersTold and sumsTold bound what one datagram tells of.
+	membersTold  = 24
+	freshTold    = 16
+	sumsTold     = 8
+	contactsTold = 6
+	// joinBeats is how many heartbeats long an instance is told of all others when it asks.
+	joinBeats = 5
+	// maxMembers bounds the members of one failure domain that are believed.
+	maxMembers = 1024
+	// doubtAfter is after which silence a member is asked whether it lives, and
+	// lostAfter after which it counts as gone.
+	doubtAfter = 1500 * time.Millisecond
+	lostAfter  = 3 * time.Second
+	// replacedAfter is after which silence another run at an address is believed from
+	// hearsay.
+	replacedAfter = 1500 * time.Millisecond
+	// forgetAfter is after which silence a member, or a failure domain, counts no more.
+	forgetAfter = time.Minute
+	// freshFor is for how long the contacts in a sum are named to callers.
+	freshFor = 3 * time.Second
+	// sumFor is for how long a sum tells what a failure domain needs.
+	sumFor = 10 * time.Second
+	// settleTime is how long an instance takes to hear of the others.
+	settleTime = 2 * time.Second
+	// lateAfter is by how much a beat may be late before the instance counts as paused:
+	// what it believes then is from before the pause.
+	lateAfter = 1500 * time.Millisecond
+	// permissionFor is how long after its last beat an instance may use what its rank
+	// gives it.
+	permissionFor = 1500 * time.Millisecond
+	// leastPart is the part of a failure domain's members, one in so many, that an
+	// instance must hear of to use what its rank gives it.
+	leastPart = 4
+)
+
+// packet is one datagram on its way.
+type packet struct {
+	to   netip.Addr
+	data []byte
+}
+
+// view is what one instance knows of the others. It does no input or output, and every
+// time is passed in. It is not safe for use at the same time.
+type view struct {
+	domain  string
+	regions map[string]string // by failure domain
+	log     *slog.Logger
+	random  *rand.Rand
+
+	self      Member
+	newest    []uint64
+	seeds     []netip.Addr
+	others    map[netip.Addr]*known // of the own failure domain
+	sums      map[string]*Sum       // of other failure domains
+	contacts  map[string][]netip.Addr
+	next      []netip.Addr // members that get the next heartbeats
+	settledAt time.Time
+	beatAt    time.Time
+}
+
+func newView(self Member, domain string, regions map[string]string, random *rand.Rand, log *slog.Logger, now time.Time) *view {
+	return &view{
+		domain: domain, regions: regions, log: log, random: random, self: self,
+		others: make(map[netip.Addr]*known), sums: make(map[string]*Sum), contacts: make(map[string][]netip.Addr),
+		settledAt: now.Add(settleTime), beatAt: now,
+	}
+}
+
+// beat returns the heartbeats that are due.
+func (v *view) beat(now time.Time) []packet {
+	v.resume(now)
+	v.self.Beat++
+	v.forget(now)
+	var out []packet
+	sums := v.freshSums(now)
+	for _, to := range v.nearTargets(now) {
+		out = append(out, packet{to, v.encode(&message{}, v.told(now), sums, now)})
+		sums = nil // one member is enough: it tells the next
+	}
+	ask := v.encode(&message{Ask: true}, nil, nil, now)
+	for _, to := range v.doubted(now) {
+		out = append(out, packet{to, ask})
+	}
+	for range v.crossings(now) {
+		if to, ok := v.farTarget(); ok {
+			out = append(out, packet{to, v.encode(&message{}, nil, v.allSums(now), now)})
+		}
+	}
+	for _, to := range v.joinTargets(now) {
+		out = append(out, packet{to, ask})
+	}
+	return out
+}
+
+// announce returns what tells every member of the failure domain at once of this one,
+// and if far is set also a contact in each other one.
+func (v *view) announce(far bool, now time.Time) []packet {
+	v.self.Beat++
+	data := v.encode(&message{}, nil, nil, now)
+	var out []packet
+	for _, address := range v.addresses() {
+		if now.Sub(v.others[address].heardAt) < lostAfter {
+			out = append(out, packet{address, data})
+		}
+	}
+	for _, contacts := range v.contacts {
+		if far && len(contacts) > 0 {
+			out = append(out, packet{contacts[v.random.IntN(len(contacts))], data})
+		}
+	}
+	return out
+}
+
+// liveMembers returns the members of the failure domain that live, this one among them,
+// in the order of their addresses.
+func (v *view) liveMembers(now time.Time) []Member {
+	out := []Member{v.self}
+	for _, k := range v.others {
+		if now.Sub(k.heardAt) < lostAfter {
+			out = append(out, k.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return a.Address.Compare(b.Address) })
+	return out
+}
+
+// resume notes a pause of this instance. The others seem silent since before it, and who
+// holds what may have changed.
+func (v *view) resume(now time.Time) {
+	late := now.Sub(v.beatAt) - beatEvery
+	v.beatAt = now
+	if late < lateAfter {
+		return
+	}
+	v.settledAt = now.Add(settleTime)
+	for _, k := range v.others {
+		k.heardAt = k.heardAt.Add(late)
+	}
+}
+
+// forget drops members that were silent for long.
+func (v *view) forget(now time.Time) {
+	for address, k := range v.others {
+		silent := now.Sub(k.heardAt)
+		if silent > lostAfter && silent <= lostAfter+beatEvery {
+			event.MemberGone.Log(context.Background(), v.log, slog.String("member", address.String()), slog.Duration("silent", silent))
+		}
+		if silent > forgetAfter {
+			delete(v.others, address)
+		}
+	}
+	for domain, s := range v.sums {
+		if now.Sub(s.madeAt) > forgetAfter {
+			delete(v.sums, domain)
+		}
+	}
+}
+
+// encode completes a message and returns its datagram.
+func (v *view) encode(m *message, members []*known, sums []*Sum, now time.Time) []byte {
+	m.Domain, m.Newest = v.domain, v.newest
+	data, err := encode(m, &v.self, members, sums, now)
+	if err != nil {
+		broken.Inc()
+	}
+	return data
+}
+
+// members returns the others of the failure domain that live, those first that were
+// heard of last.
+func (v *view) members(now time.Time) []*known {
+	var out []*known
+	for _, k := range v.others {
+		if now.Sub(k.heardAt) < lostAfter {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b *known) int {
+		return cmp.Or(b.heardAt.Compare(a.heardAt), a.member.Address.Compare(b.member.Address))
+	})
+	return out
+}
+
+// told returns the members that one datagram tells of: those heard of last, and some
+// others if they are many.
+func (v *view) told(now time.Time) []*known {
+	members := v.members(now)
+	if len(members) <= membersTold {
+		return members
+	}
+	rest := members[freshTold:]
+	v.random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return members[:membersTold]
+}
+
+// freshSums returns late sums of other failure domains, or some if they are many.
+func (v *view) freshSums(now time.Time) []*Sum {
+	var out []*Sum
+	for _, s := range v.sums {
+		if now.Sub(s.madeAt) < freshFor {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Sum) int { return strings.Compare(a.Domain, b.Domain) })
+	if len(out) > sumsTold {
+		v.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:sumsTold]
+	}
+	return out
+}
+
+// allSums returns the sum of the own failure domain and the newest of the others.
+func (v *view) allSums(now time.Time) []*Sum {
+	return append([]*Sum{v.own(now)}, v.freshSums(now)...)
+}
+
+// own returns the sum of the own failure domain.
+func (v *view) own(now time.Time) *Sum {
+	s := &Sum{
+		Domain: v.domain, Region: v.regions[v.domain], Live: 1, Present: 1 + len(v.others), Demand: make(map[string]int), madeAt: now,
+	}
+	add := func(m *Member) {
+		for service, millislots := range m.Demand {
+			s.Demand[service] += millislots
+		}
+		if m.serves() {
+			s.Contacts = append(s.Contacts, m.Address)
+		}
+	}
+	add(&v.self)
+	for _, k := range v.members(now) {
+		s.Live++
+		add(&k.member)
+	}
+	v.random.Shuffle(len(s.Contacts), func(i, j int) { s.Contacts[i], s.Contacts[j] = s.Contacts[j], s.Contacts[i] })
+	s.Contacts = s.Contacts[:min(len(s.Contacts), contactsTold)]
+	return s
+}
+
+// live counts the members of the failure domain that live, this one among them.
+func (v *view) live(now time.Time) int {
+	n := 1
+	for _, k := range v.others {
+		if now.Sub(k.heardAt) < lostAfter {
+			n++
+		}
+	}
+	return n
+}
+
+// nearTargets returns the members of the failure domain that get this heartbeat. All
+// have their turn before one gets another.
+func (v *view) nearTargets(now time.Time) []netip.Addr {
+	var out []netip.Addr
+	for range 2 * len(v.others) {
+		if len(out) == fanout {
+			break
+		}
+		if len(v.next) == 0 {
+			v.next = v.addresses()
+			v.random.Shuffle(len(v.next), func(i, j int) { v.next[i], v.next[j] = v.next[j], v.next[i] })
+		}
+		to := v.next[0]
+		v.next = v.next[1:]
+		k, ok := v.others[to]
+		if ok && now.Sub(k.heardAt) < lostAfter && !slices.Contains(out, to) {
+			out = append(out, to)
+		}
+	}
+	return out
+}
+
+// addresses returns those of the other members of the failure domain, in order.
+func (v *view) addresses() []netip.Addr {
+	out := make([]netip.Addr, 0, len(v.others))
+	for address := range v.others {
+		out = append(out, address)
+	}
+	slices.SortFunc(out, netip.Addr.Compare)
+	return out
+}
+
+// doubted returns the members that were not heard of lately, and one of those that are
+// gone: it may be back.
+func (v *view) doubted(now time.Time) []netip.Addr {
+	var out, gone []netip.Addr
+	for _, address := range v.addresses() {
+		switch silent := now.Sub(v.others[address].heardAt); {
+		case silent > lostAfter:
+			gone = append(gone, address)
+		case silent > doubtAfter:
+			out = append(out, address)
+		}
+	}
+	if len(gone) > 0 {
+		out = append(out, gone[v.random.IntN(len(gone))])
+	}
+	return out
+}
+
+// crossings draws how many heartbeats this member sends to other failure domains.
+func (v *view) crossings(now time.Time) int {
+	mean := float64(max(leastCrossing, len(v.regions)-1)) / float64(v.live(now))
+	n := int(mean)
+	if v.random.Float64() < mean-float64(n) {
+		n++
+	}
+	return n
+}
+
+// farTarget returns a contact of some other failure domain.
+func (v *view) farTarget() (netip.Addr, bool) {
+	var domains []string
+	for domain, contacts := range v.contacts {
+		if len(contacts) > 0 {
+			domains = append(domains, domain)
+		}
+	}
+	if len(domains) == 0 {
+		return netip.Addr{}, false
+	}
+	slices.Sort(domains)
+	contacts := v.contacts[domains[v.random.IntN(len(domains))]]
+	return contacts[v.random.IntN(len(contacts))], true
+}
+
+// joinTargets returns the seeds to ask: all of them while nobody else is known, else one
+// of them now and then, so that parts that lost each other meet again.
+func (v *view) joinTargets(now time.Time) []netip.Addr {
+	var out []netip.Addr
+	for _, seed := range v.seeds {
+		if seed != v.self.Address {
+			out = append(out, seed)
+		}
+	}
+	if len(out) == 0 || v.live(now) == 1 && len(v.sums) == 0 || now.Before(v.settledAt) {
+		return out
+	}
+	if v.random.IntN(v.live(now)) > 0 {
+		return nil
+	}
+	return []netip.Addr{out[v.random.IntN(len(out))]}
+}
+
+// take takes in a datagram from an address and returns the answers to it. It reports
+// whether the datagram was believed.
+func (v *view) take(m *message, from netip.Addr, now time.Time) (answers []packet, ok bool) {
+	_, known := v.regions[m.Domain]
+	if !known || m.From.Address != from || from == v.self.Address {
+		strangers.Inc()
+		return nil, false
+	}
+	_, met := v.others[from]
+	if m.Domain == v.domain {
+		v.hear(decodeMember(&m.From, m.Services), now, true)
+		for i := range m.Members {
+			r := &m.Members[i]
+			v.hear(decodeMember(r, m.Services), now.Add(-r.age()), false)
+		}
+	} else {
+		v.meet(m.Domain, from)
+	}
+	for i := range m.Sums {
+		v.learn(decodeSum(&m.Sums[i], m.Services, now))
+	}
+	for _, address := range m.Contacts[:min(len(m.Contacts), contactsTold)] {
+		if _, ok := v.others[address]; !ok && address != v.self.Address {
+			answers = append(answers, packet{address, v.encode(&message{Ask: true}, nil, nil, now)})
+		}
+	}
+	if m.Ask || m.Domain == v.domain && !met {
+		answers = append(answers, packet{from, v.answer(m.Domain, from, now)})
+	}
+	return answers, true
+}
+
+// answer returns the answer to a member of a failure domain that asks.
+func (v *view) answer(domain string, asker netip.Addr, now time.Time) []byte {
+	if k, ok := v.others[asker]; ok && k.member.Beat > joinBeats {
+		return v.encode(&message{}, nil, nil, now)
+	}
+	if domain == v.domain {
+		return v.encode(&message{}, v.told(now), v.freshSums(now), now)
+	}
+	contacts := slices.DeleteFunc(slices.Clone(v.contacts[domain]), func(a netip.Addr) bool { return a == asker })
+	return v.encode(&message{Contacts: contacts}, nil, v.allSums(now), now)
+}
+
+// hear takes in a heartbeat of one member, told by itself or by another that had it at
+// an instant.
+func (v *view) hear(other Member, at time.Time, direct bool) {
+	if other.Address == v.self.Address {
+		return
+	}
+	k, ok := v.others[other.Address]
+	switch {
+	case !ok && len(v.others) >= maxMembers:
+	case !ok:
+		v.others[other.Address] = &known{member: other, heardAt: at}
+		event.MemberJoined.Log(context.Background(), v.log, slog.String("member", other.Address.String()))
+	case k.member.Run == other.Run:
+		if other.Beat > k.member.Beat {
+			k.member, k.heardAt = other, later(k.heardAt, at)
+		}
+	case direct, at.Sub(k.heardAt) > replacedAfter && int32(other.Run-k.member.Run) > 0:
+		k.member, k.heardAt = other, at
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// meet keeps the sender of a datagram from another failure domain as a contact.
+func (v *view) meet(domain string, from netip.Addr) {
+	contacts := v.contacts[domain]
+	if slices.Contains(contacts, from) {
+		return
+	}
+	contacts = append(slices.Clone(contacts), from)
+	v.contacts[domain] = contacts[max(0, len(contacts)-contactsTold):]
+}
+
+// learn takes in the sum of another failure domain if it is newer than the known one.
+func (v *view) learn(s *Sum) {
+	region, ok := v.regions[s.Domain]
+	if !ok || s.Domain == v.domain {
+		return
+	}
+	if old, ok := v.sums[s.Domain]; ok && !s.madeAt.After(old.madeAt) {
+		return
+	}
+	s.Region = region
+	v.sums[s.Domain] = s
+	if len(s.Contacts) > 0 {
+		v.contacts[s.Domain] = s.Contacts
+	}
+}
+
+// rank orders the members of the failure domain for a key, the same way at all of them.
+func rank(address netip.Addr, key uint64) uint64 {
+	var buf [12]byte
+	ip := address.As4()
+	copy(buf[:], ip[:])
+	binary.LittleEndian.PutUint64(buf[4:], key)
+	return xxhash.Sum64(buf[:])
+}
--- /dev/null
+++ b/gossip/wire.go
@@ -0,0 +1,197 @@
+package gossip
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// format is the version of the datagrams. Others are not understood.
+	format = 2
+	// maxDatagram bounds a datagram, in bytes.
+	maxDatagram = 8 << 10
+)
+
+// message is one datagram.
+type message struct {
+	_      struct{} `cbor:",toarray"`
+	Format int
+	// Domain is the failure domain of the sender and of the members that it tells of.
+	Domain string
+	From   record
+	// Ask asks for an answer at once.
+	Ask bool
+	// Newest holds the revision of the last change that the sender knows, for each kind
+	// of object that it follows.
+	Newest []uint64
+	// Services names the services in the order in which demands are told.
+	Services []string
+	Members  []record
+	Sums     []sumRecord
+	// Contacts are members of the receiver's failure domain that ask as it does.
+	Contacts []netip.Addr
+}
+
+// record is a Member on the wire.
+type record struct {
+	_       struct{} `cbor:",toarray"`
+	Address netip.Addr
+	Run     uint32
+	Beat    uint64
+	State   uint8
+	// Age is how long ago the heartbeat was sent, in parts of a second as ageUnit says.
+	Age    uint16
+	Demand []int
+}
+
+const ageUnit = 50 * time.Millisecond
+
+func (r *record) age() time.Duration { return time.Duration(r.Age) * ageUnit }
+
+// The bits of a record's state.
+const (
+	stateReady = 1 << iota
+	stateLeaving
+	stateRefused
+)
+
+// sumRecord is a Sum on the wire.
+type sumRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Domain  string
+	Live    int
+	Present int
+	// AgeMillis is how long ago the sum was made, in milliseconds.
+	AgeMillis int64
+	Demand    []int
+	Contacts  []netip.Addr
+}
+
+func encodeMember(m *Member, services []string) record {
+	r := record{Address: m.Address, Run: m.Run, Beat: m.Beat, Demand: encodeDemand(m.Demand, services)}
+	if m.Ready {
+		r.State |= stateReady
+	}
+	if m.Leaving {
+		r.State |= stateLeaving
+	}
+	if m.Refused {
+		r.State |= stateRefused
+	}
+	return r
+}
+
+func decodeMember(r *record, services []string) Member {
+	return Member{
+		Address: r.Address, Run: r.Run, Beat: r.Beat, Demand: decodeDemand(r.Demand, services),
+		Ready: r.State&stateReady != 0, Leaving: r.State&stateLeaving != 0, Refused: r.State&stateRefused != 0,
+	}
+}
+
+func encodeSum(s *Sum, services []string, now time.Time) sumRecord {
+	return sumRecord{
+		Domain: s.Domain, Live: s.Live, Present: s.Present, AgeMillis: max(0, now.Sub(s.madeAt).Milliseconds()),
+		Demand: encodeDemand(s.Demand, services), Contacts: s.Contacts,
+	}
+}
+
+func decodeSum(r *sumRecord, services []string, now time.Time) *Sum {
+	return &Sum{
+		Domain: r.Domain, Live: r.Live, Present: r.Present, Demand: decodeDemand(r.Demand, services), Contacts: r.Contacts,
+		madeAt: now.Add(-time.Duration(r.AgeMillis) * time.Millisecond),
+	}
+}
+
+func encodeDemand(demand map[string]int, services []string) []int {
+	if len(demand) == 0 {
+		return nil
+	}
+	out := make([]int, len(services))
+	for i, name := range services {
+		out[i] = demand[name]
+	}
+	return out
+}
+
+func decodeDemand(demand []int, services []string) map[string]int {
+	out := make(map[string]int, len(demand))
+	for i, millislots := range demand {
+		if i < len(services) && millislots > 0 {
+			out[services[i]] = millislots
+		}
+	}
+	return out
+}
+
+// encode returns the datagram that tells of members and sums.
+func encode(m *message, from *Member, members []*known, sums []*Sum, now time.Time) ([]byte, error) {
+	names := make(map[string]bool)
+	for name := range from.Demand {
+		names[name] = true
+	}
+	for _, one := range members {
+		for name := range one.member.Demand {
+			names[name] = true
+		}
+	}
+	for _, one := range sums {
+		for name := range one.Demand {
+			names[name] = true
+		}
+	}
+	m.Format = format
+	m.Services = slices.Sorted(maps.Keys(names))
+	m.From = encodeMember(from, m.Services)
+	for _, one := range members {
+		r := encodeMember(&one.member, m.Services)
+		r.Age = uint16(min(math.MaxUint16, max(0, now.Sub(one.heardAt)/ageUnit)))
+		m.Members = append(m.Members, r)
+	}
+	for _, one := range sums {
+		m.Sums = append(m.Sums, encodeSum(one, m.Services, now))
+	}
+	return cbor.Marshal(m)
+}
+
+// decode reads a datagram and checks that every part of it is usable.
+func decode(data []byte) (*message, error) {
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("the datagram cannot be read: %w", err)
+	}
+	if m.Format != format {
+		return nil, fmt.Errorf("the datagram has format %d, not %d", m.Format, format)
+	}
+	for _, r := range append([]record{m.From}, m.Members...) {
+		if !r.Address.Is4() {
+			return nil, errors.New("a member has no IPv4 address")
+		}
+		if slices.Min(append(r.Demand, 0)) < 0 {
+			return nil, errors.New("a member has a demand below zero")
+		}
+	}
+	usable := func(a netip.Addr) bool { return a.Is4() }
+	if !all(m.Contacts, usable) {
+		return nil, errors.New("a contact has no IPv4 address")
+	}
+	for _, s := range m.Sums {
+		if s.Live < 0 || s.Present < s.Live || s.AgeMillis < 0 || slices.Min(append(s.Demand, 0)) < 0 {
+			return nil, errors.New("a sum holds figures that cannot be")
+		}
+		if !all(s.Contacts, usable) {
+			return nil, errors.New("a contact in a sum has no IPv4 address")
+		}
+	}
+	return &m, nil
+}
+
+func all[T any](list []T, fits func(T) bool) bool {
+	return !slices.ContainsFunc(list, func(one T) bool { return !fits(one) })
+}
--- a/hosted/balance.go
+++ b/hosted/balance.go
@@ -21,31 +21,31 @@
 // balance tells the others the demand of this instance and takes in theirs.
 func (i *Instance) balance(ctx context.Context) error {
 	return period.Each(ctx, balanceEvery, func(now time.Time) {
-		demand := i.planner.Balance(balanceEvery, now, i.demands)
-		told := make([]gossip.Demand, len(demand))
-		for n, d := range demand {
-			told[n] = gossip.Demand{Service: d.Service, Millislots: int(d.Slots * millislots)}
-		}
-		i.mesh.Tell(told, i.follower.newest())
-		for _, m := range i.mesh.Live() {
-			i.follower.news(m.Newest)
-		}
+		i.planner.Balance(balanceEvery, now, i.demands)
 	})
 }
 
-// demands returns the demand of all live instances.
+// tellDemand returns a demand as the others are told it.
+func tellDemand(demand []planner.Demand) map[string]int {
+	told := make(map[string]int, len(demand))
+	for _, d := range demand {
+		told[d.Service] = int(d.Slots * millislots)
+	}
+	return told
+}
+
+// demands returns the demand of each failure domain, this instance's own included.
 func (i *Instance) demands(own []planner.Demand) []planner.PlacedDemand {
+	i.mesh.Tell(tellDemand(own))
+	return placeDemands(i.mesh.Sums())
+}
+
+func placeDemands(sums []gossip.Sum) []planner.PlacedDemand {
 	var out []planner.PlacedDemand
-	for _, d := range own {
-		out = append(out, planner.PlacedDemand{Demand: d, Domain: i.settings.Domain, Region: i.settings.Region})
-	}
-	for _, m := range i.mesh.Live() {
-		if m.Name == i.settings.Name {
-			continue
-		}
-		for _, d := range m.Demand {
-			demand := planner.Demand{Service: d.Service, Slots: float64(d.Millislots) / millislots}
-			out = append(out, planner.PlacedDemand{Demand: demand, Domain: m.Domain, Region: m.Region})
+	for _, s := range sums {
+		for service, told := range s.Demand {
+			demand := planner.Demand{Service: service, Slots: float64(told) / millislots}
+			out = append(out, planner.PlacedDemand{Demand: demand, Domain: s.Domain, Region: s.Region})
 		}
 	}
 	return out
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -7,9 +7,8 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
+	"net/netip"
 	"os"
-	"strconv"
 	"sync"
 	"time"
 
@@ -54,6 +53,7 @@
 type Instance struct {
 	file     string
 	settings platform.Settings
+	front    netip.AddrPort // where callers reach this instance
 	log      *slog.Logger
 	store    *platform.Client
 	follower *follower
@@ -67,7 +67,14 @@
 	mu        sync.Mutex // held while beliefs are put in force
 	evacuated map[string]bool
 	known     bool // the upstreams were known before
-	badKeys   map[string]uint64
+	decoded   map[string]decodedUpstream
+}
+
+// decodedUpstream is an entry of an upstream as it was read.
+type decodedUpstream struct {
+	version  uint64
+	upstream fleet.Upstream
+	usable   bool
 }
 
 // New opens the listeners of an instance with the platform's settings file.
@@ -78,26 +85,30 @@
 	}
 	i := &Instance{
 		file: file, settings: settings, log: log, store: platform.New("http://" + settings.Store),
-		evacuated: make(map[string]bool), badKeys: make(map[string]uint64),
+		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream),
 	}
-	host, _, err := net.SplitHostPort(settings.Control)
+	control, err := netip.ParseAddrPort(settings.Control)
 	if err != nil {
 		return nil, fault.New(fault.Invalid, "the control address is not usable", "write it such as 10.1.0.4:8544",
 			fault.WithCause(err))
 	}
-	self := gossip.Member{
-		Name: settings.Name, Domain: settings.Domain, Region: settings.Region, Front: settings.Front,
-		Control: settings.Control, Run: time.Now().UnixNano(),
+	i.front, err = netip.ParseAddrPort(settings.Front)
+	if err != nil {
+		return nil, fault.New(fault.Invalid, "the callers' address is not usable", "write it such as 10.1.0.4:8548",
+			fault.WithCause(err))
 	}
-	i.mesh, err = gossip.New(self, net.JoinHostPort(host, strconv.Itoa(settings.FirstPort)), settings.Seeds, log)
+	gossipAt := netip.AddrPortFrom(control.Addr(), uint16(settings.FirstPort)).String()
+	i.mesh, err = gossip.New(gossipAt, settings.Domain, settings.Regions, log)
 	if err != nil {
 		return nil, err
 	}
+	i.mesh.SetSeeds(seedAddresses(settings.Seeds))
 	i.board = load.NewBoard(settings.Domain, settings.Region, regionNames(&settings), i.newDialer)
 	place := planner.Place{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
 	i.planner = planner.New(place, i.board, i.mesh, retryBounds(settings.Bounds))
 	i.ingress = ingress.New(i.planner, log)
-	i.follower = newFollower(i.store, i.mesh.Controls, func() int { return len(i.mesh.Live()) }, log, i.believe)
+	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.believe)
+	i.mesh.OnNews(i.follower.news)
 	return i, i.listen()
 }
 
@@ -121,11 +132,7 @@
 		slog.String("caller", i.settings.Front))
 	i.servers.serve(&i.group, i.log)
 	i.group.Go(func() error { return i.mesh.Run(ctx) })
-	for _, kind := range kinds() {
-		i.group.Go(func() error { return i.follower.follow(ctx, kind) })
-	}
-	i.group.Go(func() error { return i.follower.pulse(ctx) })
-	i.group.Go(func() error { return i.follower.askPeers(ctx) })
+	i.group.Go(func() error { return i.follower.run(ctx) })
 	i.group.Go(func() error { return i.reload(ctx, reload) })
 	i.group.Go(func() error { return i.sweep(ctx) })
 	i.group.Go(func() error { return i.balance(ctx) })
@@ -200,15 +207,7 @@
 	for _, o := range evacuations {
 		domains = append(domains, o.Name())
 	}
-	upstreams := make([]fleet.Upstream, 0, len(entries))
-	for _, o := range entries {
-		u, err := platform.DecodeUpstream(o)
-		if err != nil {
-			i.complain(o, err)
-			continue
-		}
-		upstreams = append(upstreams, u)
-	}
+	upstreams := i.decode(entries)
 	view := fleet.NewView(upstreams, domains, i.settings.Regions)
 	i.board.Follow(view, !i.known, i.coldTime, now)
 	i.noteEvacuations(view, domains, now)
@@ -252,13 +251,38 @@
 	}
 }
 
-// complain logs an unusable entry once for each of its versions. The lock is held.
-func (i *Instance) complain(o platform.Object, err error) {
-	if i.badKeys[o.Key] == o.Version {
-		return
+// decode returns the upstreams that entries name. An entry is read once for each of its
+// versions, and logged if it is not usable. The lock is held.
+func (i *Instance) decode(entries []platform.Object) []fleet.Upstream {
+	upstreams := make([]fleet.Upstream, 0, len(entries))
+	decoded := make(map[string]decodedUpstream, len(entries))
+	for _, o := range entries {
+		d, ok := i.decoded[o.Key]
+		if !ok || d.version != o.Version {
+			u, err := platform.DecodeUpstream(o)
+			if err != nil {
+				event.EntryRefused.Log(context.Background(), i.log, slog.String("error", err.Error()))
+			}
+			d = decodedUpstream{version: o.Version, upstream: u, usable: err == nil}
+		}
+		decoded[o.Key] = d
+		if d.usable {
+			upstreams = append(upstreams, d.upstream)
+		}
+	}
+	i.decoded = decoded
+	return upstreams
+}
+
+// seedAddresses returns the addresses of the seeds that can be read.
+func seedAddresses(seeds []string) []netip.Addr {
+	var out []netip.Addr
+	for _, seed := range seeds {
+		if at, err := netip.ParseAddrPort(seed); err == nil && at.Addr().Is4() {
+			out = append(out, at.Addr())
+		}
 	}
-	i.badKeys[o.Key] = o.Version
-	event.EntryRefused.Log(context.Background(), i.log, slog.String("error", err.Error()))
+	return out
 }
 
 const (
@@ -286,7 +310,7 @@
 			continue
 		}
 		i.planner.SetBounds(retryBounds(settings.Bounds))
-		i.mesh.SetSeeds(settings.Seeds)
+		i.mesh.SetSeeds(seedAddresses(settings.Seeds))
 		if signalled {
 			event.SettingsTaken.Log(ctx, i.log)
 		}
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -5,9 +5,10 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -17,7 +18,6 @@
 
 	"hickorydrum/event"
 	"hickorydrum/fault"
-	"hickorydrum/gossip"
 	"hickorydrum/platform"
 	"hickorydrum/socket"
 )
@@ -31,6 +31,8 @@
 	// lookupLife is how long callers use the answer to a look-up. It is short, so that
 	// few still come when a planned stop ends.
 	lookupLife = 1500 * time.Millisecond
+	// maxAddresses is how many instances an answer to a look-up names at most.
+	maxAddresses = 64
 )
 
 // server is an HTTP server with its listener.
@@ -173,7 +175,7 @@
 	e := newEcho()
 	e.GET(platform.PathLookup, func(c echo.Context) error {
 		lookup := platform.DecodeLookup(c.QueryParams())
-		addresses := nearest(i.mesh.Live(), lookup.Domain, lookup.Region)
+		addresses := i.serving(lookup.Domain, lookup.Region)
 		if len(addresses) == 0 {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
@@ -183,36 +185,23 @@
 	return e
 }
 
-// nearest returns the addresses of the instances that a caller should use: those
-// of its failure domain if there are at least two, else those of its region, else
-// all.
-func nearest(members []gossip.Member, domain, region string) []string {
-	members = slices.DeleteFunc(members, func(m gossip.Member) bool { return !m.Ready || m.Leaving })
-	for _, near := range []struct {
-		least int
-		fits  func(m gossip.Member) bool
-	}{
-		{2, func(m gossip.Member) bool { return m.Domain == domain }},
-		{1, func(m gossip.Member) bool { return m.Region == region }},
-		{1, func(gossip.Member) bool { return true }},
-	} {
-		var out []string
-		for _, m := range members {
-			if near.fits(m) {
-				out = append(out, m.Front)
-			}
-		}
-		if len(out) >= near.least {
-			return out
-		}
+// serving returns the addresses that callers from a failure domain should use.
+func (i *Instance) serving(domain, region string) []string {
+	var out []string
+	for _, address := range i.mesh.Serving(domain, region) {
+		out = append(out, netip.AddrPortFrom(address, i.front.Port()).String())
 	}
-	return nil
+	if len(out) > maxAddresses {
+		rand.Shuffle(len(out), func(a, b int) { out[a], out[b] = out[b], out[a] })
+		out = out[:maxAddresses]
+	}
+	return out
 }
 
 // controlHandler answers other instances and tells the metrics.
 func (i *Instance) controlHandler() http.Handler {
 	e := newEcho()
-	e.GET(pathState, func(c echo.Context) error { return c.JSON(http.StatusOK, i.follower.state()) })
+	e.GET(pathState, func(c echo.Context) error { return i.follower.serveState(c.Response(), c.Request()) })
 	e.GET(pathMetrics, func(c echo.Context) error {
 		metrics.WritePrometheus(c.Response(), true)
 		return nil
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -20,8 +20,15 @@
 	newest  uint64
 
 	holdTill time.Time // until when objects that go missing are kept
+	// gone holds the objects that were removed after the revision goneSince, each with
+	// one by which it was.
+	gone      map[string]uint64
+	goneSince uint64
 }
 
+// maxGone is how many removed objects are kept for peers.
+const maxGone = 1024
+
 // Option changes a Mirror while it is made.
 type Option func(*Mirror)
 
@@ -33,6 +40,7 @@
 func New(kind string, opts ...Option) *Mirror {
 	m := &Mirror{
 		kind: kind, objects: make(map[string]platform.Object), held: make(map[string]time.Time),
+		gone: make(map[string]uint64),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -54,9 +62,6 @@
 // the cursor, which also moves with changes of other kinds.
 func (m *Mirror) Newest() uint64 { return m.newest }
 
-// Verified notes that nothing up to a revision is missing.
-func (m *Mirror) Verified(revision uint64) { m.newest = max(m.newest, revision) }
-
 // Returned notes that the platform answers again after it was away.
 func (m *Mirror) Returned(now time.Time) {
 	if m.hold > 0 && m.cursor > 0 {
@@ -71,6 +76,11 @@
 		return false
 	}
 	changed := m.cursor == 0
+	if page.Cursor > m.cursor {
+		// Objects that came and went since the last revision are not known.
+		m.goneSince = page.Cursor
+		clear(m.gone)
+	}
 	listed := make(map[string]bool, len(page.Objects))
 	for _, o := range page.Objects {
 		listed[o.Name()] = true
@@ -94,7 +104,7 @@
 		m.newest = max(m.newest, o.Version)
 		if o.Deleted {
 			m.newest = max(m.newest, page.Cursor)
-			changed = m.remove(o.Name(), o.Version, now) || changed
+			changed = m.removeBy(o.Name(), o.Version, page.Cursor, now) || changed
 			continue
 		}
 		changed = m.put(o, now) || changed
@@ -119,6 +129,7 @@
 	}
 	_, wasHeld := m.held[name]
 	delete(m.held, name)
+	delete(m.gone, name)
 	m.objects[name] = o
 	return !ok || wasHeld || known.Version != o.Version
 }
@@ -126,8 +137,17 @@
 // remove notes that an object is gone, as of a version. While objects are held,
 // it stays for now.
 func (m *Mirror) remove(name string, version uint64, now time.Time) bool {
+	return m.removeBy(name, version, version, now)
+}
+
+// removeBy is remove for an object that was gone by a later revision than the version.
+func (m *Mirror) removeBy(name string, version, by uint64, now time.Time) bool {
 	known, ok := m.objects[name]
-	if !ok || known.Version > version {
+	if ok && known.Version > version {
+		return false
+	}
+	m.bury(name, by)
+	if !ok {
 		return false
 	}
 	if now.Before(m.holdTill) {
@@ -140,6 +160,18 @@
 	return true
 }
 
+// bury keeps for peers that an object was removed.
+func (m *Mirror) bury(name string, by uint64) {
+	m.gone[name] = by
+	if len(m.gone) <= maxGone {
+		return
+	}
+	for _, revision := range m.gone {
+		m.goneSince = max(m.goneSince, revision)
+	}
+	clear(m.gone)
+}
+
 func (m *Mirror) drop(name string) {
 	delete(m.objects, name)
 	delete(m.held, name)
@@ -168,5 +200,69 @@
 	return out
 }
 
-// Page returns the state, for a peer.
-func (m *Mirror) Page() platform.Page { return platform.Page{Cursor: m.cursor, Objects: m.Objects()} }
+// State is what a peer tells of a kind.
+type State struct {
+	// Cursor is the revision up to which it holds, and Newest that of the last change.
+	Cursor, Newest uint64
+	// Whole states that it holds all objects; else it holds what changed after the
+	// cursor that was asked for.
+	Whole bool
+	// Hold is for how much longer removed objects are kept.
+	Hold    time.Duration
+	Objects []platform.Object
+}
+
+// Since returns what changed after a cursor, for a peer, or the whole state.
+func (m *Mirror) Since(cursor uint64, now time.Time) State {
+	s := State{Cursor: m.cursor, Newest: m.newest, Whole: cursor < m.goneSince || cursor == 0}
+	if hold := m.holdTill.Sub(now); hold > 0 {
+		s.Hold = hold
+	}
+	for _, o := range m.Objects() {
+		if s.Whole || o.Version > cursor {
+			s.Objects = append(s.Objects, o)
+		}
+	}
+	removed := func(name string, by uint64) {
+		s.Objects = append(s.Objects, platform.Object{Key: m.Prefix() + name, Version: by, Deleted: true})
+	}
+	for name := range m.held {
+		removed(name, m.cursor)
+	}
+	for name, by := range m.gone {
+		if _, held := m.held[name]; !held && !s.Whole && by > cursor {
+			removed(name, by)
+		}
+	}
+	return s
+}
+
+// Merge takes in what a peer told when it was asked for the changes after the cursor of
+// this mirror, or after an older one. It reports whether anything changed. A state that
+// is older than what is known is ignored.
+func (m *Mirror) Merge(s State, now time.Time) bool {
+	if s.Cursor < m.cursor || m.cursor == 0 && !s.Whole {
+		return false
+	}
+	if s.Hold > 0 && m.hold > 0 && now.Add(s.Hold).After(m.holdTill) {
+		m.holdTill = now.Add(s.Hold)
+	}
+	var living, removed []platform.Object
+	for _, o := range s.Objects {
+		if o.Deleted {
+			removed = append(removed, o)
+		} else {
+			living = append(living, o)
+		}
+	}
+	changed := false
+	if s.Whole {
+		changed = m.List(platform.Page{Cursor: s.Cursor, Objects: living}, now)
+	} else {
+		changed = m.Events(platform.Page{Cursor: s.Cursor, Objects: living}, now)
+	}
+	changed = m.Events(platform.Page{Cursor: s.Cursor, Objects: removed}, now) || changed
+	m.cursor = max(m.cursor, s.Cursor)
+	m.newest = max(m.newest, s.Newest)
+	return changed
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -22,8 +22,9 @@
 type Instances interface {
 	// Count returns how many instances of a region, and of all, may be at work.
 	Count(region string) (inRegion, all int)
-	// Settled reports whether enough time has passed to know them.
-	Settled(now time.Time) bool
+	// Part returns the part of a right that this instance has for a key, which belongs to
+	// a failure domain: over all instances the parts add up to one at most.
+	Part(domain string, key uint64) float64
 }
 
 // Place is where an instance stands.
@@ -148,7 +149,7 @@
 func (p *Planner) Choose(ask *Ask, now time.Time) (placement.Choice, *fleet.Upstream) {
 	request := load.Request{
 		Service: ask.Service, Object: ask.Object, Sticky: ask.Sticky, Tried: ask.Tried,
-		Cold:   func(u *fleet.Upstream) load.ColdShare { return p.coldShare(ask.Table, u, now) },
+		Cold:   func(u *fleet.Upstream) load.ColdShare { return p.coldShare(ask.Table, u) },
 		Allows: func(u *fleet.Upstream) bool { return ask.Route.Allows(u.Region()) },
 	}
 	options, upstreams := p.board.Options(&request, ask.View.Service(ask.Service), now)
@@ -168,7 +169,7 @@
 // Begin counts a request on its way to an upstream and returns its dialer. It fails
 // when the upstream is gone or cold and may get no more now.
 func (p *Planner) Begin(ask *Ask, u *fleet.Upstream, now time.Time) (*dispatch.Dialer, bool) {
-	return p.board.Begin(u, p.coldShare(ask.Table, u, now), now)
+	return p.board.Begin(u, p.coldShare(ask.Table, u), now)
 }
 
 // End takes in the end of a send.
@@ -214,19 +215,15 @@
 	return b
 }
 
-// coldShare returns the part of a cold upstream's rate that this instance may
-// use. Instances of its region share it; where there is none, all do.
-func (p *Planner) coldShare(t *route.Table, u *fleet.Upstream, now time.Time) load.ColdShare {
-	if !p.instances.Settled(now) {
+// coldShare returns the part of a cold upstream's rate that this instance may use. One
+// instance has the right to it, so that a rate below the number of instances can be used
+// and is kept over all of them.
+func (p *Planner) coldShare(t *route.Table, u *fleet.Upstream) load.ColdShare {
+	part := p.instances.Part(u.Domain, u.Hash())
+	if part <= 0 {
 		return load.ColdShare{}
 	}
-	inRegion, all := p.instances.Count(u.Region())
-	if inRegion == 0 {
-		inRegion = all
-	} else if u.Region() != p.place.Region {
-		return load.ColdShare{}
-	}
-	return load.ColdShare{PerSecond: t.Service(u.Service).ColdRate / float64(max(1, inRegion)), Burst: 1}
+	return load.ColdShare{PerSecond: part * t.Service(u.Service).ColdRate, Burst: 1}
 }
 
 // Balance closes an interval of the demand: it takes in what every instance needs
