planner, ingress: send by the newest view of the upstreams

Change: a choice uses the view in force, a send checks it again when it begins and when its connection is made. TestLeavesMeanwhile.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,6 +77,12 @@
 	return u, ok
 }
 
+// Serves reports whether an upstream of an older view may still get requests.
+func (v *View) Serves(u *Upstream) bool {
+	now, ok := v.byID[u.ID]
+	return ok && now.Born == u.Born && now.Address == u.Address && !now.Leaving && !v.evacuated[now.Domain]
+}
+
 // Evacuated reports whether nothing may be sent to a failure domain.
 func (v *View) Evacuated(domain string) bool { return v.evacuated[domain] }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -65,13 +65,13 @@
 func newExchange(g *Ingress, w http.ResponseWriter, r *http.Request) *exchange {
 	return &exchange{
 		ingress: g, w: w, r: r, id: platform.RequestID(r.Header), arrived: time.Now(),
-		ask: planner.Ask{Table: g.planner.Table(), View: g.planner.View()},
+		ask: planner.Ask{Table: g.planner.Table()},
 	}
 }
 
 // serve answers the request.
 func (x *exchange) serve() {
-	if x.ask.Table == nil || x.ask.View == nil {
+	if x.ask.Table == nil || x.ingress.planner.View() == nil {
 		x.ask.Deadline = x.arrived.Add(time.Second)
 		x.refuse("no configuration is known yet")
 		return
@@ -229,6 +229,11 @@
 		}
 		return false
 	}
+	if !g.planner.Serves(u) {
+		// It began to leave while the connection was made.
+		dialer.Put(conn, time.Now(), maxIdle)
+		return false
+	}
 	x.sends++
 	dialect := platform.NewDialect(u.ID, func(l platform.Load) {
 		waited = l.Waiting > 0
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -124,7 +124,6 @@
 // Ask is one request as the planner sees it.
 type Ask struct {
 	Table    *route.Table
-	View     *fleet.View
 	Route    *route.Route
 	Service  string
 	Object   uint64 // hash of the object
@@ -144,15 +143,15 @@
 	p.shares.arrived(ask.Service, ask.Route.Class(), ask.Bytes)
 }
 
-// Choose picks the upstream for the next send of a request. The choice has index -1
-// when there is none.
+// Choose picks the upstream for the next send of a request, by the newest view. The
+// choice has index -1 when there is none.
 func (p *Planner) Choose(ask *Ask, now time.Time) (placement.Choice, *fleet.Upstream) {
 	request := load.Request{
 		Service: ask.Service, Object: ask.Object, Sticky: ask.Sticky, Tried: ask.Tried,
 		Cold:   func(u *fleet.Upstream) load.ColdShare { return p.coldShare(ask.Table, u) },
 		Allows: func(u *fleet.Upstream) bool { return ask.Route.Allows(u.Region()) },
 	}
-	options, upstreams := p.board.Options(&request, ask.View.Service(ask.Service), now)
+	options, upstreams := p.board.Options(&request, p.View().Service(ask.Service), now)
 	warm, cold := p.board.Times(ask.Service, ask.Route.Class())
 	choice := p.choose(placement.Demand{
 		Bytes: ask.Bytes + answerGuess + headGuess, Left: ask.Deadline.Sub(now),
@@ -166,9 +165,15 @@
 	return choice, upstreams[choice.Index]
 }
 
+// Serves reports whether an upstream that was chosen may still get requests.
+func (p *Planner) Serves(u *fleet.Upstream) bool { return p.View().Serves(u) }
+
 // Begin counts a request on its way to an upstream and returns its dialer. It fails
-// when the upstream is gone or cold and may get no more now.
+// when the upstream is gone or leaving, or cold and may get no more now.
 func (p *Planner) Begin(ask *Ask, u *fleet.Upstream, now time.Time) (*dispatch.Dialer, bool) {
+	if !p.Serves(u) {
+		return nil, false
+	}
 	return p.board.Begin(u, p.coldShare(ask.Table, u), now)
 }
 
--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,78 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"hickorydrum/dispatch"
+	"hickorydrum/fleet"
+	"hickorydrum/load"
+	"hickorydrum/route"
+)
+
+// everyone has all rights.
+type everyone struct{}
+
+func (everyone) Count(string) (inRegion, all int) { return 1, 1 }
+func (everyone) Part(string, uint64) float64      { return 1 }
+
+// newPlanner returns a planner of region a with a route to the service.
+func newPlanner(service route.Service) (*Planner, *load.Board, *route.Route) {
+	place := Place{Domain: "a-1", Region: "a", Regions: []string{"a"}}
+	board := load.NewBoard("a-1", "a", place.Regions, func(u *fleet.Upstream) *dispatch.Dialer {
+		return dispatch.NewDialer(u.Address)
+	})
+	p := New(place, board, everyone{}, RetryBounds{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
+	r := &route.Route{
+		Name: "list", Host: "h", Prefix: "/", Sticky: true, MaxAttempts: 2, Targets: []route.Target{{Service: service.Name, Weight: 1}},
+	}
+	p.SetTable(route.NewTable(1, route.Limits{}, []*route.Route{r}, []route.Service{service}))
+	return p, board, r
+}
+
+// TestLeavesMeanwhile has an upstream leave between the arrival of a request and its first
+// or second send, as it happens to large bodies and after refusals: nothing is sent to it.
+func TestLeavesMeanwhile(t *testing.T) {
+	regions := map[string]string{"a-1": "a"}
+	upstream := func(id string, born int64, leaving bool) fleet.Upstream {
+		return fleet.Upstream{ID: id, Service: "list", Address: id, Domain: "a-1", Slots: 1, Born: born, Leaving: leaving}
+	}
+	tests := map[string]struct {
+		later     []fleet.Upstream
+		evacuated []string
+		chosen    string // by a choice after the change
+		begins    bool   // a send to the one that was chosen before
+	}{
+		"nothing changes":                 {[]fleet.Upstream{upstream("one", 1, false)}, nil, "one", true},
+		"it leaves":                       {[]fleet.Upstream{upstream("one", 1, true), upstream("two", 1, false)}, nil, "two", false},
+		"it is gone":                      {[]fleet.Upstream{upstream("two", 1, false)}, nil, "two", false},
+		"it starts anew":                  {[]fleet.Upstream{upstream("one", 2, false)}, nil, "one", false},
+		"its failure domain is evacuated": {[]fleet.Upstream{upstream("one", 1, false)}, []string{"a-1"}, "", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, board, r := newPlanner(route.Service{Name: "list"})
+			now := time.Unix(1000, 0)
+			show := func(upstreams []fleet.Upstream, evacuated []string) {
+				view := fleet.NewView(upstreams, evacuated, regions)
+				board.Follow(view, true, func(string) time.Duration { return 0 }, now)
+				p.SetView(view)
+			}
+			show([]fleet.Upstream{upstream("one", 1, false)}, nil)
+			ask := Ask{Table: p.Table(), Route: r, Object: 7, Sticky: true, Deadline: now.Add(time.Second)}
+			p.Arrived(&ask, now)
+			_, chosen := p.Choose(&ask, now)
+			if chosen == nil || chosen.ID != "one" {
+				t.Fatalf("%v was chosen at first", chosen)
+			}
+			show(test.later, test.evacuated)
+			if _, begins := p.Begin(&ask, chosen, now); begins != test.begins {
+				t.Errorf("the send to the first choice begins: %t", begins)
+			}
+			_, next := p.Choose(&ask, now)
+			if next != nil && next.ID != test.chosen || next == nil && test.chosen != "" {
+				t.Errorf("then %v was chosen, want %q", next, test.chosen)
+			}
+		})
+	}
+}
--- a/simulation/call.go
+++ b/simulation/call.go
@@ -40,7 +40,7 @@
 	c.instance = w.pick(c.region)
 	limit := min(c.kind.Timeout, c.begunAt.Add(c.kind.Patience).Sub(now))
 	c.ask = planner.Ask{
-		Table: w.table, View: w.view, Route: w.routes[c.kind.Name], Object: c.object, Sticky: true,
+		Table: w.table, Route: w.routes[c.kind.Name], Object: c.object, Sticky: true,
 		Bytes: c.kind.Bytes, Deadline: now.Add(limit), Tried: make(map[string]bool),
 	}
 	c.instance.planner.Arrived(&c.ask, now)
