load: find the times of work anew where they do not fit

Means began at 0.08 and 0.2 s, and an answer was counted to the nearer one: where both times were longer, none ever came near the first. Demand then seemed small, and every upstream slow, so that nothing was learnt.

Ruled out: the sums of demand (they agreed), the steps of the shares.

Change: when few of the newest times of all upstreams are near a mean, or none is near that of known objects for 3 s, both are found from these times. TestFaultsFade now has a second upstream that shows what is usual: the one slow upstream was all that the service had, which is no sign that it is slow.

--- a/load/load.go
+++ b/load/load.go
@@ -45,8 +45,9 @@
 
 // gauge is the state of one upstream.
 type gauge struct {
-	id     string
-	dialer *dispatch.Dialer
+	id      string
+	service string
+	dialer  *dispatch.Dialer
 
 	born     int64
 	coldTill time.Time
@@ -116,7 +117,7 @@
 		if ok {
 			g.dialer.Close()
 		}
-		g = &gauge{id: u.ID, dialer: b.newDialer(u), born: u.Born, slow: 1, hits: firstHits, objects: make(map[uint64]time.Time)}
+		g = &gauge{id: u.ID, service: u.Service, dialer: b.newDialer(u), born: u.Born, slow: 1, hits: firstHits, objects: make(map[uint64]time.Time)}
 		b.gauges[u.ID] = g
 		if !first {
 			g.chill(now.Add(coldTime))
@@ -309,7 +310,13 @@
 		return
 	}
 	took := max(0, r.Took-b.roundTrip(r.Upstream))
-	hit := b.work(r.Upstream.Service, r.Class).learn(g, took, r.Sticky, known, now.Before(g.coldTill))
+	times := b.work(r.Upstream.Service, r.Class)
+	times.note(g.id, took, now)
+	if r.Sticky && !times.few() && !times.fits(now) {
+		times.restart()
+		b.unslow(r.Upstream.Service)
+	}
+	hit := times.learn(g, took, r.Sticky, known, now.Before(g.coldTill))
 	if r.Sticky && !known {
 		b.chances(r.Upstream.Service).learn(r.Standing, hit)
 	}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -313,9 +313,14 @@
 // TestFaultsFade tries an upstream again that was slow and failed, once some time has
 // passed in which nobody used it.
 func TestFaultsFade(t *testing.T) {
-	b, v := boardOf(upstream("one", "a-1", nil))
+	b, v := boardOf(upstream("one", "a-1", nil), upstream("other", "a-1", nil))
 	u, _ := v.Upstream("one")
+	other, _ := v.Upstream("other")
 	now := begun
+	for range 20 {
+		now = now.Add(10 * time.Millisecond)
+		send(t, b, other, Result{Object: 1, Outcome: Answered, Took: 80 * time.Millisecond}, now)
+	}
 	for range 20 {
 		now = now.Add(10 * time.Millisecond)
 		send(t, b, u, Result{Outcome: Answered, Took: 3 * time.Second}, now)
@@ -343,3 +348,52 @@
 	}
 	b.End(&Result{Upstream: u}, begun)
 }
+
+// TestTimesOfSlowServices learns times that are far from those that are assumed at first:
+// of services whose requests take long, and of ones that are very fast. A region that took
+// slow requests for fast ones would think that its few upstreams suffice.
+func TestTimesOfSlowServices(t *testing.T) {
+	tests := map[string]struct {
+		warm, cold time.Duration
+		// first is how many answers are all of unknown objects, as they are at the start.
+		first int
+		// strange is the part of later requests whose objects are unknown, one in so many.
+		strange int
+	}{
+		"fast":                     {10 * time.Millisecond, 40 * time.Millisecond, 20, 5},
+		"a third of a second":      {160 * time.Millisecond, 640 * time.Millisecond, 20, 5},
+		"two seconds":              {444 * time.Millisecond, 1776 * time.Millisecond, 20, 5},
+		"two seconds, all learnt":  {444 * time.Millisecond, 1776 * time.Millisecond, 10, 30},
+		"two seconds, few learnt":  {444 * time.Millisecond, 1776 * time.Millisecond, 60, 2},
+		"two seconds, at once":     {444 * time.Millisecond, 1776 * time.Millisecond, 0, 4},
+		"little gain":              {300 * time.Millisecond, 600 * time.Millisecond, 20, 4},
+		"known before a restart":   {444 * time.Millisecond, 1776 * time.Millisecond, 0, 1000},
+		"half a second, no change": {120 * time.Millisecond, 480 * time.Millisecond, 5, 12},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, v := boardOf(upstream("one", "a-1", nil))
+			one, _ := v.Upstream("one")
+			now := begun
+			for i := range 300 {
+				now = now.Add(80 * time.Millisecond)
+				took, object := test.warm, uint64(i%20)
+				if i < test.first || i%test.strange == test.strange-1 {
+					took, object = test.cold, uint64(1000+i)
+				}
+				took += time.Duration(i%7-3) * took / 20
+				send(t, b, one, Result{Object: object, Outcome: Answered, Took: took + tripSameDomain}, now)
+			}
+			warm, cold := b.Times("list", class)
+			if warm < test.warm*8/10 || warm > test.warm*12/10 {
+				t.Errorf("a known object takes %s, want about %s", warm, test.warm)
+			}
+			if test.strange < 1000 && (cold < test.cold*8/10 || cold > test.cold*12/10) {
+				t.Errorf("an unknown object takes %s, want about %s", cold, test.cold)
+			}
+			if slow, _ := b.gauges["one"].faults(now); slow > 1.5 {
+				t.Errorf("the upstream is taken as %.1f times slower", slow)
+			}
+		})
+	}
+}
--- a/load/times.go
+++ b/load/times.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"hickorydrum/route"
@@ -16,6 +18,23 @@
 	fewTimes = 20
 	// plainSlow is the slowness up to which an upstream's times count for its service.
 	plainSlow = 1.5
+	// warmPart is the assumed part of the time of an unknown object that a known one takes.
+	warmPart = 0.4
+	// recentTimes is how many of the newest times are kept, and recentOfOne how many of
+	// them may be of one upstream. When there are fewTimesToFit, and less than leastFitting
+	// of them is near one of the two means, within the factor nearTime, the means are found
+	// anew from them.
+	recentTimes = 32
+	recentOfOne = 8
+	// warmWithin is how long after the first time one of a known object must have come.
+	warmWithin    = 3 * time.Second
+	fewTimesToFit = 4
+	leastFitting  = 0.4
+	nearTime      = 1.6
+	// leastApart is the ratio from which times count as two kinds.
+	leastApart = 1.6
+	// fewOfAKind is how many times make a kind.
+	fewOfAKind = 3
 )
 
 // average is a mean that forgets.
@@ -49,6 +68,115 @@
 // workTimes is how long the upstreams of a service take for a class of requests.
 type workTimes struct {
 	warm, cold average
+	recent     []recentTime // the oldest first
+	firstAt    time.Time
+	// guessed states that all times were of one kind when the means were found.
+	guessed bool
+}
+
+// recentTime is how long a request took at an upstream.
+type recentTime struct {
+	upstream string
+	took     time.Duration
+}
+
+// note keeps a time among the recent ones, of which no upstream has more than a part.
+func (t *workTimes) note(upstream string, took time.Duration, now time.Time) {
+	if t.firstAt.IsZero() {
+		t.firstAt = now
+	}
+	same, oldest := 0, 0
+	for i := len(t.recent) - 1; i >= 0; i-- {
+		if t.recent[i].upstream == upstream {
+			same++
+			oldest = i
+		}
+	}
+	switch {
+	case same >= recentOfOne:
+		t.recent = slices.Delete(t.recent, oldest, oldest+1)
+	case len(t.recent) >= recentTimes:
+		t.recent = slices.Delete(t.recent, 0, 1)
+	}
+	t.recent = append(t.recent, recentTime{upstream, took})
+}
+
+// sorted returns the recent times, the shortest first.
+func (t *workTimes) sorted() []time.Duration {
+	out := make([]time.Duration, len(t.recent))
+	for i, r := range t.recent {
+		out[i] = r.took
+	}
+	slices.Sort(out)
+	return out
+}
+
+// few reports whether too few times are known to tell whether they fit the means.
+func (t *workTimes) few() bool { return len(t.recent) < fewTimesToFit }
+
+// fits reports whether the recent times are near the means.
+func (t *workTimes) fits(now time.Time) bool {
+	if t.warm.count == 0 && now.Sub(t.firstAt) > warmWithin {
+		return false
+	}
+	if t.guessed && t.twoKinds() {
+		return false
+	}
+	warm, cold := float64(t.warm.value(firstWarm)), float64(t.cold.value(firstCold))
+	near := 0
+	for _, r := range t.recent {
+		if isNear(float64(r.took), warm) || isNear(float64(r.took), cold) {
+			near++
+		}
+	}
+	return float64(near) >= leastFitting*float64(len(t.recent))
+}
+
+// twoKinds reports whether the recent times are of two kinds for sure.
+func (t *workTimes) twoKinds() bool {
+	low, high := split(t.sorted())
+	return min(len(low), len(high)) >= fewOfAKind
+}
+
+func isNear(a, b float64) bool { return a < b*nearTime && b < a*nearTime }
+
+// restart finds the means anew from the recent times. Times of one kind are taken for
+// those of known objects: mostly the upstreams have run for longer than this instance.
+func (t *workTimes) restart() {
+	low, high := split(t.sorted())
+	t.warm, t.cold = average{}, average{}
+	t.warm.add(mean(low))
+	t.guessed = len(high) == 0
+	if t.guessed {
+		t.cold.add(time.Duration(float64(mean(low)) / warmPart))
+		return
+	}
+	t.cold.add(mean(high))
+}
+
+// split divides sorted times where the two parts differ most from each other, compared
+// with how much the times within them do. The second part is empty if all are of one kind.
+func split(sorted []time.Duration) (low, high []time.Duration) {
+	best, bestAt := 0.0, 0
+	for at := 1; at < len(sorted); at++ {
+		apart := math.Log(float64(mean(sorted[at:])) / float64(max(1, mean(sorted[:at]))))
+		if gain := apart * apart * float64(at) * float64(len(sorted)-at); gain > best {
+			best, bestAt = gain, at
+		}
+	}
+	low, high = sorted[:bestAt], sorted[bestAt:]
+	if bestAt == 0 || float64(mean(high)) < leastApart*float64(mean(low)) {
+		return sorted, nil
+	}
+	return low, high
+}
+
+func mean(times []time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, t := range times {
+		sum += t
+	}
+	return sum / time.Duration(max(1, len(times)))
 }
 
 func (b *Board) work(service string, class route.Class) *workTimes {
@@ -100,7 +228,7 @@
 	factor := min(maxSlow, float64(took)/float64(max(1, expected)))
 	g.slow = max(1, g.slow+slowMemory*(factor-g.slow))
 	switch {
-	case g.slow > plainSlow:
+	case g.slow > plainSlow, t.few():
 		return hit
 	case hit:
 		t.warm.add(took)
