hosted, platform: a glance at the store after a restart of all

Change: an instance that starts anew and hears of no peer that knows more within 50 ms takes a cheap list that may be some seconds old; changes since then come as always. At the first start of a fleet there are no callers, and nothing is asked.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -57,6 +57,9 @@
 	// anything.
 	roleAfter  = 250 * time.Millisecond
 	aloneAfter = 2500 * time.Millisecond
+	// glanceAfter is how long an instance waits after its start for a peer that tells what
+	// there is, before it takes a glance at the store.
+	glanceAfter = 50 * time.Millisecond
 	// behindAfter is for how long a change that a peer knows may be missing here before
 	// an instance asks the store whatever its rank.
 	behindAfter = 1200 * time.Millisecond
@@ -67,6 +70,7 @@
 // Store is the part of the platform's client that following needs.
 type Store interface {
 	List(ctx context.Context, prefix string) (platform.Page, error)
+	Glance(ctx context.Context, prefix string) (platform.Page, error)
 	Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Page, error)
 	Pulse(ctx context.Context) error
 }
@@ -97,7 +101,9 @@
 	log      *slog.Logger
 	onChange func(kind string)
 	begun    time.Time
-	wake     chan struct{} // an instance knows more
+	// restarted states that the fleet has run before, so that callers may be waiting.
+	restarted bool
+	wake      chan struct{} // an instance knows more
 
 	mu        sync.Mutex
 	mirrors   map[string]*mirror.Mirror
@@ -163,6 +169,9 @@
 func (f *follower) run(ctx context.Context) error {
 	var group errgroup.Group
 	group.Go(func() error { return f.askPeers(ctx) })
+	if f.restarted {
+		group.Go(func() error { return f.glance(ctx) })
+	}
 	for ctx.Err() == nil {
 		if !f.mustWatch(time.Now()) {
 			f.expire()
@@ -174,6 +183,25 @@
 	return group.Wait()
 }
 
+// glance takes what the store tells cheaply until peers or the watching instance know it
+// all. When all instances have started anew, callers need not wait for those that watch.
+func (f *follower) glance(ctx context.Context) error {
+	if !period.Pause(ctx, glanceAfter) {
+		return nil
+	}
+	for _, kind := range kinds() {
+		if _, known := f.objects(kind); known {
+			continue
+		}
+		page, err := f.store.Glance(ctx, kind+"/")
+		if err != nil {
+			return nil // the store is away: those that watch find out
+		}
+		f.change(kind, true, func(m *mirror.Mirror, now time.Time) bool { return m.List(page, now) })
+	}
+	return nil
+}
+
 // mustWatch reports whether this instance watches the store.
 func (f *follower) mustWatch(now time.Time) bool {
 	f.mu.Lock()
--- a/hosted/follow_test.go
+++ b/hosted/follow_test.go
@@ -50,6 +50,11 @@
 	}
 }
 
+// Glance is a list.
+func (s *deafStore) Glance(ctx context.Context, prefix string) (platform.Page, error) {
+	return s.List(ctx, prefix)
+}
+
 // Pulse answers.
 func (s *deafStore) Pulse(context.Context) error { return nil }
 
@@ -170,6 +175,11 @@
 	return s.Store.List(ctx, prefix)
 }
 
+// Glance is a list.
+func (s *awayStore) Glance(ctx context.Context, prefix string) (platform.Page, error) {
+	return s.List(ctx, prefix)
+}
+
 func (s *awayStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Page, error) {
 	if err := s.call(1); err != nil {
 		return platform.Page{}, err
@@ -210,3 +220,37 @@
 		_ = group.Wait()
 	})
 }
+
+// waiter is an instance of a fleet in which another one watches the store.
+type waiter struct{ loner }
+
+func (*waiter) Watches() bool { return false }
+
+// TestGlance starts an instance when nobody else knows anything, as it is when all have
+// started anew: callers are served as soon as the store has answered, not when the watching
+// instance has told it. At the first start of a fleet nobody waits, and nothing is asked.
+func TestGlance(t *testing.T) {
+	for name, restarted := range map[string]bool{"first start": false, "restart": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &awayStore{Store: standin.NewStore()}
+				if _, err := store.Put(t.Context(), platform.KindUpstreams+"/a", []byte("{}"), 0); err != nil {
+					t.Fatal(err)
+				}
+				f := newFollower(store, &waiter{}, 1, slog.New(slog.DiscardHandler), func(string) {})
+				f.restarted = restarted
+				ctx, cancel := context.WithCancel(t.Context())
+				var group errgroup.Group
+				group.Go(func() error { return f.run(ctx) })
+				time.Sleep(glanceAfter + 10*time.Millisecond)
+				synctest.Wait()
+				_, known := f.objects(platform.KindUpstreams)
+				if known != restarted || (store.count() > 0) != restarted {
+					t.Errorf("upstreams known: %t, after %d calls", known, store.count())
+				}
+				cancel()
+				_ = group.Wait()
+			})
+		})
+	}
+}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -108,6 +108,7 @@
 	i.planner = planner.New(place, i.board, i.mesh, retryBounds(settings.Bounds))
 	i.ingress = ingress.New(i.planner, log)
 	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.believe)
+	i.follower.restarted = !settings.Bootstrap
 	i.mesh.OnNews(i.follower.news)
 	return i, i.listen()
 }
