dispatch: bound the head of an answer

Cause: http.ReadResponse reads a head of any length, and informational ones before it: an upstream that sends bytes without end in place of an answer fills the memory of the instance until the deadline. TestEndless, with a row for each place where bytes may come without end, was ended by the system for want of memory before; chunk extensions, sizes and trailers were bounded already, and bodies are passed on as they come.

Change: 64 KB for the head and all informational answers before it; then the send fails as a broken answer and the connection is closed.

--- a/dispatch/conn.go
+++ b/dispatch/conn.go
@@ -36,11 +36,37 @@
 	answered time.Time       // when the last whole answer ended
 	keepTill time.Time       // when the upstream is about to close it
 	reused   bool
+	limited  bool // only so many more bytes may be read
+	left     int
+}
+
+// errTooLong states that an upstream sends a head that has no end.
+var errTooLong = errors.New("the head of the answer is too long")
+
+// limit has reads fail beyond so many bytes.
+func (c *Conn) limit(most int) { c.limited, c.left = true, most }
+
+func (c *Conn) unlimit() { c.limited = false }
+
+// limitedReader reads from a connection within its limit.
+type limitedReader struct{ c *Conn }
+
+func (r limitedReader) Read(p []byte) (int, error) {
+	if !r.c.limited {
+		return r.c.Conn.Read(p)
+	}
+	if r.c.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := r.c.Conn.Read(p[:min(len(p), r.c.left)])
+	r.c.left -= n
+	return n, err
 }
 
 // NewConn returns a connection over the given transport.
 func NewConn(raw net.Conn) *Conn {
-	c := &Conn{Conn: raw, r: bufio.NewReaderSize(raw, bufferSize)}
+	c := &Conn{Conn: raw}
+	c.r = bufio.NewReaderSize(limitedReader{c}, bufferSize)
 	c.w = bufio.NewWriterSize(sentMarker{c}, bufferSize)
 	return c
 }
--- /dev/null
+++ b/dispatch/endless_test.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// counter is a sink that keeps nothing.
+type counter struct{ bytes int }
+
+func (*counter) Head(Head) error { return nil }
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.bytes += len(p)
+	return len(p), nil
+}
+
+// TestEndless has an upstream send bytes that are no answer, without end, in every place
+// where it can. Little of it is read, and the connection is closed; only a body without a
+// length is passed on as it comes, until the deadline.
+func TestEndless(t *testing.T) {
+	const (
+		// mostRead is what may be read of an answer that never ends its head, with what the
+		// connection reads ahead.
+		mostRead = maxHead + bufferSize
+		ok       = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+	)
+	tests := map[string]struct {
+		first, endless string
+		whole          bool // the answer is whole before the bytes come
+		passed         bool // the bytes are a body, which is passed on
+	}{
+		"no answer":             {"", "\x00\x01garbage", false, false},
+		"a status line":         {"HTTP/1.1 200 ", "OK", false, false},
+		"one header":            {ok + "A: ", "b", false, false},
+		"headers":               {ok, "A: b\r\n", false, false},
+		"informational answers": {"", "HTTP/1.1 100 Continue\r\n\r\n", false, false},
+		"informational headers": {"HTTP/1.1 103 Early Hints\r\n", "A: b\r\n", false, false},
+		"a chunk's extension":   {ok + "Transfer-Encoding: chunked\r\n\r\n5;", "a=b;", false, false},
+		"a chunk's size":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "0", false, false},
+		"a trailer":             {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", false, false},
+		"behind the answer":     {ok + "Content-Length: 2\r\n\r\nhi", "bytes", true, false},
+		"a body with no length": {ok + "\r\n", "bytes", false, true},
+		"a chunked body":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n", false, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			var group errgroup.Group
+			written := 0
+			group.Go(func() error {
+				if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+					return err
+				}
+				n, err := io.WriteString(far, test.first)
+				written += n
+				endless := strings.Repeat(test.endless, 1+4096/len(test.endless))
+				for err == nil {
+					n, err = io.WriteString(far, endless)
+					written += n
+				}
+				return nil // the other side has closed the connection
+			})
+			conn := NewConn(near)
+			request := &Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+			limit := time.Minute
+			if test.passed {
+				limit = 100 * time.Millisecond
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			got := &counter{}
+			reusable, err := NewExchange(request, testDialect{}, time.Now().Add(limit), conn).Run(ctx, http.NoBody, got)
+			if (err == nil) != test.whole {
+				t.Errorf("the exchange ends with %v", err)
+			}
+			if reusable && !test.whole { // TestReuse has the bytes behind a whole answer
+				t.Error("the connection would be used again")
+			}
+			_ = conn.Close()
+			if err := group.Wait(); err != nil {
+				t.Fatal(err)
+			}
+			if !test.passed && written > mostRead+4096+len(test.first) {
+				t.Errorf("%d bytes were read", written)
+			}
+			if test.passed && got.bytes == 0 {
+				t.Error("no body was passed on")
+			}
+		})
+	}
+}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -24,6 +24,7 @@
 
 const (
 	copyBuffer    = 32 << 10
+	maxHead       = 64 << 10 // bytes of the head of an answer, with informational ones before it
 	defaultShed   = 200 * time.Millisecond
 	maxInterim    = 8 // informational answers before the final one
 	retryAfterMax = time.Minute
@@ -192,6 +193,8 @@
 // receive reads the head of the final answer.
 func (x *Exchange) receive() (*http.Response, error) {
 	req := &http.Request{Method: x.request.Method}
+	x.conn.limit(maxHead)
+	defer x.conn.unlimit()
 	for range maxInterim {
 		resp, err := http.ReadResponse(x.conn.r, req)
 		if err != nil {
