--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -140,7 +140,9 @@
 	f := &follower{
 		store: store, others: others, port: port, log: log, onChange: onChange, begun: time.Now(),
 		mirrors: make(map[string]*mirror.Mirror), watches: make(map[string]*watch), wake: make(chan struct{}, 1),
-		client: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}},
+		client: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{
+			DisableCompression: true, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes,
+		}},
 		states: make(map[string][]byte),
 	}
 	for _, kind := range kinds() {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -28,6 +29,8 @@
 	// firstRetryAfter and lastRetryAfter bound when refused callers come back.
 	firstRetryAfter = 40 * time.Millisecond
 	lastRetryAfter  = 250 * time.Millisecond
+	// defaultBodyBytes bounds a body where the configuration does not.
+	defaultBodyBytes = int64(32 << 20)
 	// maxDrained is how much of a refused body is read.
 	maxDrained = 2 << 20
 	// maxIdle is how many idle connections to one upstream are kept.
@@ -124,8 +127,8 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	most := x.ask.Table.Limits().BodyBytes
-	if most > 0 && x.r.ContentLength > most {
+	most := cmp.Or(x.ask.Table.Limits().BodyBytes, defaultBodyBytes)
+	if x.r.ContentLength > most {
 		x.tooLarge()
 		return false
 	}
@@ -136,15 +139,11 @@
 	if x.r.ContentLength > 0 {
 		buf.Grow(int(x.r.ContentLength))
 	}
-	body := io.Reader(x.r.Body)
-	if most > 0 {
-		body = io.LimitReader(body, most+1)
-	}
-	if _, err := buf.ReadFrom(body); err != nil {
+	if _, err := buf.ReadFrom(io.LimitReader(x.r.Body, most+1)); err != nil {
 		x.result = result{outcome: "caller-gone", detail: "the body was cut short"}
 		panic(http.ErrAbortHandler)
 	}
-	if most > 0 && int64(buf.Len()) > most {
+	if int64(buf.Len()) > most {
 		x.tooLarge()
 		return false
 	}
