load, gossip: tell the failure domain which upstreams are crowded

Change: heartbeats within the failure domain name up to 24 upstreams that told of late that four fifths of their slots are in use, each with its age; half-life 3 s.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -37,10 +37,11 @@
 // Mesh is one instance among the others. Its methods may be called at the same
 // time.
 type Mesh struct {
-	conn   net.PacketConn
-	port   uint16
-	onNews func(News)
-	group  errgroup.Group
+	conn     net.PacketConn
+	port     uint16
+	onNews   func(News)
+	onCrowds func([]Crowd)
+	group    errgroup.Group
 
 	mu   sync.Mutex
 	view *view
@@ -69,7 +70,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	self := Member{Address: at.Addr(), Run: uint32(time.Now().UnixMilli())}
 	return &Mesh{
-		conn: conn, port: at.Port(), onNews: func(News) {}, view: newView(self, domain, regions, random, log, clock.Now()),
+		conn: conn, port: at.Port(), onNews: func(News) {}, onCrowds: func([]Crowd) {}, view: newView(self, domain, regions, random, log, clock.Now()),
 	}, nil
 }
 
@@ -77,6 +78,10 @@
 // be set before Run.
 func (m *Mesh) OnNews(f func(News)) { m.onNews = f }
 
+// OnCrowds sets what is called when another member of the failure domain tells which
+// upstreams are crowded. It must be set before Run.
+func (m *Mesh) OnCrowds(f func([]Crowd)) { m.onCrowds = f }
+
 // SetSeeds replaces the addresses that are asked for other instances.
 func (m *Mesh) SetSeeds(seeds []netip.Addr) {
 	m.mu.Lock()
@@ -99,11 +104,11 @@
 }
 
 // Tell tells the others what the requests at this instance need, in thousandths of a
-// slot, by service.
-func (m *Mesh) Tell(demand map[string]int) {
+// slot, by service, and which upstreams are crowded.
+func (m *Mesh) Tell(demand map[string]int, crowds []Crowd) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.view.self.Demand = demand
+	m.view.self.Demand, m.view.crowds = demand, crowds
 }
 
 // Announce tells the members of the failure domain at once which changes this instance
@@ -191,14 +196,18 @@
 		return
 	}
 	received.Inc()
+	now := clock.Now()
 	m.mu.Lock()
-	answers, ok := m.view.take(msg, from, clock.Now())
+	answers, ok := m.view.take(msg, from, now)
 	near := msg.Domain == m.view.domain
 	m.mu.Unlock()
 	m.send(answers)
 	if ok {
 		m.onNews(News{From: from, Near: near, Newest: msg.Newest})
 	}
+	if ok && near && len(msg.Crowds) > 0 {
+		m.onCrowds(decodeCrowds(msg.Crowds, now))
+	}
 }
 
 // Live returns the members of the failure domain that live, this instance among them,
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -35,6 +35,15 @@
 	heardAt time.Time
 }
 
+// Crowd is an upstream that some member found crowded of late.
+type Crowd struct {
+	// Key names the upstream.
+	Key uint32
+	// Busy is how many requests it had, and At when it told so.
+	Busy int
+	At   time.Time
+}
+
 // Sum is what one failure domain tells of its members together.
 type Sum struct {
 	Domain string
--- /dev/null
+++ b/gossip/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package gossip
+
+// racing states that the race detector is on.
+const racing = false
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -74,6 +74,7 @@
 
 	self      Member
 	newest    []uint64
+	crowds    []Crowd // that the members of the failure domain are told of
 	seeds     []netip.Addr
 	others    map[netip.Addr]*known // of the own failure domain
 	sums      map[string]*Sum       // of other failure domains
@@ -99,7 +100,7 @@
 	var out []packet
 	sums := v.freshSums(now)
 	for _, to := range v.nearTargets(now) {
-		out = append(out, packet{to, v.encode(&message{}, v.told(now), sums, now)})
+		out = append(out, packet{to, v.encode(&message{Crowds: encodeCrowds(v.crowds, now)}, v.told(now), sums, now)})
 		sums = nil // one member is enough: it tells the next
 	}
 	ask := v.encode(&message{Ask: true}, nil, nil, now)
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -35,6 +35,7 @@
 	Services []string
 	Members  []record
 	Sums     []sumRecord
+	Crowds   []crowdRecord
 	// Contacts are members of the receiver's failure domain that ask as it does.
 	Contacts []netip.Addr
 }
@@ -51,10 +52,41 @@
 	Demand []int
 }
 
+// crowdRecord is a Crowd on the wire.
+type crowdRecord struct {
+	_    struct{} `cbor:",toarray"`
+	Key  uint32
+	Busy uint16
+	// Age is how long ago the upstream told so, in parts of a second as ageUnit says.
+	Age uint16
+}
+
 const ageUnit = 50 * time.Millisecond
 
 func (r *record) age() time.Duration { return time.Duration(r.Age) * ageUnit }
 
+// encodeAge returns the time since an instant in units of the wire.
+func encodeAge(at, now time.Time) uint16 {
+	return uint16(min(math.MaxUint16, max(0, now.Sub(at)/ageUnit)))
+}
+
+func encodeCrowds(crowds []Crowd, now time.Time) []crowdRecord {
+	var out []crowdRecord
+	for _, c := range crowds {
+		busy := uint16(min(math.MaxUint16, max(0, c.Busy)))
+		out = append(out, crowdRecord{Key: c.Key, Busy: busy, Age: encodeAge(c.At, now)})
+	}
+	return out
+}
+
+func decodeCrowds(records []crowdRecord, now time.Time) []Crowd {
+	var out []Crowd
+	for _, r := range records {
+		out = append(out, Crowd{Key: r.Key, Busy: int(r.Busy), At: now.Add(-time.Duration(r.Age) * ageUnit)})
+	}
+	return out
+}
+
 // The bits of a record's state.
 const (
 	stateReady = 1 << iota
@@ -151,7 +183,7 @@
 	m.From = encodeMember(from, m.Services)
 	for _, one := range members {
 		r := encodeMember(&one.member, m.Services)
-		r.Age = uint16(min(math.MaxUint16, max(0, now.Sub(one.heardAt)/ageUnit)))
+		r.Age = encodeAge(one.heardAt, now)
 		m.Members = append(m.Members, r)
 	}
 	for _, one := range sums {
--- a/hosted/balance.go
+++ b/hosted/balance.go
@@ -6,7 +6,9 @@
 	"slices"
 	"time"
 
+	"hickorydrum/clock"
 	"hickorydrum/gossip"
+	"hickorydrum/load"
 	"hickorydrum/period"
 	"hickorydrum/planner"
 	"hickorydrum/platform"
@@ -34,9 +36,30 @@
 	return told
 }
 
+// tellCrowds returns crowded upstreams as the others are told of them: instants on the
+// clock of the mesh.
+func tellCrowds(crowds []load.Crowd) []gossip.Crowd {
+	now, mesh := time.Now(), clock.Now()
+	out := make([]gossip.Crowd, len(crowds))
+	for n, c := range crowds {
+		out[n] = gossip.Crowd{Key: c.Key, Busy: c.Busy, At: mesh.Add(c.At.Sub(now))}
+	}
+	return out
+}
+
+// hearCrowds takes in which upstreams another instance found crowded.
+func (i *Instance) hearCrowds(crowds []gossip.Crowd) {
+	now, mesh := time.Now(), clock.Now()
+	out := make([]load.Crowd, len(crowds))
+	for n, c := range crowds {
+		out[n] = load.Crowd{Key: c.Key, Busy: c.Busy, At: now.Add(c.At.Sub(mesh))}
+	}
+	i.board.Hear(out)
+}
+
 // demands returns the demand of each failure domain, this instance's own included.
 func (i *Instance) demands(own []planner.Demand) []planner.PlacedDemand {
-	i.mesh.Tell(tellDemand(own))
+	i.mesh.Tell(tellDemand(own), tellCrowds(i.board.Crowded(time.Now())))
 	return placeDemands(i.mesh.Sums())
 }
 
--- /dev/null
+++ b/load/crowd.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	"hickorydrum/fleet"
+)
+
+const (
+	// crowdedFrom is the part of an upstream's slots in use from which others are told.
+	crowdedFrom = 0.8
+	// crowdedFor is for how long others are told what an upstream told.
+	crowdedFor = 1500 * time.Millisecond
+	// mostCrowded is of how many upstreams others are told at most.
+	mostCrowded = 24
+)
+
+// Crowd is the load of an upstream that has few slots free, by its own word.
+type Crowd struct {
+	// Key names the upstream among the instances.
+	Key uint32
+	// Busy is how many requests ran and waited there at an instant.
+	Busy int
+	At   time.Time
+}
+
+// key returns what names an upstream among the instances.
+func key(u *fleet.Upstream) uint32 { return uint32(u.Hash()) }
+
+// Crowded returns the upstreams that were found crowded of late, those first that were
+// heard of last.
+func (b *Board) Crowded(now time.Time) []Crowd {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Crowd
+	for _, g := range b.gauges {
+		if now.Sub(g.toldAt) < crowdedFor && g.told >= crowdedFrom*float64(g.slots) {
+			out = append(out, Crowd{Key: g.key, Busy: int(g.told), At: g.toldAt})
+		}
+	}
+	slices.SortFunc(out, func(a, b Crowd) int { return b.At.Compare(a.At) })
+	return out[:min(len(out), mostCrowded)]
+}
+
+// Hear takes in what other instances found. With many instances each one meets an
+// upstream seldom, so that alone it would learn of a queue only by waiting in it.
+func (b *Board) Hear(crowds []Crowd) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range crowds {
+		g, ok := b.byKey[c.Key]
+		if !ok || !c.At.After(g.toldAt) {
+			continue
+		}
+		g.told, g.toldOwn, g.toldAt, g.queued = float64(c.Busy), g.inFlight, c.At, c.Busy > g.slots
+	}
+}
--- a/load/load.go
+++ b/load/load.go
@@ -21,7 +21,7 @@
 	faultHalfLife = 2 * time.Second
 	// toldHalfLife is after which time what an upstream told of other instances'
 	// requests weighs half.
-	toldHalfLife = 600 * time.Millisecond
+	toldHalfLife = 3 * time.Second
 	// failMemory is the weight of the newest outcome in the failure rate.
 	failMemory = 0.15
 	// slowMemory is the weight of the newest service time in the slowness.
@@ -46,7 +46,9 @@
 // gauge is the state of one upstream.
 type gauge struct {
 	id      string
+	key     uint32
 	service string
+	slots   int
 	dialer  *dispatch.Dialer
 
 	born     int64
@@ -76,6 +78,7 @@
 
 	mu      sync.Mutex
 	gauges  map[string]*gauge
+	byKey   map[uint32]*gauge // by what names an upstream among instances
 	times   map[workKey]*workTimes
 	known   map[string]*chances      // by service
 	trips   map[string]time.Duration // by failure domain
@@ -87,7 +90,7 @@
 func NewBoard(domain, region string, regions []string, newDialer func(u *fleet.Upstream) *dispatch.Dialer) *Board {
 	return &Board{
 		domain: domain, region: region, newDialer: newDialer,
-		gauges: make(map[string]*gauge), times: make(map[workKey]*workTimes), known: make(map[string]*chances),
+		gauges: make(map[string]*gauge), byKey: make(map[uint32]*gauge), times: make(map[workKey]*workTimes), known: make(map[string]*chances),
 		trips: make(map[string]time.Duration), regions: regions,
 	}
 }
@@ -104,6 +107,7 @@
 		if _, ok := view.Upstream(id); !ok {
 			g.dialer.Close()
 			delete(b.gauges, id)
+			delete(b.byKey, g.key)
 		}
 	}
 	for _, u := range view.All() {
@@ -117,12 +121,13 @@
 		if ok {
 			g.dialer.Close()
 		}
-		g = &gauge{id: u.ID, service: u.Service, dialer: b.newDialer(u), born: u.Born, slow: 1, hits: firstHits, objects: make(map[uint64]time.Time)}
-		b.gauges[u.ID] = g
+		g = &gauge{id: u.ID, key: key(u), slots: u.Slots, service: u.Service, dialer: b.newDialer(u), born: u.Born, slow: 1, hits: firstHits, objects: make(map[uint64]time.Time)}
+		b.gauges[u.ID], b.byKey[g.key] = g, g
 		if !first {
 			g.chill(now.Add(coldTime))
 		}
 	}
+	g.slots = u.Slots
 	if first {
 		// The clocks of two machines differ; that makes the age wrong by seconds at most.
 		age := max(0, time.Duration(now.UnixMilli()-u.Born)*time.Millisecond)
--- a/simulation/patterns.go
+++ b/simulation/patterns.go
@@ -53,6 +53,50 @@
 	}
 }
 
+// Fleet returns the pattern of a deployment of two hundred instances and nine hundred
+// upstreams, of which one of three regions has a tenth: an instance sees few requests of
+// each object, they take seconds, and the heaviest ones bring large bodies.
+func Fleet() *Pattern {
+	p := &Pattern{
+		Name: "fleet", Length: 24 * time.Second, Load: 0.65, Wave: Wave{Swing: 0.55, Period: wave},
+		InDomain: 100 * time.Microsecond, CrossDomain: 1400 * time.Microsecond, CrossRegion: 20 * time.Millisecond,
+		ToCaller: 8 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 430, RetryWindow: 10 * time.Second,
+		Services: []Service{
+			{Name: "catalogue", Slots: 5, Queue: 15, Keeps: 12, Upstreams: make(map[string]int)},
+			{Name: "ledger", Slots: 5, Queue: 15, Keeps: 9, Upstreams: make(map[string]int)},
+			{Name: "intake", Slots: 5, Queue: 15, Keeps: 10, Upstreams: make(map[string]int)},
+		},
+		Kinds: []Kind{
+			{
+				Name: "read", Service: "catalogue", Idempotent: true, Priority: 2, PerSecond: 1675, Objects: 130,
+				Work: 1776 * time.Millisecond, Gain: 0.75, Objective: time.Second, Worth: 1, Late: 0.2,
+				Timeout: 2500 * time.Millisecond, Patience: 8 * time.Second, MaxAttempts: 2,
+			},
+			{
+				Name: "order", Service: "ledger", Priority: 1, PerSecond: 520, Objects: 40,
+				Work: 2304 * time.Millisecond, Gain: 0.75, Objective: 1200 * time.Millisecond, Worth: 2, Late: 0.4,
+				Timeout: 3 * time.Second, Patience: 10 * time.Second, Bytes: 1200, MaxAttempts: 2,
+			},
+			{
+				Name: "upload", Service: "intake", Priority: 1, PerSecond: 176, Objects: 13,
+				Work: 2112 * time.Millisecond, Gain: 0.75, Objective: 1200 * time.Millisecond, Worth: 2, Late: 0.4,
+				Timeout: 8 * time.Second, Patience: 8 * time.Second, Bytes: 60 << 10, MaxAttempts: 2,
+			},
+		},
+	}
+	upstreams := map[string][]int{"a": {96, 39, 12}, "b": {20, 8, 2}, "c": {80, 32, 10}}
+	for _, region := range []string{"a", "b", "c"} {
+		for _, domain := range []string{"1", "2", "3"} {
+			name := region + "-" + domain
+			p.Domains = append(p.Domains, Domain{Name: name, Region: region, Instances: 21})
+			for i, n := range upstreams[region] {
+				p.Services[i].Upstreams[name] = n
+			}
+		}
+	}
+	return p
+}
+
 // Find returns the pattern of a name.
 func Find(name string) (*Pattern, bool) {
 	for _, p := range Patterns() {
@@ -98,5 +142,5 @@
 	short.Services[0].Upstreams = map[string]int{"a-1": 1, "a-2": 1, "b-1": 2, "b-2": 1, "c-1": 4, "c-2": 4}
 	short.Services[1].Upstreams = map[string]int{"a-1": 1, "a-2": 1, "b-1": 1, "b-2": 1, "c-1": 3, "c-2": 3}
 	short.Troubles = []Trouble{{Kind: Burst, At: 10 * time.Second, For: 3 * time.Second, Share: 1, Times: 1.5}}
-	return []*Pattern{calm, busy, slow, burst, restart, short}
+	return []*Pattern{calm, busy, slow, burst, restart, short, Fleet()}
 }
--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -56,6 +56,9 @@
 		"short":   {whole: 0.80, after: 0.92, from: 16 * time.Second},
 	}
 	for _, p := range Patterns() {
+		if p.Name == "fleet" {
+			continue // played once, in a test of its own
+		}
 		test, ok := tests[p.Name]
 		if !ok {
 			t.Errorf("the pattern %q has no bound", p.Name)
@@ -74,6 +77,29 @@
 	}
 }
 
+// TestFleet plays two hundred instances that each see little: the region that is short of
+// upstreams sends away what it cannot serve, and upstreams that one instance finds crowded
+// are left alone by those beside it.
+func TestFleet(t *testing.T) {
+	t.Parallel()
+	const from = 10 * time.Second
+	p := Fleet()
+	p.Length = 16 * time.Second
+	report := Run(p, 1)
+	if got := report.Between(from, p.Length); got.Worth() < 0.9 {
+		t.Errorf("worth %.3f from %s on, want 0.9", got.Worth(), from)
+	}
+	for kind, want := range map[string]float64{"read": 0.8, "order": 0.7, "upload": 0.75} {
+		if got := report.Kinds[kind].Worth(); got < want {
+			t.Errorf("%s: worth %.3f, want %.2f", kind, got, want)
+		}
+	}
+	// The worst region of the whole play, with its first seconds in which nothing is known.
+	if got := report.Regions["b"].Worth(); got < 0.6 {
+		t.Errorf("the region that is short: worth %.3f, want 0.6", got)
+	}
+}
+
 // TestRuns plays one pattern twice with the same seed, and counts every request once.
 func TestRuns(t *testing.T) {
 	p := pattern(t, "burst")
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -1,11 +1,13 @@
 package simulation
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"hickorydrum/dispatch"
@@ -18,6 +20,8 @@
 const (
 	balanceEvery = 500 * time.Millisecond
 	tick         = 10 * time.Millisecond
+	// gossipDelay is how long what one instance tells takes to all of its failure domain.
+	gossipDelay = 750 * time.Millisecond
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -25,6 +29,7 @@
 // instance is one instance, without its network.
 type instance struct {
 	domain  *Domain
+	board   *load.Board
 	planner *planner.Planner
 	demand  []planner.Demand
 }
@@ -196,7 +201,7 @@
 			p := planner.New(place, board, crowd{w.pattern}, bounds, w.options...)
 			p.SetTable(w.table)
 			p.SetView(w.view)
-			w.instances = append(w.instances, &instance{domain: d, planner: p})
+			w.instances = append(w.instances, &instance{domain: d, board: board, planner: p})
 		}
 	}
 	for _, one := range w.instances {
@@ -206,12 +211,26 @@
 
 // balance has every instance take in the demand that the others told before.
 func (w *world) balance() {
+	type place struct{ domain, service string }
+	sums := make(map[place]*planner.PlacedDemand)
 	var told []planner.PlacedDemand
 	for _, one := range w.instances {
 		for _, d := range one.demand {
-			told = append(told, planner.PlacedDemand{Demand: d, Domain: one.domain.Name, Region: one.domain.Region})
+			at := place{one.domain.Name, d.Service}
+			if sums[at] == nil {
+				sums[at] = &planner.PlacedDemand{Domain: one.domain.Name, Region: one.domain.Region}
+				sums[at].Service = d.Service
+			}
+			sums[at].Slots += d.Slots
 		}
 	}
+	for _, sum := range sums {
+		told = append(told, *sum)
+	}
+	slices.SortFunc(told, func(a, b planner.PlacedDemand) int {
+		return cmp.Or(strings.Compare(a.Domain, b.Domain), strings.Compare(a.Service, b.Service))
+	})
+	w.gossip()
 	for _, one := range w.instances {
 		one.demand = one.planner.Balance(balanceEvery, w.now, func([]planner.Demand) []planner.PlacedDemand { return told })
 	}
@@ -220,6 +239,23 @@
 	}
 }
 
+// gossip has every instance tell those of its failure domain which upstreams are crowded.
+func (w *world) gossip() {
+	for _, one := range w.instances {
+		crowds := one.board.Crowded(w.now)
+		if len(crowds) == 0 {
+			continue
+		}
+		w.after(gossipDelay, func() {
+			for _, other := range w.instances {
+				if other.domain == one.domain && other != one {
+					other.board.Hear(crowds)
+				}
+			}
+		})
+	}
+}
+
 // arrivals draws the requests of one tick.
 func (w *world) arrivals() {
 	regions := w.regions
