load, planner: first times by objective, near only in the own region

An object whose bytes are dear to move also stayed in the failure domain when its region had given it away.

Near holds in the own region only.

--- a/load/times.go
+++ b/load/times.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -9,9 +10,11 @@
 )
 
 const (
-	// firstWarm and firstCold are assumed until the first answers of a service.
-	firstWarm = 80 * time.Millisecond
+	// firstCold is how long an unknown object is assumed to take until the first answers,
+	// for requests without an objective; else it is the objective. A known one is assumed
+	// to take firstWarm of that.
 	firstCold = 200 * time.Millisecond
+	firstWarm = 0.4
 	// timeMemory is the weight of the newest time in an average.
 	timeMemory = 0.05
 	// fewTimes is how many times are averaged plainly at first.
@@ -67,6 +70,7 @@
 
 // workTimes is how long the upstreams of a service take for a class of requests.
 type workTimes struct {
+	first      time.Duration // the time of an unknown object until it is measured
 	warm, cold average
 	recent     []recentTime // the oldest first
 	firstAt    time.Time
@@ -111,6 +115,11 @@
 	return out
 }
 
+// means returns how long requests take whose object is known, and not.
+func (t *workTimes) means() (warm, cold time.Duration) {
+	return t.warm.value(time.Duration(firstWarm * float64(t.first))), t.cold.value(t.first)
+}
+
 // few reports whether too few times are known to tell whether they fit the means.
 func (t *workTimes) few() bool { return len(t.recent) < fewTimesToFit }
 
@@ -122,10 +131,10 @@
 	if t.guessed && t.twoKinds() {
 		return false
 	}
-	warm, cold := float64(t.warm.value(firstWarm)), float64(t.cold.value(firstCold))
+	warm, cold := t.means()
 	near := 0
 	for _, r := range t.recent {
-		if isNear(float64(r.took), warm) || isNear(float64(r.took), cold) {
+		if isNear(r.took, warm) || isNear(r.took, cold) {
 			near++
 		}
 	}
@@ -138,7 +147,9 @@
 	return min(len(low), len(high)) >= fewOfAKind
 }
 
-func isNear(a, b float64) bool { return a < b*nearTime && b < a*nearTime }
+func isNear(a, b time.Duration) bool {
+	return float64(a) < nearTime*float64(b) && float64(b) < nearTime*float64(a)
+}
 
 // restart finds the means anew from the recent times. Times of one kind are taken for
 // those of known objects: mostly the upstreams have run for longer than this instance.
@@ -183,7 +194,7 @@
 	k := workKey{service, class}
 	t, ok := b.times[k]
 	if !ok {
-		t = &workTimes{}
+		t = &workTimes{first: cmp.Or(class.Objective, firstCold)}
 		b.times[k] = t
 	}
 	return t
@@ -195,14 +206,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.work(service, class)
-	return t.warm.value(firstWarm), t.cold.value(firstCold)
+	return t.means()
+}
+
+// Measured reports whether any answer told how long a service takes for a class of
+// requests. Until then its times are assumed.
+func (b *Board) Measured(service string, class route.Class) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.work(service, class)
+	return t.warm.count+t.cold.count > 0
 }
 
 // isWarm reports whether a time is nearer to the warm mean than to the cold one,
 // by ratio.
 func (t *workTimes) isWarm(took time.Duration) bool {
-	warm, cold := float64(t.warm.value(firstWarm)), float64(t.cold.value(firstCold))
-	return float64(took)*float64(took) < warm*cold
+	warm, cold := t.means()
+	return float64(took)*float64(took) < float64(warm)*float64(cold)
 }
 
 // learn takes in the time of an answer that did not wait for a slot. What the
@@ -221,9 +241,9 @@
 		}
 		g.hits += hitMemory * (outcome - g.hits)
 	}
-	expected := t.cold.value(firstCold)
+	warm, expected := t.means()
 	if hit {
-		expected = t.warm.value(firstWarm)
+		expected = warm
 	}
 	factor := min(maxSlow, float64(took)/float64(max(1, expected)))
 	g.slow = max(1, g.slow+slowMemory*(factor-g.slow))
@@ -245,8 +265,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.work(service, class)
-	if class.Sticky {
-		return t.warm.value(firstWarm)
+	warm, cold := t.means()
+	switch {
+	case class.Sticky:
+		return warm
+	case t.cold.count == 0:
+		return time.Duration(firstWarm * float64(t.first))
+	default:
+		return cold
 	}
-	return t.cold.value(firstWarm)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -54,6 +54,9 @@
 	// WarmTime and ColdTime are the times to serve the request at an upstream that
 	// knows its object, and at one that does not.
 	WarmTime, ColdTime time.Duration
+	// Assumed states that these times were not measured yet: they may be assumedOver
+	// times too long.
+	Assumed bool
 	// Sticky states that the object matters.
 	Sticky bool
 	// Chances are the probabilities, by standing, that an upstream knows the object
@@ -129,6 +132,7 @@
 	// faster than they are served, and in longer queues all of them are late.
 	longestBacklog = 0.2
 	longestWait    = 0.7
+	assumedOver    = 10
 	kibibyte       = 1024.0
 	unavoidable    = math.MaxInt64
 )
@@ -160,6 +164,9 @@
 	if best.Index < 0 {
 		return best
 	}
+	if d.Assumed {
+		soonest /= assumedOver
+	}
 	if soonest > d.Left {
 		return Choice{Index: -1, Expected: soonest, Reason: ReasonNoTime}
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -153,11 +153,13 @@
 	}
 	options, upstreams := p.board.Options(&request, p.View().Service(ask.Service), now)
 	warm, cold := p.board.Times(ask.Service, ask.Route.Class())
+	region := p.shares.region(ask.Service, ask.Object, ask.Route)
 	choice := p.choose(placement.Demand{
 		Bytes: ask.Bytes + answerGuess + headGuess, Left: ask.Deadline.Sub(now),
-		Objective: ask.Route.Objective, WarmTime: warm, ColdTime: cold, Sticky: ask.Sticky,
+		Objective: ask.Route.Objective, WarmTime: warm, ColdTime: cold,
+		Assumed: !p.board.Measured(ask.Service, ask.Route.Class()), Sticky: ask.Sticky,
 		Chances: p.board.Chances(ask.Service),
-		Region:  p.shares.region(ask.Service, ask.Object, ask.Route), Near: p.shares.near(ask.Service, ask.Object),
+		Region:  region, Near: region == p.shares.own && p.shares.near(ask.Service, ask.Object),
 	}, options, p.costs)
 	if choice.Index < 0 {
 		return choice, nil
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -30,6 +30,25 @@
 	return p, board, r
 }
 
+// TestNewRoute sends a request of a class that nobody has measured yet, with less time left
+// than the objective: an assumed time is no reason to refuse it.
+func TestNewRoute(t *testing.T) {
+	p, board, r := newPlanner(route.Service{Name: "list"})
+	r.Objective = time.Second
+	now := time.Unix(1000, 0)
+	view := fleet.NewView([]fleet.Upstream{{ID: "one", Service: "list", Domain: "a-1", Slots: 1, Born: 1}}, nil,
+		map[string]string{"a-1": "a"})
+	board.Follow(view, true, func(string) time.Duration { return 0 }, now)
+	p.SetView(view)
+	for _, sticky := range []bool{true, false} {
+		ask := Ask{Table: p.Table(), Route: r, Object: 7, Sticky: sticky, Deadline: now.Add(300 * time.Millisecond)}
+		p.Arrived(&ask, now)
+		if choice, u := p.Choose(&ask, now); u == nil {
+			t.Errorf("sticky %t: refused: %s", sticky, choice.Reason)
+		}
+	}
+}
+
 // TestLeavesMeanwhile has an upstream leave between the arrival of a request and its first
 // or second send, as it happens to large bodies and after refusals: nothing is sent to it.
 func TestLeavesMeanwhile(t *testing.T) {
--- a/planner/shares.go
+++ b/planner/shares.go
@@ -15,7 +15,7 @@
 	// lightTarget and heavyTarget are the utilizations of a region's slots above
 	// which requests leave it, for small requests and for those that are dear to move.
 	lightTarget = 0.33
-	heavyTarget = 0.8
+	heavyTarget = 0.5
 	heavyBytes  = 8 << 10
 	// nearTarget is the utilization of a failure domain's slots up to which requests
 	// that are dear to move stay in it.
