--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -210,9 +210,9 @@
 	}
 }
 
-// Live returns the members of the failure domain that live, this instance among them,
+// live returns the members of the failure domain that live, this instance among them,
 // in the order of their addresses.
-func (m *Mesh) Live() []Member {
+func (m *Mesh) live() []Member {
 	now := clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -312,11 +312,11 @@
 		}
 	}
 	for _, m := range meshes {
-		await("all three", func() bool { return len(m.Live()) == 3 })
+		await("all three", func() bool { return len(m.live()) == 3 })
 	}
 	meshes[1].Leave()
 	await("the planned stop", func() bool {
-		for _, m := range meshes[0].Live() {
+		for _, m := range meshes[0].live() {
 			if m.Leaving {
 				return true
 			}
@@ -324,7 +324,7 @@
 		return false
 	})
 	cancels[2]()
-	await("the death", func() bool { return len(meshes[0].Live()) == 2 })
+	await("the death", func() bool { return len(meshes[0].live()) == 2 })
 }
 
 func freePort(t *testing.T) string {
