gossip: refuse a sum whose age is over an hour

An age near the largest number of milliseconds overflowed and made the sum one of the future, which no later one replaces. Found by reading; TestStrangers has the row. Comments say recent where they said late.

--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -268,7 +268,7 @@
 // mostDomains is how many failure domains the deployments of today have at most.
 const mostDomains = 9
 
-// checkSums checks that every instance knows the sum of each failure domain of late.
+// checkSums checks that every instance knows a recent sum of each failure domain.
 func (f *fleet) checkSums(t *testing.T, instances int) {
 	t.Helper()
 	oldest := time.Duration(0)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -228,7 +228,8 @@
 	return m.view.serving(domain, region, now)
 }
 
-// Sums returns the late sum of each failure domain, first that of the own one.
+// Sums returns the newest sum of each failure domain that was heard of recently, first that
+// of the own one.
 func (m *Mesh) Sums() []Sum {
 	now := clock.Now()
 	m.mu.Lock()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -264,6 +265,9 @@
 		"a demand below zero":   {datagram("one", func(m *message) { m.From.Demand = []int{-1} }), addressOf(2), false},
 		"a sum below zero":      {datagram("one", func(m *message) { m.Sums = []sumRecord{{Domain: "two", Live: -1}} }), addressOf(2), false},
 		"a sum of the future":   {datagram("one", func(m *message) { m.Sums = []sumRecord{{Domain: "two", AgeMillis: -9}} }), addressOf(2), false},
+		"a sum of long ago": {datagram("one", func(m *message) {
+			m.Sums = []sumRecord{{Domain: "two", AgeMillis: math.MaxInt64}}
+		}), addressOf(2), false},
 		"a contact of IPv6":     {datagram("one", func(m *message) { m.Contacts = []netip.Addr{netip.IPv6Loopback()} }), addressOf(2), false},
 	}
 	for name, test := range tests {
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -35,7 +35,7 @@
 	heardAt time.Time
 }
 
-// Crowd is an upstream that some member found crowded of late.
+// Crowd is an upstream that some member recently found crowded.
 type Crowd struct {
 	// Key names the upstream.
 	Key uint32
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -200,7 +200,7 @@
 	return members[:membersTold]
 }
 
-// freshSums returns late sums of other failure domains, or some if they are many.
+// freshSums returns the recent sums of other failure domains, or some if they are many.
 func (v *view) freshSums(now time.Time) []*Sum {
 	var out []*Sum
 	for _, s := range v.sums {
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -17,6 +17,8 @@
 	format = 2
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 8 << 10
+	// maxAgeMillis bounds the age of a sum, in milliseconds.
+	maxAgeMillis = int64(time.Hour / time.Millisecond)
 )
 
 // message is one datagram.
@@ -214,7 +216,7 @@
 		return nil, errors.New("a contact has no IPv4 address")
 	}
 	for _, s := range m.Sums {
-		if s.Live < 0 || s.Present < s.Live || s.AgeMillis < 0 || slices.Min(append(s.Demand, 0)) < 0 {
+		if s.Live < 0 || s.Present < s.Live || s.AgeMillis < 0 || s.AgeMillis > maxAgeMillis || slices.Min(append(s.Demand, 0)) < 0 {
 			return nil, errors.New("a sum holds figures that cannot be")
 		}
 		if !all(s.Contacts, usable) {
--- a/load/crowd.go
+++ b/load/crowd.go
@@ -28,7 +28,7 @@
 // key returns what names an upstream among the instances.
 func key(u *fleet.Upstream) uint32 { return uint32(u.Hash()) }
 
-// Crowded returns the upstreams that were found crowded of late, those first that were
+// Crowded returns the upstreams that were recently found crowded, those first that were
 // heard of last.
 func (b *Board) Crowded(now time.Time) []Crowd {
 	b.mu.Lock()
