--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -268,7 +268,7 @@
 		"a sum of long ago": {datagram("one", func(m *message) {
 			m.Sums = []sumRecord{{Domain: "two", AgeMillis: math.MaxInt64}}
 		}), addressOf(2), false},
-		"a contact of IPv6":     {datagram("one", func(m *message) { m.Contacts = []netip.Addr{netip.IPv6Loopback()} }), addressOf(2), false},
+		"a contact of IPv6": {datagram("one", func(m *message) { m.Contacts = []netip.Addr{netip.IPv6Loopback()} }), addressOf(2), false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
