--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/declaration"
 	"hickorydrum/fault"
@@ -235,8 +236,9 @@
 				n.meet()
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
+				var group errgroup.Group
 				for _, node := range n.nodes {
-					go func() { _ = node.follower.Run(ctx) }()
+					group.Go(func() error { return node.follower.Run(ctx) })
 				}
 				time.Sleep(2 * time.Second)
 				if test.before != nil {
@@ -260,6 +262,7 @@
 					}
 				}
 				cancel()
+				_ = group.Wait() // the followers end with their context
 			})
 		})
 	}
@@ -280,8 +283,9 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
+		var group errgroup.Group
 		for _, node := range n.nodes {
-			go func() { _ = node.follower.Run(ctx) }()
+			group.Go(func() error { return node.follower.Run(ctx) })
 		}
 		time.Sleep(20 * time.Second)
 		before, _ := s.Calls()
@@ -292,6 +296,7 @@
 			t.Errorf("%d calls in 40 s by 8 instances, want at most %d", got, relays*watches+relays)
 		}
 		cancel()
+		_ = group.Wait() // the followers end with their context
 	})
 }
 
