gossip: contain a panic that a datagram causes

Looked for: one malformed message that takes a process down. Datagrams are taken in by a goroutine of the instance, whose panic ended it. TestContained plants one behind the lock and one within. The event has number 205 and a counter.

--- a/event/event.go
+++ b/event/event.go
@@ -39,6 +39,7 @@
 	MemberJoined      = add(202, slog.LevelInfo, "instance joined")
 	MemberLeaving     = add(203, slog.LevelInfo, "instance leaving")
 	MemberGone        = add(204, slog.LevelWarn, "instance gone")
+	DatagramFailed    = add(205, slog.LevelError, "a datagram could not be handled")
 	RevisionTaken     = add(300, slog.LevelInfo, "revision in force")
 	RevisionRefused   = add(301, slog.LevelError, "revision refused")
 	WatchFailed       = add(302, slog.LevelWarn, "platform watch failed")
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/clock"
+	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/period"
 )
@@ -42,6 +43,7 @@
 	onNews   func(News)
 	onCrowds func([]Crowd)
 	group    errgroup.Group
+	log      *slog.Logger
 
 	mu   sync.Mutex
 	view *view
@@ -52,6 +54,7 @@
 	sent      = metrics.GetOrCreateCounter(`hickorydrum_gossip_sent_total`)
 	sentBytes = metrics.GetOrCreateCounter(`hickorydrum_gossip_sent_bytes_total`)
 	broken    = metrics.GetOrCreateCounter(`hickorydrum_gossip_unreadable_total`)
+	contained = metrics.GetOrCreateCounter(`hickorydrum_gossip_contained_total`)
 	strangers = metrics.GetOrCreateCounter(`hickorydrum_gossip_strangers_total`)
 )
 
@@ -70,7 +73,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	self := Member{Address: at.Addr(), Run: uint32(time.Now().UnixMilli())}
 	return &Mesh{
-		conn: conn, port: at.Port(), onNews: func(News) {}, onCrowds: func([]Crowd) {}, view: newView(self, domain, regions, random, log, clock.Now()),
+		conn: conn, port: at.Port(), log: log, onNews: func(News) {}, onCrowds: func([]Crowd) {}, view: newView(self, domain, regions, random, log, clock.Now()),
 	}, nil
 }
 
@@ -196,11 +199,9 @@
 		return
 	}
 	received.Inc()
+	defer m.contain(from)
 	now := clock.Now()
-	m.mu.Lock()
-	answers, ok := m.view.take(msg, from, now)
-	near := msg.Domain == m.view.domain
-	m.mu.Unlock()
+	answers, near, ok := m.believe(msg, from, now)
 	m.send(answers)
 	if ok {
 		m.onNews(News{From: from, Near: near, Newest: msg.Newest})
@@ -210,6 +211,23 @@
 	}
 }
 
+// believe has the view take in a message. It reports whether its sender is near, and
+// whether the message was believed.
+func (m *Mesh) believe(msg *message, from netip.Addr, now time.Time) (answers []packet, near, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	answers, ok = m.view.take(msg, from, now)
+	return answers, msg.Domain == m.view.domain, ok
+}
+
+// contain ends a panic that a datagram caused: no datagram may end the process.
+func (m *Mesh) contain(from netip.Addr) {
+	if cause := recover(); cause != nil {
+		contained.Inc()
+		event.DatagramFailed.Log(context.Background(), m.log, slog.String("from", from.String()), slog.Any("cause", cause))
+	}
+}
+
 // live returns the members of the failure domain that live, this instance among them,
 // in the order of their addresses.
 func (m *Mesh) live() []Member {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -226,6 +226,29 @@
 	}
 }
 
+// TestContained has the handling of a datagram panic: the next one is taken in as always.
+func TestContained(t *testing.T) {
+	from := Member{Address: addressOf(2), Run: 1, Beat: 1}
+	data, err := encode(&message{Domain: "one"}, &from, nil, nil, epoch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls := 0
+	m := &Mesh{view: newTestView(), conn: nowhere{}, log: slog.New(slog.DiscardHandler), onNews: func(News) {
+		if calls++; calls == 1 {
+			panic("planted")
+		}
+	}}
+	m.take(data, from.Address)
+	m.view = nil // and once more, while the lock is held
+	m.take(data, from.Address)
+	m.view = newTestView()
+	m.take(data, from.Address)
+	if calls != 2 || len(m.view.others) != 1 {
+		t.Errorf("%d calls, %d members", calls, len(m.view.others))
+	}
+}
+
 // nowhere drops what is sent.
 type nowhere struct{ net.PacketConn }
 
