--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -142,11 +142,16 @@
 	clear(s.conn)
 }
 
+// close closes all listeners and connections. That of the callers was closed when the
+// planned stop began.
 func (s *servers) close() error {
 	var errs []error
 	for _, one := range s.all() {
-		if one != nil {
-			errs = append(errs, one.http.Close())
+		if one == nil {
+			continue
+		}
+		if err := one.http.Close(); !errors.Is(err, net.ErrClosed) {
+			errs = append(errs, err)
 		}
 	}
 	return errors.Join(errs...)
