--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -206,6 +206,38 @@
 	}
 }
 
+// TestDatagramSize checks that the heartbeat of a full sample fits a datagram, and that as
+// many members are told of as there is room for.
+func TestDatagramSize(t *testing.T) {
+	v := newTestView()
+	demand := make(map[string]int)
+	for i := range 12 {
+		demand[fmt.Sprintf("a-service-%d", i)] = 1 << 20
+	}
+	v.self.Demand, v.newest = demand, []uint64{1 << 30, 1 << 30, 1 << 30}
+	for i := range 70 {
+		v.hear(Member{Address: addressOf(100 + i), Run: 1 << 31, Beat: 1000, Ready: true, Demand: demand}, epoch, true)
+		v.crowds = append(v.crowds, Crowd{Key: 1<<32 - 1, Busy: 100, At: epoch})
+	}
+	var contacts []netip.Addr
+	for i := range contactsTold {
+		contacts = append(contacts, addressOf(i))
+	}
+	for i := range 128 {
+		domain := fmt.Sprintf("catania-porto-%d", i)
+		v.regions[domain] = "catania"
+		v.learn(&Sum{Domain: domain, Live: 1 << 10, Present: 1 << 10, Demand: demand, Contacts: contacts, madeAt: epoch})
+	}
+	data := v.encode(&message{Crowds: encodeCrowds(v.crowds, epoch)}, v.told(epoch), v.freshSums(epoch), epoch)
+	if len(data) > maxDatagram {
+		t.Errorf("a heartbeat takes %d bytes", len(data))
+	}
+	m, err := decode(data)
+	if err != nil || len(m.Members) != membersTold || len(m.Sums) != sumsTold {
+		t.Errorf("%d members, %d sums, %v", len(m.Members), len(m.Sums), err)
+	}
+}
+
 // TestCrowds has a member tell another one which upstreams are crowded, with the time that
 // has passed since.
 func TestCrowds(t *testing.T) {
