gossip, load, hosted: what the change said twice is said once

Whether a member lives was written out eight times, and is known.lives now; two lists of living members that only tests used are in the tests; mustWatch asks known as its neighbours do; 0.4 stood as firstWarm and warmPart with one meaning; a condition in watches could not be false. Behaviour is as it was, and so are all bounds.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -228,15 +228,6 @@
 	}
 }
 
-// live returns the members of the failure domain that live, this instance among them,
-// in the order of their addresses.
-func (m *Mesh) live() []Member {
-	now := clock.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.view.liveMembers(now)
-}
-
 // Serving returns the addresses of the instances that callers from a failure domain
 // should use. The region counts if the failure domain is not known.
 func (m *Mesh) Serving(domain, region string) []netip.Addr {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -28,6 +28,21 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
+// liveMembers returns the members that live, the view's own among them.
+func (v *view) liveMembers(now time.Time) []Member {
+	out := []Member{v.self}
+	for _, k := range v.members(now) {
+		out = append(out, k.member)
+	}
+	return out
+}
+
+func (m *Mesh) live() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.liveMembers(clock.Now())
+}
+
 func TestHear(t *testing.T) {
 	member := func(run uint32, beat uint64) Member { return Member{Address: addressOf(2), Run: run, Beat: beat} }
 	type word struct {
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -35,6 +35,9 @@
 	heardAt time.Time
 }
 
+// lives reports whether the member counts as living.
+func (k *known) lives(now time.Time) bool { return now.Sub(k.heardAt) < lostAfter }
+
 // Crowd is an upstream that some member recently found crowded.
 type Crowd struct {
 	// Key names the upstream.
--- a/gossip/role.go
+++ b/gossip/role.go
@@ -19,7 +19,7 @@
 	}
 	own := rank(v.self.Address, key)
 	for _, k := range v.others {
-		if now.Sub(k.heardAt) < lostAfter && fits(&k.member) && rank(k.member.Address, key) > own {
+		if k.lives(now) && fits(&k.member) && rank(k.member.Address, key) > own {
 			return false
 		}
 	}
@@ -34,12 +34,10 @@
 	if v.first(watchKey, answered, now) {
 		return true
 	}
-	for _, k := range v.members(now) {
-		if answered(&k.member) {
-			return false
-		}
+	if slices.ContainsFunc(v.members(now), func(k *known) bool { return answered(&k.member) }) {
+		return false
 	}
-	return !answered(&v.self) && v.first(watchKey, stays, now)
+	return v.first(watchKey, stays, now)
 }
 
 // part returns the part of a right that one instance has for a key, which belongs to a
@@ -118,7 +116,7 @@
 		out = append(out, v.self.Address)
 	}
 	for _, address := range v.addresses() {
-		if k := v.others[address]; k.member.serves() && now.Sub(k.heardAt) < lostAfter {
+		if k := v.others[address]; k.member.serves() && k.lives(now) {
 			out = append(out, address)
 		}
 	}
--- a/gossip/target.go
+++ b/gossip/target.go
@@ -13,7 +13,7 @@
 	data := v.encode(&message{}, nil, nil, now)
 	var out []packet
 	for _, address := range v.addresses() {
-		if now.Sub(v.others[address].heardAt) < lostAfter {
+		if v.others[address].lives(now) {
 			out = append(out, packet{address, data})
 		}
 	}
@@ -40,7 +40,7 @@
 		to := v.next[0]
 		v.next = v.next[1:]
 		k, ok := v.others[to]
-		if ok && now.Sub(k.heardAt) < lostAfter && !slices.Contains(out, to) {
+		if ok && k.lives(now) && !slices.Contains(out, to) {
 			out = append(out, to)
 		}
 	}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -118,19 +118,6 @@
 	return out
 }
 
-// liveMembers returns the members of the failure domain that live, this one among them,
-// in the order of their addresses.
-func (v *view) liveMembers(now time.Time) []Member {
-	out := []Member{v.self}
-	for _, k := range v.others {
-		if now.Sub(k.heardAt) < lostAfter {
-			out = append(out, k.member)
-		}
-	}
-	slices.SortFunc(out, func(a, b Member) int { return a.Address.Compare(b.Address) })
-	return out
-}
-
 // resume notes a pause of this instance. The others seem silent since before it, and who
 // holds what may have changed.
 func (v *view) resume(now time.Time) {
@@ -178,7 +165,7 @@
 func (v *view) members(now time.Time) []*known {
 	var out []*known
 	for _, k := range v.others {
-		if now.Sub(k.heardAt) < lostAfter {
+		if k.lives(now) {
 			out = append(out, k)
 		}
 	}
@@ -248,7 +235,7 @@
 func (v *view) live(now time.Time) int {
 	n := 1
 	for _, k := range v.others {
-		if now.Sub(k.heardAt) < lostAfter {
+		if k.lives(now) {
 			n++
 		}
 	}
--- a/hosted/watch.go
+++ b/hosted/watch.go
@@ -53,9 +53,8 @@
 // mustWatch reports whether this instance watches the store.
 func (f *follower) mustWatch(now time.Time) bool {
 	f.mu.Lock()
-	known, behind := true, false
+	known, behind := f.known(), false
 	for _, kind := range kinds() {
-		known = known && f.mirrors[kind].Cursor() > 0
 		behind = behind || f.missing(kind) && now.Sub(f.watches[kind].missingAt) > behindAfter
 	}
 	retries := !f.watching && !f.failedAt.IsZero() && now.Sub(f.failedAt) > refusedFor
--- a/load/times.go
+++ b/load/times.go
@@ -11,17 +11,16 @@
 
 const (
 	// firstCold is how long an unknown object is assumed to take until the first answers,
-	// for requests without an objective; else it is the objective. A known one is assumed
-	// to take firstWarm of that.
+	// for requests without an objective; else it is the objective.
 	firstCold = 200 * time.Millisecond
-	firstWarm = 0.4
 	// timeMemory is the weight of the newest time in an average.
 	timeMemory = 0.05
 	// fewTimes is how many times are averaged plainly at first.
 	fewTimes = 20
 	// plainSlow is the slowness up to which an upstream's times count for its service.
 	plainSlow = 1.5
-	// warmPart is the assumed part of the time of an unknown object that a known one takes.
+	// warmPart is the part of the time of an unknown object that a known one is assumed to
+	// take until both are measured.
 	warmPart = 0.4
 	// recentTimes is how many of the newest times are kept, and recentOfOne how many of
 	// them may be of one upstream. When there are fewTimesToFit, and less than leastFitting
@@ -117,7 +116,7 @@
 
 // means returns how long requests take whose object is known, and not.
 func (t *workTimes) means() (warm, cold time.Duration) {
-	return t.warm.value(time.Duration(firstWarm * float64(t.first))), t.cold.value(t.first)
+	return t.warm.value(time.Duration(warmPart * float64(t.first))), t.cold.value(t.first)
 }
 
 // few reports whether too few times are known to tell whether they fit the means.
@@ -270,7 +269,7 @@
 	case class.Sticky:
 		return warm
 	case t.cold.count == 0:
-		return time.Duration(firstWarm * float64(t.first))
+		return time.Duration(warmPart * float64(t.first))
 	default:
 		return cold
 	}
