hosted: show that watches begin anew too seldom, and list it

TestWatchGap fails and is listed; check and bound stay. A mend to weigh: each watching instance begins anew in a turn of its own, by its failure domain's place among all, and tells the others at once also in other failure domains. It changes the timing of all calls and needs every site measured again.

--- /dev/null
+++ b/hosted/gap_test.go
@@ -0,0 +1,41 @@
+package hosted
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestWatchGap plays when the instances that watch the store begin their watches anew. While
+// all watches under way are deaf, a change becomes known when one of them does, and it must
+// be in force within the shortest time that the operators of a deployment allow.
+func TestWatchGap(t *testing.T) {
+	const (
+		inForce = 2 * time.Second // the least bound of a configuration
+		length  = time.Minute
+		seeds   = 20
+	)
+	for name, watchers := range map[string]int{"6": 6, "9": 9} {
+		t.Run(name, func(t *testing.T) {
+			longest := time.Duration(0)
+			for seed := range uint64(seeds) {
+				r := rand.New(rand.NewPCG(seed, 1))
+				var begun []time.Duration
+				for range watchers {
+					for at := time.Duration(r.Int64N(int64(watchWait(watchers)))); at < length; {
+						begun = append(begun, at)
+						at += watchWait(watchers) + time.Duration(r.Int64N(int64(watchJitter)))
+					}
+				}
+				slices.Sort(begun)
+				for i := 1; i < len(begun); i++ {
+					longest = max(longest, begun[i]-begun[i-1])
+				}
+			}
+			if longest > inForce {
+				t.Errorf("no watch begins anew for %s, want at most %s", longest, inForce)
+			}
+		})
+	}
+}
