platform, ingress, event: tell which limits upstreams name

Change: the header is decoded and checked, events 311 to 313 tell each change (at most 20 lines a second), hickorydrum_limited_sends_total counts what an instance sends to such upstreams; nothing is decided by it yet. Result: tests of platform, load, planner and event pass.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -220,11 +220,11 @@
 		return false
 	}
 	outcome := load.Abandoned
-	var waited bool
+	reports := &upstreamReports{ingress: g, upstream: u, sentAt: now}
 	defer func() {
 		ended := time.Now()
 		g.planner.End(&x.planReq, &load.Result{
-			Upstream: u, Outcome: outcome, Took: ended.Sub(now), Position: x.choice.Position, Waited: waited,
+			Upstream: u, Outcome: outcome, Took: ended.Sub(now), Position: x.choice.Position, Waited: reports.waited,
 		}, ended)
 	}()
 	ctx, cancel := x.sendContext()
@@ -243,10 +243,7 @@
 		return false
 	}
 	x.sends++
-	dialect := platform.NewDialect(u.ID, func(l platform.Load) {
-		waited = l.Waiting > 0
-		g.planner.RecordLoad(u, l.Running, l.Waiting, time.Now())
-	})
+	dialect := platform.NewDialect(u.ID, reports)
 	resp := newBufferedResponse(x)
 	request := x.request()
 	d := dispatch.NewExchange(request, dialect, x.planReq.Deadline, conn)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -14,11 +14,13 @@
 
 // Ingress is the HTTP handler for the callers of one instance.
 type Ingress struct {
-	planner  *planner.Planner
-	log      *slog.Logger
-	limiter  *logLimiter
-	draining atomic.Bool
-	inFlight atomic.Int64
+	planner *planner.Planner
+	log     *slog.Logger
+	limiter *logLimiter
+	// limitLines bounds the lines about limits of upstreams.
+	limitLines lineCounter
+	draining   atomic.Bool
+	inFlight   atomic.Int64
 }
 
 // New returns a handler that sends requests to the upstreams that the planner chooses.
@@ -42,6 +44,8 @@
 var (
 	latency = metrics.GetOrCreateHistogram(`hickorydrum_request_seconds`)
 	retries = metrics.GetOrCreateCounter(`hickorydrum_retries_total`)
+
+	limitLinesOmitted = metrics.GetOrCreateCounter(`hickorydrum_limit_lines_omitted_total`)
 )
 
 // ServeHTTP serves one request of a caller.
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -28,6 +28,32 @@
 	omitted  int
 }
 
+// maxLimitLines limits the log lines a second about the limits of upstreams.
+const maxLimitLines = 20
+
+// lineCounter counts the log lines of the current second. It is safe for concurrent use.
+type lineCounter struct {
+	mu     sync.Mutex
+	second int64
+	lines  int
+}
+
+// allow reports whether one more line may be written now. Others are dropped and counted in
+// hickorydrum_limit_lines_omitted_total.
+func (c *lineCounter) allow(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if second := now.Unix(); second != c.second {
+		c.second, c.lines = second, 0
+	}
+	if c.lines >= maxLimitLines {
+		limitLinesOmitted.Inc()
+		return false
+	}
+	c.lines++
+	return true
+}
+
 func newLogLimiter() *logLimiter { return &logLimiter{} }
 
 // allow reports whether a line may be written now. On the first call in a second it also
--- a/load/load.go
+++ b/load/load.go
@@ -78,6 +78,7 @@
 	failures    int                  // failed connections in a row
 	avoidUntil  time.Time            // until then it is avoided, after failed connections
 	objects     map[uint64]time.Time // when the upstream last answered a request for each object
+	limit       limit
 }
 
 // Tracker holds the load state of all upstreams. Its methods are safe for concurrent use.
@@ -260,6 +261,9 @@
 	if now.Before(s.coldUntil) && !s.cold.Spend(now, cold.PerSecond, cold.Burst) {
 		return nil, false
 	}
+	if s.limit.inForce {
+		sentLimited.Inc()
+	}
 	s.inFlight++
 	return s.dialer, true
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -202,6 +202,11 @@
 	p.tracker.RecordLoad(u.ID, running, waiting, now)
 }
 
+// RecordLimit records what a response of an upstream says of its limit.
+func (p *Planner) RecordLimit(u *fleet.Upstream, n load.NamedLimit, now time.Time) load.LimitChange {
+	return p.tracker.RecordLimit(u, n, now)
+}
+
 // SpendRetry takes one retry from the budget of a service and reports whether it is
 // allowed.
 func (p *Planner) SpendRetry(service string, now time.Time) bool {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -67,6 +67,7 @@
 	faults   map[WorkerFault]int
 	conns    map[net.Conn]bool
 	closed   bool
+	limit    string // value of the limit header, "" for none
 }
 
 // NewWorker starts a worker. Close stops it.
@@ -102,6 +103,14 @@
 	w.faults[f] = n
 }
 
+// NameLimit makes the worker name a limit in its responses, in requests a second, or none
+// if it is empty. The worker does not enforce it.
+func (w *Worker) NameLimit(perSecond string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = perSecond
+}
+
 // Runs returns how often the attempt with the ID was run.
 func (w *Worker) Runs(id string) int {
 	w.mu.Lock()
@@ -327,7 +336,11 @@
 func (w *Worker) reply(c net.Conn, req *http.Request, status int, header, body string) bool {
 	w.mu.Lock()
 	load := fmt.Sprintf("%d,%d,%d", w.running, w.waiting, w.config.Slots)
+	limit := w.limit
 	w.mu.Unlock()
+	if limit != "" {
+		header += "Hickorydrum-Server-Limit: " + limit + "\r\n"
+	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	fmt.Fprintf(&b, "Hickorydrum-Attempt-Id: %s\r\n", req.Header.Get("Hickorydrum-Attempt-Id"))
