limit, gossip, planner: keep the limits that upstreams name, over all instances

What was seen: upstreams that had named 6.6 and 7.2 requests a second got 81 and 51 in 4 s, 45 and 48 allowed; callers saw nothing. Cause: no instance read the header, and no bound but the one of cold upstreams held for all instances together. Change: each instance counts the requests that it would send to an upstream, and sends the same fraction of them. One instance, the holder by rank, adds up the offers of all and tells the fraction; without a recent one an instance keeps to an equal part. Limits spread in datagrams of a format of their own, which earlier versions ignore. A request that is held back goes to another upstream, else it is refused at once (reason limited) with the time at which there is room. Why it works: the sum does not depend on where requests come from, on the number of instances, or on whole requests for each.

--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hickorydrum/budget"
+	"hickorydrum/limit"
 )
 
 // simulation runs the views of many instances in virtual time, with simulated datagrams.
@@ -35,6 +36,8 @@
 	paused bool
 	dueAt  time.Time // of the next heartbeat
 	bucket budget.TokenBucket
+	limits map[limit.ID]limit.State // what the instance knows of limits
+	old    bool                     // of an earlier version, which knows no limits
 }
 
 type delivery struct {
@@ -146,6 +149,10 @@
 		if !ok || to.down || to.cut || to.paused {
 			continue
 		}
+		if isLimits(d.data) {
+			s.deliverLimits(to, d)
+			continue
+		}
 		m, err := decode(d.data)
 		if err != nil {
 			panic(err)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -23,6 +23,7 @@
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/interval"
+	"hickorydrum/limit"
 )
 
 // leaveRepeats is how many times the datagram that announces a planned stop is sent to each
@@ -47,6 +48,7 @@
 	port          uint16
 	onRevisions   func(RevisionNotice)
 	onLoadReports func([]LoadReport)
+	onLimits      func([]limit.State)
 	group         errgroup.Group
 	log           *slog.Logger
 
@@ -78,7 +80,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	self := Member{Address: at.Addr(), Run: uint32(time.Now().UnixMilli())}
 	return &Mesh{
-		conn: conn, port: at.Port(), log: log, onRevisions: func(RevisionNotice) {}, onLoadReports: func([]LoadReport) {}, view: newView(self, domain, regions, random, log, clock.Now()),
+		conn: conn, port: at.Port(), log: log, onRevisions: func(RevisionNotice) {}, onLoadReports: func([]LoadReport) {}, onLimits: func([]limit.State) {}, view: newView(self, domain, regions, random, log, clock.Now()),
 	}, nil
 }
 
@@ -205,6 +207,15 @@
 
 // handle processes a datagram.
 func (m *Mesh) handle(data []byte, from netip.Addr) {
+	if isLimits(data) {
+		limits, err := decodeLimits(data)
+		if err != nil {
+			unreadable.Inc()
+			return
+		}
+		m.handleLimits(limits, from)
+		return
+	}
 	msg, err := decode(data)
 	if err != nil {
 		unreadable.Inc()
--- a/gossip/role.go
+++ b/gossip/role.go
@@ -27,6 +27,42 @@
 	return true
 }
 
+// first returns the live member with the highest rank for a key that serves callers, or this
+// instance if there is none.
+func (v *view) first(key uint64, now time.Time) netip.Addr {
+	best, bestRank := v.self.Address, uint64(0)
+	if v.self.serves() {
+		bestRank = rank(v.self.Address, key)
+	}
+	for _, m := range v.others {
+		if !m.lives(now) || !m.member.serves() {
+			continue
+		}
+		if r := rank(m.member.Address, key); r > bestRank {
+			best, bestRank = m.member.Address, r
+		}
+	}
+	return best
+}
+
+// presentFraction returns the part of all instances, as far as they were ever heard of, that
+// this instance hears from now. The others may be cut off from it and still run.
+func (v *view) presentFraction(now time.Time) float64 {
+	live, all := v.live(now), 1+len(v.others)
+	for domain, s := range v.summaries {
+		if now.Sub(s.madeAt) < limitDomainFor {
+			live += s.Live
+		}
+		all += max(s.Present, v.lastPresent[domain])
+	}
+	for domain, present := range v.lastPresent {
+		if _, ok := v.summaries[domain]; !ok {
+			all += present
+		}
+	}
+	return float64(live) / float64(max(live, all))
+}
+
 // watches reports whether this instance watches the store for its failure domain. If the
 // calls of all members to the store fail, the one that ranks first keeps trying. A member that
 // is about to stop does not watch.
@@ -65,11 +101,20 @@
 // the upstream that key identifies, in the given failure domain: that failure domain itself,
 // or if this instance has no summary of it another one, preferably in its region.
 func (v *view) owner(domain string, key uint64) string {
-	if _, ok := v.summaries[domain]; ok || domain == v.domain {
+	return v.ownerAmong(domain, key, func(*Summary) bool { return true })
+}
+
+// ownerAmong is owner, but takes only the failure domains into account for whose summary fits
+// returns true.
+func (v *view) ownerAmong(domain string, key uint64, fits func(s *Summary) bool) string {
+	if s, ok := v.summaries[domain]; ok && fits(s) || domain == v.domain {
 		return domain
 	}
 	best, bestInRegion, bestRank := v.domain, v.regions[v.domain] == v.regions[domain], domainRank(v.domain, key)
-	for other := range v.summaries {
+	for other, s := range v.summaries {
+		if !fits(s) {
+			continue
+		}
 		inRegion, rank := v.regions[other] == v.regions[domain], domainRank(other, key)
 		if inRegion != bestInRegion && inRegion || inRegion == bestInRegion && rank > bestRank {
 			best, bestInRegion, bestRank = other, inRegion, rank
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hickorydrum/event"
+	"hickorydrum/limit"
 )
 
 const (
@@ -91,6 +92,8 @@
 	others      map[netip.Addr]*memberState // other members of this instance's failure domain
 	summaries   map[string]*Summary         // of other failure domains
 	contacts    map[string][]netip.Addr     // by other failure domain, some instances there that datagrams can be sent to
+	holder      *limit.Holder               // of the limits that this instance holds
+	lastPresent map[string]int              // by other failure domain, how many instances it had by its last summary
 	next        []netip.Addr                // targets of the next heartbeats
 	settledAt   time.Time                   // until then, after a start or a pause, the instance uses no rights to cold upstreams
 	heartbeatAt time.Time                   // of the last heartbeat
@@ -100,6 +103,7 @@
 	return &view{
 		domain: domain, regions: regions, log: log, random: random, self: self,
 		others: make(map[netip.Addr]*memberState), summaries: make(map[string]*Summary), contacts: make(map[string][]netip.Addr),
+		holder: limit.NewHolder(self.Address), lastPresent: make(map[string]int),
 		settledAt: now.Add(settleTime), heartbeatAt: now,
 	}
 }
@@ -367,7 +371,7 @@
 		return
 	}
 	s.Region = region
-	v.summaries[s.Domain] = s
+	v.summaries[s.Domain], v.lastPresent[s.Domain] = s, s.Present
 	if len(s.Contacts) > 0 {
 		v.contacts[s.Domain] = s.Contacts
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -116,6 +116,7 @@
 	i.follower.ranBefore = !settings.Bootstrap
 	i.mesh.OnRevisions(i.follower.handleNotice)
 	i.mesh.OnLoadReports(i.receiveLoadReports)
+	i.mesh.OnLimits(i.receiveLimits)
 	return i, i.listen()
 }
 
@@ -145,6 +146,7 @@
 	i.group.Go(func() error { return i.reload(ctx, reload) })
 	i.group.Go(func() error { return i.closeIdle(ctx) })
 	i.group.Go(func() error { return i.updateShares(ctx) })
+	i.group.Go(func() error { return i.exchangeLimits(ctx) })
 	<-stop.Done()
 	i.stop()
 	cancel()
--- /dev/null
+++ b/hosted/limit.go
@@ -0,0 +1,93 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hickorydrum/clock"
+	"hickorydrum/interval"
+	"hickorydrum/limit"
+	"hickorydrum/load"
+)
+
+const (
+	// limitsInterval is how often limits are exchanged with other instances.
+	limitsInterval = 500 * time.Millisecond
+	// endedFor is how long other instances are told that a limit has ended.
+	endedFor = 10 * time.Second
+)
+
+// exchangeLimits exchanges what is known of the limits of upstreams with the other
+// instances, every limitsInterval until the context is done.
+func (i *Instance) exchangeLimits(ctx context.Context) error {
+	shown := make(map[string]bool)
+	return interval.Each(ctx, limitsInterval, func(time.Time) {
+		now := time.Now()
+		limits := i.tracker.Limits(now.Add(-endedFor), now)
+		states, demands := make([]limit.State, len(limits)), make([]limit.Demand, len(limits))
+		for n, one := range limits {
+			states[n], demands[n] = shiftState(one.State, now, clock.Now()), one.Demand
+		}
+		states = i.mesh.ExchangeLimits(states, demands)
+		i.receiveLimits(states)
+		showLimits(limits, shown)
+	})
+}
+
+// shiftState returns a state whose times are by the clock that shows to, instead of the one
+// that shows from at the same moment. Package load uses that of package time, package gossip
+// that of package clock.
+func shiftState(s limit.State, from, to time.Time) limit.State {
+	s.NamedAt = to.Add(s.NamedAt.Sub(from))
+	if !s.FractionAt.IsZero() {
+		s.FractionAt = to.Add(s.FractionAt.Sub(from))
+	}
+	return s
+}
+
+// receiveLimits applies the limits that other instances know, and logs those that changed.
+func (i *Instance) receiveLimits(states []limit.State) {
+	now, clockNow := time.Now(), clock.Now()
+	own := make([]limit.State, len(states))
+	for n := range states {
+		own[n] = shiftState(states[n], clockNow, now)
+	}
+	for _, changed := range i.tracker.MergeLimits(own) {
+		i.ingress.LogLimit(changed.Upstream, &changed.State, slog.Bool("by_peer", true))
+	}
+}
+
+// showLimits sets the metrics of the limits in force, and removes those of others. shown
+// holds the upstreams that have metrics.
+func showLimits(limits []load.Limit, shown map[string]bool) {
+	inForce := make(map[string]bool)
+	for _, one := range limits {
+		if !one.State.InForce {
+			continue
+		}
+		inForce[one.Upstream], shown[one.Upstream] = true, true
+		for name, value := range map[string]float64{
+			"limit": one.State.PerSecond, "fraction": one.State.Fraction,
+			"offered": one.Demand.Offers.Mean, "sent": one.Sent,
+		} {
+			metrics.GetOrCreateGauge(limitMetric(name, one.Upstream), nil).Set(value)
+		}
+	}
+	for upstream := range shown {
+		if inForce[upstream] {
+			continue
+		}
+		delete(shown, upstream)
+		for _, name := range []string{"limit", "fraction", "offered", "sent"} {
+			metrics.UnregisterMetric(limitMetric(name, upstream))
+		}
+	}
+}
+
+func limitMetric(name, upstream string) string {
+	return fmt.Sprintf("hickorydrum_limit_%s{upstream=%q}", name, upstream)
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -364,12 +364,22 @@
 		x.fail(http.StatusBadGateway, "lost", detail)
 		return
 	}
-	left := time.Until(x.planReq.Deadline)
-	wait := minRetryAfter + time.Duration(rand.Int64N(int64(maxRetryAfter-minRetryAfter)))
-	platform.SetRetryAfter(x.w.Header(), min(wait, max(0, left/3)))
+	platform.SetRetryAfter(x.w.Header(), x.retryAfter(time.Now()))
 	x.fail(http.StatusServiceUnavailable, "refused", detail)
 }
 
+// retryAfter returns how long the caller of a refused request should wait. If a limit of
+// upstreams kept the request from them, that is until this instance has room for it.
+func (x *exchange) retryAfter(now time.Time) time.Duration {
+	if x.choice.Reason == placement.ReasonLimited {
+		if at, ok := x.ingress.planner.RetryAt(&x.planReq, now); ok {
+			return max(minRetryAfter, at.Sub(now))
+		}
+	}
+	wait := minRetryAfter + time.Duration(rand.Int64N(int64(maxRetryAfter-minRetryAfter)))
+	return min(wait, max(0, x.planReq.Deadline.Sub(now)/3))
+}
+
 // fail answers the request with an error of this instance, with the detail as the body.
 func (x *exchange) fail(status int, outcome, detail string) {
 	x.result = result{status: status, outcome: outcome, detail: detail}
--- a/ingress/upstream.go
+++ b/ingress/upstream.go
@@ -7,7 +7,7 @@
 
 	"hickorydrum/event"
 	"hickorydrum/fleet"
-	"hickorydrum/load"
+	"hickorydrum/limit"
 	"hickorydrum/platform"
 )
 
@@ -30,24 +30,30 @@
 // what changes by it.
 func (r *upstreamReports) ReportLimit(l platform.Limit) {
 	if l.Err != nil {
-		r.log(event.LimitInvalid, slog.String("error", l.Err.Error()))
+		r.ingress.logLimit(event.LimitInvalid, r.upstream.ID, slog.String("error", l.Err.Error()))
 		return
 	}
-	switch r.ingress.planner.RecordLimit(r.upstream, load.NamedLimit{
+	state, changed := r.ingress.planner.RecordLimit(r.upstream, limit.Response{
 		Named: l.Named, PerSecond: l.PerSecond, Executed: l.Executed, SentAt: r.sentAt,
-	}, time.Now()) {
-	case load.LimitSet:
-		r.log(event.LimitNamed, slog.Float64("per_second", l.PerSecond))
-	case load.LimitEnded:
-		r.log(event.LimitEnded)
-	case load.LimitKept:
+	}, time.Now())
+	if changed {
+		r.ingress.LogLimit(r.upstream.ID, &state)
 	}
 }
 
-func (r *upstreamReports) log(e event.Event, attrs ...slog.Attr) {
-	if !r.ingress.limitLines.allow(time.Now()) {
+// LogLimit logs a limit that has changed.
+func (g *Ingress) LogLimit(upstream string, s *limit.State, attrs ...slog.Attr) {
+	if !s.InForce {
+		g.logLimit(event.LimitEnded, upstream, attrs...)
 		return
 	}
-	attrs = append(attrs, slog.String("upstream", r.upstream.ID), slog.String("service", r.upstream.Service))
-	e.Log(context.Background(), r.ingress.log, attrs...)
+	g.logLimit(event.LimitNamed, upstream, append(attrs, slog.Float64("per_second", s.PerSecond))...)
+}
+
+// logLimit writes a line about the limit of an upstream, unless there were too many in this
+// second.
+func (g *Ingress) logLimit(e event.Event, upstream string, attrs ...slog.Attr) {
+	if g.limitLines.allow(time.Now()) {
+		e.Log(context.Background(), g.log, append(attrs, slog.String("upstream", upstream))...)
+	}
 }
--- /dev/null
+++ b/limit/gate.go
@@ -0,0 +1,114 @@
+package limit
+
+import (
+	"time"
+
+	"hickorydrum/budget"
+)
+
+// Response is what the response to a request says of the limit of its upstream.
+type Response struct {
+	// Named states that it names a limit, PerSecond, in requests a second from all instances
+	// together.
+	Named     bool
+	PerSecond float64
+	// Executed states that the upstream executed the request. Only then does a response that
+	// names no limit end the limit.
+	Executed bool
+	// SentAt is when the request was sent.
+	SentAt time.Time
+}
+
+// Gate decides at one instance which requests are sent to an upstream.
+type Gate struct {
+	state  State
+	offers meter
+	// credit is the part of a request that the instance may send. Each offer adds the
+	// fraction to it.
+	credit float64
+	bucket budget.TokenBucket // holds what one instance may send at once
+	room   time.Time          // when there is room for one more of the requests that were refused
+	sent   meter              // of the requests that were let through
+}
+
+// NewGate returns the gate to an upstream without a limit. credit, from 0 to 1, should be
+// random, so that not all instances send their first requests at the same time.
+func NewGate(id ID, domain string, credit float64) *Gate {
+	return &Gate{state: State{ID: id, Domain: domain}, credit: credit}
+}
+
+// State returns what the instance knows of the limit.
+func (g *Gate) State() State { return g.state }
+
+// Record applies what a response says of the limit and reports whether the limit changed. A
+// lower limit counts at once. A higher one, or none, counts only if the request was sent after
+// the newest response that named a limit: responses may overtake one another.
+func (g *Gate) Record(r Response, now time.Time) (changed bool) {
+	newest := r.SentAt.After(g.state.NamedAt)
+	switch {
+	case r.Named && (newest || !g.state.InForce || r.PerSecond <= g.state.PerSecond):
+		g.state.NamedAt = now
+		return g.state.set(true, r.PerSecond)
+	case !r.Named && r.Executed && newest && g.state.InForce:
+		g.state.NamedAt = now
+		return g.state.set(false, 0)
+	}
+	return false
+}
+
+// Merge takes over what is newer in the state of another instance. It reports whether the
+// limit changed.
+func (g *Gate) Merge(other *State) (changed bool) { return g.state.Merge(other) }
+
+// Offer reports whether a request that would be sent to the upstream may be sent. instances
+// returns how many instances may be running.
+func (g *Gate) Offer(now time.Time, instances func() int) bool {
+	g.offers.add(now)
+	if !g.state.InForce {
+		return true
+	}
+	fraction, most := g.part(now, instances)
+	g.credit = min(g.credit+fraction, 2)
+	if g.credit < 1 || !g.bucket.Spend(now, most, max(1, most*burstTime.Seconds())) {
+		g.credit = min(g.credit, 1)
+		return false
+	}
+	g.credit--
+	g.sent.add(now)
+	return true
+}
+
+// part returns the part of the offers that this instance may send, and the highest rate of
+// what it sends. Both are the holder's fraction and the limit; or without a recent fraction
+// what makes an equal part of the limit.
+func (g *Gate) part(now time.Time, instances func() int) (fraction, most float64) {
+	if now.Sub(g.state.FractionAt) < fractionFor {
+		return g.state.Fraction, g.state.Rate()
+	}
+	equal := equalUse * g.state.Rate() / float64(max(1, instances()))
+	return min(1, equal/g.offers.rate(now).long), equalBurst * equal
+}
+
+// RetryAt returns when this instance expects to have room for one more request, and counts
+// that request: the next call returns a later time.
+func (g *Gate) RetryAt(now time.Time, instances func() int) time.Time {
+	fraction, most := g.part(now, instances)
+	perSecond := min(most, fraction*g.offers.rate(now).Mean)
+	if g.room.Before(now) {
+		g.room = now
+	}
+	wait := min(1/max(perSecond, MinPerSecond/float64(max(1, instances()))), maxWait.Seconds())
+	g.room = g.room.Add(time.Duration(wait * float64(time.Second)))
+	return g.room
+}
+
+// maxWait bounds the time between two requests for which room is expected.
+const maxWait = time.Minute
+
+// Demand returns the rate of the offers of this instance.
+func (g *Gate) Demand(now time.Time) Demand {
+	return Demand{ID: g.state.ID, Domain: g.state.Domain, Offers: g.offers.rate(now)}
+}
+
+// Sent returns the rate at which this instance sends to the upstream, in requests a second.
+func (g *Gate) Sent(now time.Time) float64 { return g.sent.rate(now).Mean }
--- a/load/load.go
+++ b/load/load.go
@@ -17,6 +17,7 @@
 	"hickorydrum/budget"
 	"hickorydrum/dispatch"
 	"hickorydrum/fleet"
+	"hickorydrum/limit"
 	"hickorydrum/placement"
 	"hickorydrum/route"
 )
@@ -78,7 +79,7 @@
 	failures    int                  // failed connections in a row
 	avoidUntil  time.Time            // until then it is avoided, after failed connections
 	objects     map[uint64]time.Time // when the upstream last answered a request for each object
-	limit       limit
+	gate        *limit.Gate
 }
 
 // Tracker holds the load state of all upstreams. Its methods are safe for concurrent use.
@@ -138,7 +139,7 @@
 		if ok {
 			s.dialer.Close()
 		}
-		s = &upstreamState{id: u.ID, key: key(u), slots: u.Slots, service: u.Service, dialer: tr.newDialer(u), startMillis: u.StartMillis, slowdown: 1, hitRate: initialHitRate, objects: make(map[uint64]time.Time)}
+		s = &upstreamState{id: u.ID, key: key(u), slots: u.Slots, service: u.Service, dialer: tr.newDialer(u), startMillis: u.StartMillis, slowdown: 1, hitRate: initialHitRate, objects: make(map[uint64]time.Time), gate: newGate(u)}
 		tr.states[u.ID], tr.byKey[s.key] = s, s
 		if !initial {
 			s.markCold(now.Add(coldPeriod))
@@ -164,6 +165,8 @@
 	// Tried holds the IDs of upstreams that were chosen for the request already and must
 	// not be chosen again.
 	Tried map[string]bool
+	// Unlimited leaves out the upstreams that have a limit.
+	Unlimited bool
 	// Cold returns the rate at which this instance may send to a cold upstream. Cold and
 	// Allows are called with the tracker's lock held and must not call its methods.
 	Cold func(u *fleet.Upstream) ColdShare
@@ -196,6 +199,9 @@
 		if !ok || r.Tried[u.ID] || !r.Allows(u) || !includeAvoided && now.Before(s.avoidUntil) {
 			continue
 		}
+		if r.Unlimited && s.gate.State().InForce {
+			continue
+		}
 		if now.Before(s.coldUntil) {
 			share := r.Cold(u)
 			if !s.cold.Allows(now, share.PerSecond, share.Burst) {
@@ -261,9 +267,6 @@
 	if now.Before(s.coldUntil) && !s.cold.Spend(now, cold.PerSecond, cold.Burst) {
 		return nil, false
 	}
-	if s.limit.inForce {
-		sentLimited.Inc()
-	}
 	s.inFlight++
 	return s.dialer, true
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -139,6 +139,9 @@
 	// Tried holds the IDs of upstreams that were chosen for the request already and must
 	// not be chosen again.
 	Tried map[string]bool
+
+	// heldBack holds the IDs of upstreams whose limit kept the request from them.
+	heldBack map[string]bool
 }
 
 // StartRequest counts a new request and sets req.Service, the service that serves it.
@@ -150,14 +153,14 @@
 	p.shares.recordArrival(req.Service, req.Route.Class(), req.BodyBytes)
 }
 
-// Choose returns the upstream to which a request is sent next, by the newest view. If there
-// is none, the choice has index -1 and the upstream is nil. SetView and StartRequest must
-// have been called before.
-func (p *Planner) Choose(req *Request, now time.Time) (placement.Choice, *fleet.Upstream) {
+// chooseOnce returns the best upstream for a request, whether or not its limit has room.
+// Upstreams that have held the request back are left out, and if unlimited is set all that
+// have a limit.
+func (p *Planner) chooseOnce(req *Request, unlimited bool, now time.Time) (placement.Choice, *fleet.Upstream) {
 	request := load.Request{
-		Service: req.Service, Object: req.Object, Sticky: req.Sticky, Tried: req.Tried,
+		Service: req.Service, Object: req.Object, Sticky: req.Sticky, Tried: req.Tried, Unlimited: unlimited,
 		Cold:   func(u *fleet.Upstream) load.ColdShare { return p.coldShare(req.Table, u) },
-		Allows: func(u *fleet.Upstream) bool { return req.Route.AllowsRegion(u.Region()) },
+		Allows: func(u *fleet.Upstream) bool { return req.Route.AllowsRegion(u.Region()) && !req.heldBack[u.ID] },
 	}
 	candidates, upstreams := p.tracker.Candidates(&request, p.View().Service(req.Service), now)
 	warm, cold := p.tracker.ServiceTimes(req.Service, req.Route.Class())
@@ -202,16 +205,10 @@
 	p.tracker.RecordLoad(u.ID, running, waiting, now)
 }
 
-// RecordLimit records what a response of an upstream says of its limit.
-func (p *Planner) RecordLimit(u *fleet.Upstream, n load.NamedLimit, now time.Time) load.LimitChange {
-	return p.tracker.RecordLimit(u, n, now)
-}
-
 // SpendRetry takes one retry from the budget of a service and reports whether it is
 // allowed.
 func (p *Planner) SpendRetry(service string, now time.Time) bool {
-	bounds := p.bounds.Load()
-	_, all := p.instances.Count(p.location.Region)
+	bounds, all := p.bounds.Load(), p.countInstances()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.budget(service).Spend(now, bounds.Ratio, bounds.Slack, all)
@@ -219,8 +216,7 @@
 
 // updateRetryMetrics sets the metrics of the remaining retries.
 func (p *Planner) updateRetryMetrics(now time.Time) {
-	bounds := p.bounds.Load()
-	_, all := p.instances.Count(p.location.Region)
+	bounds, all := p.bounds.Load(), p.countInstances()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for service, b := range p.budgets {
