gossip: what all instances share stays shared in a long partition

What can be seen: after a minute of partition each side of it used the whole rate of a cold upstream and the whole slack of the retry budgets. Change: the instances of a silent failure domain count by its last summary, and the right to its cold upstreams stays there; a silent member counts for an hour, one that was leaving until it is dead.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -287,8 +287,8 @@
 }
 
 // Count returns how many instances may be running, in a region and in all: those that are
-// alive, and those that have been silent for less than forgetAfter, since these may still
-// run, cut off from this one.
+// alive, and those that may still run, cut off from this one. These are the members that have
+// been silent for less than forgetAfter, and those of silent failure domains.
 func (m *Mesh) Count(region string) (inRegion, all int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gossip/role.go
+++ b/gossip/role.go
@@ -49,15 +49,10 @@
 // this instance hears from now. The others may be cut off from it and still run.
 func (v *view) presentFraction(now time.Time) float64 {
 	live, all := v.live(now), 1+len(v.others)
-	for domain, s := range v.summaries {
-		if now.Sub(s.madeAt) < limitDomainFor {
-			live += s.Live
-		}
-		all += max(s.Present, v.lastPresent[domain])
-	}
 	for domain, present := range v.lastPresent {
-		if _, ok := v.summaries[domain]; !ok {
-			all += present
+		all += present
+		if s, ok := v.summaries[domain]; ok && now.Sub(s.madeAt) < limitDomainFor {
+			live += s.Live
 		}
 	}
 	return float64(live) / float64(max(live, all))
@@ -98,14 +93,17 @@
 }
 
 // owner returns the failure domain whose instances hold the right to the request rate of
-// the upstream that key identifies, in the given failure domain: that failure domain itself,
-// or if this instance has no summary of it another one, preferably in its region.
+// the upstream that key identifies, in the given failure domain: that failure domain itself if
+// it was ever heard of, since it may run on, cut off from this one; else another one.
 func (v *view) owner(domain string, key uint64) string {
+	if _, ok := v.lastPresent[domain]; ok {
+		return domain
+	}
 	return v.ownerAmong(domain, key, func(*Summary) bool { return true })
 }
 
-// ownerAmong is owner, but takes only the failure domains into account for whose summary fits
-// returns true.
+// ownerAmong returns the given failure domain if fits returns true for its summary or it is
+// this instance's own, else another one for which fits does, preferably in its region.
 func (v *view) ownerAmong(domain string, key uint64, fits func(s *Summary) bool) string {
 	if s, ok := v.summaries[domain]; ok && fits(s) || domain == v.domain {
 		return domain
@@ -182,17 +180,18 @@
 // from there get only these.
 const minServing = 2
 
-// count returns how many instances may be running, in a region and in all: those that are
-// alive and those that have been silent for less than forgetAfter.
+// count returns how many instances may be running, in a region and in all: the members that
+// were not removed, and those of the other failure domains by their last summaries, however
+// old.
 func (v *view) count(region string) (inRegion, all int) {
 	all = 1 + len(v.others)
 	if v.regions[v.domain] == region {
 		inRegion = all
 	}
-	for domain, s := range v.summaries {
-		all += s.Present
+	for domain, present := range v.lastPresent {
+		all += present
 		if v.regions[domain] == region {
-			inRegion += s.Present
+			inRegion += present
 		}
 	}
 	return inRegion, all
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -48,9 +48,13 @@
 	// replacedAfter is how long a member must have been silent before a report by other
 	// members that it has restarted is accepted.
 	replacedAfter = 1500 * time.Millisecond
-	// forgetAfter is the silence after which a member is removed, and the age at which the
-	// summary of another failure domain is.
-	forgetAfter = time.Minute
+	// forgetAfter is the silence after which a member is removed: until then it may run, cut off
+	// from this instance, and use its part of what all instances share. A member that was
+	// leaving is removed once it counts as dead.
+	forgetAfter = time.Hour
+	// forgetSummaryAfter is the age at which the summary of another failure domain is removed.
+	// How many instances it had is kept, since a partition may last for longer.
+	forgetSummaryAfter = time.Minute
 	// freshFor is the age up to which the contacts in a summary are given to callers and
 	// the summary is passed on.
 	freshFor = 3 * time.Second
@@ -151,21 +155,21 @@
 	}
 }
 
-// forget removes members that have been silent for longer than forgetAfter and summaries
-// older than that, and logs members that have just died. The contacts in other failure
-// domains stay.
+// forget removes members that have been silent for longer than forgetAfter, or that were
+// leaving and are dead, and summaries older than forgetSummaryAfter, and logs members that
+// have just died. The contacts in other failure domains stay.
 func (v *view) forget(now time.Time) {
 	for address, m := range v.others {
 		silent := now.Sub(m.heardAt)
 		if silent > deadAfter && silent <= deadAfter+heartbeatInterval {
 			event.MemberGone.Log(context.Background(), v.log, slog.String("member", address.String()), slog.Duration("silent", silent))
 		}
-		if silent > forgetAfter {
+		if silent > forgetAfter || m.member.Leaving && silent > deadAfter+heartbeatInterval {
 			delete(v.others, address)
 		}
 	}
 	for domain, s := range v.summaries {
-		if now.Sub(s.madeAt) > forgetAfter {
+		if now.Sub(s.madeAt) > forgetSummaryAfter {
 			delete(v.summaries, domain)
 		}
 	}
--- a/simulation/call.go
+++ b/simulation/call.go
@@ -82,6 +82,7 @@
 // reports with it.
 func (c *call) receiveResponse(a *attempt, outcome load.Outcome, running, waiting int) {
 	c.instance.planner.RecordLoad(a.upstream.entry, running, waiting, c.simulator.now)
+	c.recordLimit(a, outcome)
 	c.endAttempt(a, outcome, waiting > 0)
 	if c.ended {
 		return
--- a/simulation/pattern.go
+++ b/simulation/pattern.go
@@ -63,6 +63,7 @@
 	Slow    DisruptionKind = "slow"    // service times are multiplied by Factor
 	Down    DisruptionKind = "down"    // upstreams cannot be reached, and their caches are lost; Factor is anything but 1
 	Burst   DisruptionKind = "burst"   // the rate of requests is multiplied by Factor; Service is empty and Share above 0
+	Limit   DisruptionKind = "limit"   // upstreams name a limit of Factor requests a second in their responses
 	Restart DisruptionKind = "restart" // all instances restart at At without any state; the other fields do not apply
 )
 
--- a/simulation/simulator.go
+++ b/simulation/simulator.go
@@ -12,6 +12,7 @@
 
 	"hickorydrum/dispatch"
 	"hickorydrum/fleet"
+	"hickorydrum/limit"
 	"hickorydrum/load"
 	"hickorydrum/planner"
 	"hickorydrum/route"
@@ -102,6 +103,7 @@
 	view      *fleet.View
 	upstreams map[string]*upstream
 	instances []*instance
+	holder    *limit.Holder
 	report    *Report
 }
 
@@ -111,6 +113,7 @@
 	s := &simulator{
 		pattern: p, regions: p.regions(), options: opts, random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
 		routes: make(map[string]*route.Route), upstreams: make(map[string]*upstream), report: newReport(p),
+		holder: limit.NewHolder(instanceAddress(0)),
 	}
 	s.build()
 	s.startInstances()
@@ -236,6 +239,7 @@
 		return cmp.Or(strings.Compare(a.Domain, b.Domain), strings.Compare(a.Service, b.Service))
 	})
 	s.gossip()
+	s.exchangeLimits()
 	for _, inst := range s.instances {
 		inst.demand = inst.planner.UpdateShares(shareInterval, s.now, func([]planner.Demand) []planner.DomainDemand { return demands })
 	}
