limit, upstream: a steadier fraction, and limits on the own interface

On the own interface nobody read the limit. Change: offers are estimated over 4 s and 0.5 s and the higher one counts; limits are exchanged every 0.25 s; what is sent is added up too, and beyond 1.05 of the limit nothing is let through. Upstreams of the own interface name a limit in the header Limit; the instances of the roster keep to equal parts of it.

--- a/gossip/limitwire.go
+++ b/gossip/limitwire.go
@@ -60,6 +60,7 @@
 	Domain      int
 	Mean        uint32 // offers, in thousandths a second
 	Recent      uint32
+	Sent        uint32 // what was sent, in the same unit
 }
 
 func (m *limitMessage) domainIndex(domain string) int {
@@ -86,7 +87,7 @@
 func (m *limitMessage) addDemand(d *limit.Demand) {
 	m.Demands = append(m.Demands, limitDemandRecord{
 		Key: d.ID.Key, StartMillis: d.ID.StartMillis, Domain: m.domainIndex(d.Domain),
-		Mean: encodeMilli(d.Offers.Mean), Recent: encodeMilli(d.Offers.Recent),
+		Mean: encodeMilli(d.Offers.Mean), Recent: encodeMilli(d.Offers.Recent), Sent: encodeMilli(d.Sent),
 	})
 }
 
@@ -116,6 +117,7 @@
 	return limit.Demand{
 		ID: limit.ID{Key: r.Key, StartMillis: r.StartMillis}, Domain: m.Domains[r.Domain],
 		Offers: limit.Rates{Mean: float64(r.Mean) / milli, Recent: float64(r.Recent) / milli},
+		Sent:   float64(r.Sent) / milli,
 	}
 }
 
--- a/hosted/limit.go
+++ b/hosted/limit.go
@@ -16,7 +16,7 @@
 
 const (
 	// limitsInterval is how often limits are exchanged with other instances.
-	limitsInterval = 500 * time.Millisecond
+	limitsInterval = 250 * time.Millisecond
 	// endedFor is how long other instances are told that a limit has ended.
 	endedFor = 10 * time.Second
 )
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -145,7 +145,8 @@
 func (i *Instance) assemble(bind net.IP) {
 	self := i.roster.Self()
 	i.registry = roster.NewRegistry(i.platform)
-	i.pool = upstream.NewPool(self.Domain, self.Region, upstream.WithBind(bind))
+	i.pool = upstream.NewPool(self.Domain, self.Region, upstream.WithBind(bind),
+		upstream.WithInstances(func() int { return len(i.roster.View().AllPresent()) }))
 	i.state = rollout.NewState(i.onRevision)
 	i.claimer = idempotency.New(i.ctx, i.platform, i.log)
 	i.entry = entry.New(i.roster.Self, i.pool, i.claimer, i.log,
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -86,7 +86,7 @@
 		return g.state.Fraction, g.state.Rate()
 	}
 	equal := equalUse * g.state.Rate() / float64(max(1, instances()))
-	return min(1, equal/g.offers.rate(now).long), equalBurst * equal
+	return min(1, equal/g.offers.ownRate(now)), equalBurst * equal
 }
 
 // RetryAt returns when this instance expects to have room for one more request, and counts
@@ -107,7 +107,7 @@
 
 // Demand returns the rate of the offers of this instance.
 func (g *Gate) Demand(now time.Time) Demand {
-	return Demand{ID: g.state.ID, Domain: g.state.Domain, Offers: g.offers.rate(now)}
+	return Demand{ID: g.state.ID, Domain: g.state.Domain, Offers: g.offers.rate(now), Sent: g.Sent(now)}
 }
 
 // Sent returns the rate at which this instance sends to the upstream, in requests a second.
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -9,13 +9,17 @@
 	// targetUse is the part of a limit that the instances together should use. The rest
 	// allows for the chance in which requests the fraction lets through.
 	targetUse = 0.9
+	// While the requests sent in offerTime exceed stopUse times what the limit allows in that
+	// time, and stopSlack, none are let through: the fraction lets more through by chance.
+	stopUse   = 1.05
+	stopSlack = 2.0
 	// settleTime is how long a new holder collects offers before it tells a fraction.
 	settleTime = 1500 * time.Millisecond
 	// reportFor is the age up to which a report counts in full: the next one is due. An older
 	// one fades.
-	reportFor = 700 * time.Millisecond
+	reportFor = 400 * time.Millisecond
 	// lapseAfter is how long after the last report an upstream is dropped.
-	lapseAfter = 5 * time.Second
+	lapseAfter = 15 * time.Second
 	// otherFor is the age up to which a fraction of another holder shows that there is one.
 	otherFor = 1500 * time.Millisecond
 	// maxOthers bounds the other holders of one limit.
@@ -38,6 +42,7 @@
 	since      time.Time // of the first report
 	reportedAt time.Time // of the last report
 	offers     map[netip.Addr]meter
+	sent       map[netip.Addr]meter
 	// others is what was reported to another holder, while the views of the fleet differ.
 	others map[netip.Addr]otherHolder
 }
@@ -59,7 +64,7 @@
 		if len(h.held) >= maxHeld {
 			return
 		}
-		one = &held{state: State{ID: d.ID, Domain: d.Domain}, since: now, offers: make(map[netip.Addr]meter), others: make(map[netip.Addr]otherHolder)}
+		one = &held{state: State{ID: d.ID, Domain: d.Domain}, since: now, offers: make(map[netip.Addr]meter), sent: make(map[netip.Addr]meter), others: make(map[netip.Addr]otherHolder)}
 		h.held[d.ID] = one
 	}
 	one.state.Merge(known)
@@ -71,6 +76,7 @@
 		return
 	}
 	one.offers[from] = meter{rates: d.Offers, at: now}
+	one.sent[from] = meter{rates: Rates{Mean: d.Sent}, at: now}
 }
 
 // forget drops the upstreams of which nothing was reported lately.
@@ -95,16 +101,7 @@
 	if now.Sub(one.since) < settleTime || !one.state.InForce {
 		return State{}, false
 	}
-	var sum Rates
-	for from, o := range one.offers {
-		if now.Sub(o.at) > lapseAfter {
-			delete(one.offers, from)
-		}
-		rates := o.rate(now.Add(-reportFor))
-		sum.Mean += rates.Mean
-		sum.Recent += rates.Recent
-	}
-	offered := sum.highest()
+	offered, sent := total(one.offers, now).highest(), total(one.sent, now).Mean
 	one.state.Holder, one.state.Reported = h.self, offered
 	for holder, other := range one.others {
 		if now.Sub(other.at) > otherFor {
@@ -114,8 +111,28 @@
 		offered += other.reported
 	}
 	one.state.Fraction, one.state.FractionAt = 1, now
-	if allowed := targetUse * present * one.state.Rate(); offered > allowed {
-		one.state.Fraction = allowed / offered
+	allowed := present * one.state.Rate()
+	if offered > targetUse*allowed {
+		one.state.Fraction = targetUse * allowed / offered
+	}
+	if sent*offerTime.Seconds() > stopUse*allowed*offerTime.Seconds()+stopSlack {
+		one.state.Fraction = 0
 	}
 	return one.state, true
 }
+
+// total adds up the rates that instances reported, and drops those of instances that have not
+// reported lately.
+func total(reports map[netip.Addr]meter, now time.Time) Rates {
+	var sum Rates
+	for from, one := range reports {
+		if now.Sub(one.at) > lapseAfter {
+			delete(reports, from)
+			continue
+		}
+		rates := one.rate(now.Add(-reportFor))
+		sum.Mean += rates.Mean
+		sum.Recent += rates.Recent
+	}
+	return sum
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -23,7 +23,7 @@
 
 const (
 	// offerTime is the time constant of the estimated rate of offers.
-	offerTime = 1500 * time.Millisecond
+	offerTime = 4 * time.Second
 	// recentTime is the shorter time constant, by which a rise of the offers is seen.
 	recentTime = 500 * time.Millisecond
 	// ownOfferTime is the time constant of the rate by which an instance without a fraction
@@ -110,6 +110,8 @@
 	ID     ID
 	Domain string // failure domain of the upstream
 	Offers Rates
+	// Sent is the rate at which it sends, in requests a second.
+	Sent float64
 }
 
 // Rates are estimates of one rate, in events a second, over two times.
@@ -121,15 +123,25 @@
 	long float64
 }
 
+// ownRate returns the rate over ownOfferTime, or since the first event if that is shorter.
+func (e *meter) ownRate(now time.Time) float64 {
+	measured := max(offerTime, now.Sub(e.firstAt)).Seconds()
+	return e.rate(now).long / (1 - math.Exp(-measured/ownOfferTime.Seconds()))
+}
+
 func (r Rates) highest() float64 { return max(r.Mean, r.Recent) }
 
 // meter estimates the rate of events.
 type meter struct {
-	rates Rates
-	at    time.Time
+	rates   Rates
+	at      time.Time
+	firstAt time.Time // of the first event
 }
 
 func (e *meter) add(now time.Time) {
+	if e.firstAt.IsZero() {
+		e.firstAt = now
+	}
 	e.rates = e.rate(now)
 	e.rates.Mean += 1 / offerTime.Seconds()
 	e.rates.Recent += 1 / recentTime.Seconds()
--- a/limit/model_test.go
+++ b/limit/model_test.go
@@ -15,7 +15,7 @@
 	// roundTrip is the time between a request and its response.
 	roundTrip = 120 * time.Millisecond
 	// exchangeEvery is how often an instance reports its offers and spreads what it knows.
-	exchangeEvery = 500 * time.Millisecond
+	exchangeEvery = 250 * time.Millisecond
 	maxDelay      = 40 * time.Millisecond
 	spreadTo      = 2
 	loss          = 0.02
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -68,6 +68,7 @@
 	stats      Stats
 	drainStart time.Time
 	faults     map[UpstreamFault]int
+	limit      string // value of the Limit header, "" for none
 }
 
 // NewUpstream returns an upstream whose mean service time is the given one. It calls onRun
@@ -119,6 +120,14 @@
 	return n != 0
 }
 
+// NameLimit makes the upstream name a limit in its responses, in requests a second, or none
+// if it is empty. The upstream does not enforce it.
+func (u *Upstream) NameLimit(perSecond string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = perSecond
+}
+
 // Handler returns the handler of the upstream's requests, its health page and its controls
 // for tests.
 func (u *Upstream) Handler() http.Handler {
@@ -129,6 +138,10 @@
 		u.Drain()
 		return c.NoContent(http.StatusNoContent)
 	})
+	server.POST("/standin/limit", func(c echo.Context) error {
+		u.NameLimit(c.QueryParam("rate"))
+		return c.NoContent(http.StatusNoContent)
+	})
 	server.POST("/standin/fault", func(c echo.Context) error {
 		n, err := strconv.Atoi(c.QueryParam("requests"))
 		if err != nil {
@@ -270,6 +283,9 @@
 	h.Set(HeaderSum, sum)
 	u.mu.Lock()
 	h.Set("Busy", strconv.Itoa(u.inFlight))
+	if u.limit != "" {
+		h.Set("Limit", u.limit)
+	}
 	u.mu.Unlock()
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("Content-Type", echo.MIMEOctetStream)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -10,6 +10,7 @@
 
 	"hickorydrum/declaration"
 	"hickorydrum/dispatch"
+	"hickorydrum/fault"
 	"hickorydrum/fleet"
 	"hickorydrum/load"
 	"hickorydrum/placement"
@@ -29,8 +30,9 @@
 // Pool sends requests to the declared upstreams and queues them while all slots are in use. Its
 // methods may be called concurrently.
 type Pool struct {
-	bind    net.IP
-	tracker *load.Tracker
+	bind      net.IP
+	instances func() int // how many instances may be running
+	tracker   *load.Tracker
 
 	mu          sync.Mutex
 	set         *declaration.Set
@@ -50,12 +52,16 @@
 // WithBind sets the local address of connections to upstreams.
 func WithBind(ip net.IP) PoolOption { return func(p *Pool) { p.bind = ip } }
 
+// WithInstances sets the function that returns how many instances may be running. They share
+// the limits that upstreams name in equal parts. The default is one.
+func WithInstances(count func() int) PoolOption { return func(p *Pool) { p.instances = count } }
+
 // NewPool returns the pool of an instance in the given failure domain and region.
 func NewPool(domain, region string, opts ...PoolOption) *Pool {
 	p := &Pool{
 		view: fleet.NewView(nil, nil, nil), leaving: make(map[string]bool), draining: make(map[string]bool),
 		lastUsed: make(map[string]time.Time), inFlight: make(map[string]int), queues: make(map[string]*queue),
-		slotFreed: make(chan struct{}),
+		slotFreed: make(chan struct{}), instances: func() int { return 1 },
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -137,9 +143,43 @@
 }
 
 // tryAcquire returns a slot at the upstream with the shortest expected time, among those that
-// have a free slot as the load tracker estimates it. It returns nil if there is none. The lock is
+// have a free slot as the load tracker estimates it, and room in the limit that they name. It
+// returns nil if there is none, with a fault if only limits were in the way. The lock is held.
+func (p *Pool) tryAcquire(req *Request, now time.Time) (*Slot, *fault.Error) {
+	candidates, upstreams := p.candidates(req, now)
+	_, serviceTime := p.tracker.ServiceTimes(req.Service, route.Class{})
+	var heldBack []string
+	for len(candidates) > 0 {
+		choice := placement.Choose(placement.Request{
+			TimeLeft: noLimit, Objective: serviceTime, WarmTime: serviceTime, ColdTime: serviceTime, Region: -1,
+		}, candidates, placement.Costs{})
+		if choice.Index < 0 {
+			break
+		}
+		u := upstreams[choice.Index]
+		if !p.tracker.Offer(u, p.instances, now) {
+			heldBack = append(heldBack, u.ID)
+			candidates = slices.Delete(candidates, choice.Index, choice.Index+1)
+			upstreams = slices.Delete(upstreams, choice.Index, choice.Index+1)
+			continue
+		}
+		dialer, ok := p.tracker.Begin(u, coldShare(u), now)
+		if !ok {
+			return nil, nil
+		}
+		p.inFlight[u.ID]++
+		p.lastUsed[u.ID] = now
+		return &Slot{pool: p, upstream: u, dialer: dialer}, nil
+	}
+	if len(heldBack) == 0 {
+		return nil, nil
+	}
+	return nil, p.limited(heldBack, now)
+}
+
+// candidates returns the upstreams that may serve a request and have a free slot. The lock is
 // held.
-func (p *Pool) tryAcquire(req *Request, now time.Time) *Slot {
+func (p *Pool) candidates(req *Request, now time.Time) ([]placement.Candidate, []*fleet.Upstream) {
 	request := &load.Request{
 		Service: req.Service, Object: rand.Uint64(), Tried: req.Tried, Cold: coldShare,
 		Allows: func(u *fleet.Upstream) bool { return u.Region() == req.Region },
@@ -150,21 +190,20 @@
 			candidates, upstreams = slices.Delete(candidates, i, i+1), slices.Delete(upstreams, i, i+1)
 		}
 	}
-	_, serviceTime := p.tracker.ServiceTimes(req.Service, route.Class{})
-	choice := placement.Choose(placement.Request{
-		TimeLeft: noLimit, Objective: serviceTime, WarmTime: serviceTime, ColdTime: serviceTime, Region: -1,
-	}, candidates, placement.Costs{})
-	if choice.Index < 0 {
-		return nil
-	}
-	u := upstreams[choice.Index]
-	dialer, ok := p.tracker.Begin(u, coldShare(u), now)
-	if !ok {
-		return nil
-	}
-	p.inFlight[u.ID]++
-	p.lastUsed[u.ID] = now
-	return &Slot{pool: p, upstream: u, dialer: dialer}
+	return candidates, upstreams
+}
+
+// limited returns the fault of a request that the limits of upstreams held back, with the
+// earliest instant at which one of them is expected to have room. The lock is held.
+func (p *Pool) limited(heldBack []string, now time.Time) *fault.Error {
+	var earliest time.Time
+	for _, id := range heldBack {
+		if at := p.tracker.RetryAt(id, p.instances, now); earliest.IsZero() || at.Before(earliest) {
+			earliest = at
+		}
+	}
+	return notExecuted(fault.Overloaded, "the upstreams name limits that have no room", "retry after the given time",
+		fault.WithRetryAt(earliest))
 }
 
 // coldShare returns the rate at which this instance may send requests to a cold upstream.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -22,6 +22,7 @@
 	"hickorydrum/declaration"
 	"hickorydrum/dispatch"
 	"hickorydrum/fault"
+	"hickorydrum/limit"
 	"hickorydrum/load"
 	"hickorydrum/steering"
 )
@@ -357,7 +358,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			busy := -1
-			d := &dialect{reportLoad: func(n int) { busy = n }}
+			d := &dialect{reportLoad: func(n int) { busy = n }, reportLimit: func(limit.Response) {}}
 			got := d.ClassifyResponse(&dispatch.Request{ID: "1"}, &http.Response{StatusCode: test.status, Header: test.header})
 			if got != test.want || busy != test.busy {
 				t.Errorf("class %d, busy %d; want %d, %d", got, busy, test.want, test.busy)
--- a/upstream/protocol.go
+++ b/upstream/protocol.go
@@ -10,6 +10,7 @@
 
 	"hickorydrum/dispatch"
 	"hickorydrum/fault"
+	"hickorydrum/limit"
 )
 
 // Headers of the protocol with callers and upstreams.
@@ -18,6 +19,7 @@
 	HeaderTimeout   = "Request-Timeout" // remaining milliseconds
 	HeaderRan       = "Ran"             // "no" in a refusal: the upstream did not execute the request
 	HeaderBusy      = "Busy"            // requests in flight at the upstream
+	HeaderLimit     = "Limit"           // requests a second that the upstream takes from all instances together
 )
 
 // Request is a request to an upstream of a service, without its body.
@@ -34,9 +36,11 @@
 }
 
 // dialect is the dispatch.Dialect of the project's own protocol with upstreams. It calls
-// reportLoad with each number of requests in flight that an upstream reports.
+// reportLoad with each number of requests in flight that an upstream reports, and reportLimit
+// with what each response says of the upstream's limit.
 type dialect struct {
-	reportLoad func(busy int)
+	reportLoad  func(busy int)
+	reportLimit func(r limit.Response)
 }
 
 // Prepare sets the id of the request and the time left until the deadline.
@@ -54,7 +58,11 @@
 		d.reportLoad(busy)
 	}
 	shed := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-	if shed && resp.Header.Get(HeaderRan) == string(fault.NotExecuted) {
+	refused := shed && resp.Header.Get(HeaderRan) == string(fault.NotExecuted)
+	if perSecond, named, err := limit.Parse(resp.Header.Values(HeaderLimit)); err == nil {
+		d.reportLimit(limit.Response{Named: named, PerSecond: perSecond, Executed: !refused})
+	}
+	if refused {
 		return dispatch.Refused
 	}
 	return dispatch.Accepted
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -97,10 +97,10 @@
 		return nil, err
 	}
 	if len(q.waiters) == 0 {
-		if s := p.tryAcquire(req, now); s != nil {
+		s, limited := p.tryAcquire(req, now)
+		if s != nil || limited != nil {
 			p.mu.Unlock()
-			admitted.Inc()
-			return s, nil
+			return countAcquired(s, limited)
 		}
 	}
 	if err := p.checkQueue(q, req, now); err != nil {
@@ -141,12 +141,12 @@
 	for {
 		p.mu.Lock()
 		if q.first(w) && ctx.Err() == nil {
-			if s := p.tryAcquire(req, time.Now()); s != nil {
+			s, limited := p.tryAcquire(req, time.Now())
+			if s != nil || limited != nil {
 				q.remove(w)
 				p.notifyWaiters()
 				p.mu.Unlock()
-				admitted.Inc()
-				return s, nil
+				return countAcquired(s, limited)
 			}
 		}
 		noneUsable := p.usableSlots(req) == 0
@@ -168,6 +168,17 @@
 	}
 }
 
+// countAcquired counts a request that leaves its queue with a slot or with the fault of its
+// refusal, and returns them.
+func countAcquired(s *Slot, limited *fault.Error) (*Slot, error) {
+	if s == nil {
+		refused.Inc()
+		return nil, limited
+	}
+	admitted.Inc()
+	return s, nil
+}
+
 // leaveQueue removes a request from its queue and returns the fault of its refusal.
 func (p *Pool) leaveQueue(q *queue, w *waiter, noneUsable bool) error {
 	p.mu.Lock()
--- a/upstream/serve.go
+++ b/upstream/serve.go
@@ -13,6 +13,7 @@
 
 	"hickorydrum/dispatch"
 	"hickorydrum/fault"
+	"hickorydrum/limit"
 	"hickorydrum/load"
 )
 
@@ -90,7 +91,8 @@
 	hedged.Tried = nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.tryAcquire(&hedged, time.Now())
+	slot, _ := p.tryAcquire(&hedged, time.Now()) // without a slot there is no second attempt
+	return slot
 }
 
 // dispatch sends one request to the upstream of the slot and releases the slot. recent is passed
@@ -108,7 +110,13 @@
 	request := req.Request
 	request.Header = req.Header.Clone()
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
-	d := &dialect{reportLoad: func(busy int) { s.pool.tracker.RecordLoad(s.upstream.ID, busy, 0, time.Now()) }}
+	d := &dialect{
+		reportLoad: func(busy int) { s.pool.tracker.RecordLoad(s.upstream.ID, busy, 0, time.Now()) },
+		reportLimit: func(r limit.Response) {
+			r.SentAt = begun
+			s.pool.tracker.RecordLimit(s.upstream, r, time.Now())
+		},
+	}
 	reusable, err := dispatch.NewExchange(&request, d, req.Deadline, c).Run(ctx, body, sink)
 	if reusable && err == nil {
 		s.dialer.Put(c, time.Now(), maxIdle)
