--- a/hosted/cluster_test.go
+++ b/hosted/cluster_test.go
@@ -28,6 +28,9 @@
 
 const waitTimeout = 15 * time.Second
 
+// maxConnections is how many connections a worker accepts from all instances together.
+const maxConnections = 24
+
 // cluster is a store, workers (stand-ins for upstreams) and instances that run on loopback in
 // one process.
 type cluster struct {
@@ -249,7 +252,7 @@
 	}
 	var clusters []map[string]any
 	for name := range services {
-		clusters = append(clusters, map[string]any{"name": name, "healthPath": "/health", "coldStartS": 0.2, "coldPerS": 14})
+		clusters = append(clusters, map[string]any{"name": name, "healthPath": "/health", "coldStartS": 0.2, "coldPerS": 14, "maxConnections": maxConnections})
 	}
 	c.version++
 	text, err := json.Marshal(map[string]any{
--- a/hosted/limit_test.go
+++ b/hosted/limit_test.go
@@ -85,3 +85,33 @@
 	}
 	t.Logf("most %d in a window, %.2f of the limit used", most, used)
 }
+
+// TestMaxConnections guards against instances that together open more connections to an
+// upstream than its service allows.
+func TestMaxConnections(t *testing.T) {
+	const callers = 20 // at each instance
+	c := newCluster(t)
+	c.configure(reads)
+	w := c.worker("list", "one-a", func(w *standin.WorkerConfig) {
+		w.Slots, w.Queue, w.Warm, w.Cold = 60, 60, 300*time.Millisecond, 300*time.Millisecond
+	})
+	members := []*member{c.start("a", "one-a"), c.start("b", "one-a"), c.start("c", "one-b")}
+	for _, m := range members {
+		c.ready(m, 1)
+	}
+	var group errgroup.Group
+	for i, m := range members {
+		for j := range callers {
+			group.Go(func() error {
+				c.send(m, callerRequest{path: "/read/x", id: fmt.Sprintf("%d-%d", i, j)})
+				return nil
+			})
+		}
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if n := w.MostConnections(); n > maxConnections {
+		t.Errorf("%d connections were open, want at most %d", n, maxConnections)
+	}
+}
--- a/hosted/operations_test.go
+++ b/hosted/operations_test.go
@@ -36,6 +36,19 @@
 				return "early"
 			},
 		},
+		"refused by a limit": {
+			documentedCause: "no upstream can serve it: limited",
+			want:            []string{"refused, status 503", "cause: no upstream can serve it: limited", "last choice: limited", "an upstream names a limit"},
+			cause: func(c *cluster, m *member, w *standin.Worker) string {
+				w.NameLimit("0")
+				id := ""
+				c.await("a refusal", func() bool {
+					id += "x"
+					return c.send(m, callerRequest{path: "/read/x", id: id}).Status == http.StatusServiceUnavailable
+				})
+				return id
+			},
+		},
 		"502 after a lost answer": {
 			documentedCause: "the connection to the upstream ended without an answer",
 			want:            []string{"lost, status 502", "cause: the connection to the upstream ended without an answer", "last upstream: i-", "sent to 1 in all"},
--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -179,3 +179,22 @@
 		t.Errorf("worth %.3f with homes, %.3f without", homes, least)
 	}
 }
+
+// TestLimited guards against requests that are refused, or late for long, while a limit of some
+// upstreams leaves room at others, and against a service that stays worse after the limit ends.
+func TestLimited(t *testing.T) {
+	const begins, ends, recovered = 8 * time.Second, 22 * time.Second, 24 * time.Second
+	p := Travellers()
+	p.Load = 0.9
+	p.Disruptions = []Disruption{{Kind: Limit, At: begins, Duration: ends - begins, Service: "packs", Share: 0.13, Factor: 7}}
+	for seed := range uint64(seeds) {
+		r := Run(p, seed)
+		during, after := r.Between(begins, ends), r.Between(recovered, p.Length)
+		if during.Refused > 0 || during.Worth() < 0.95 {
+			t.Errorf("seed %d: %d refused and worth %.3f while limits are named", seed, during.Refused, during.Worth())
+		}
+		if after.Worth() < 0.95 {
+			t.Errorf("seed %d: worth %.3f after them", seed, after.Worth())
+		}
+	}
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -68,6 +68,7 @@
 	conns    map[net.Conn]bool
 	closed   bool
 	limit    string // value of the limit header, "" for none
+	most     int    // connections open at a time, at most
 }
 
 // NewWorker starts a worker. Close stops it.
@@ -132,6 +133,13 @@
 	return w.arrivals
 }
 
+// MostConnections returns how many connections were open at a time, at most.
+func (w *Worker) MostConnections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.most
+}
+
 // Aborted returns how many requests were aborted because their connection ended.
 func (w *Worker) Aborted() int {
 	w.mu.Lock()
@@ -162,6 +170,7 @@
 			_ = c.Close()
 		}
 		w.conns[c] = true
+		w.most = max(w.most, len(w.conns))
 		w.mu.Unlock()
 		w.group.Go(func() error {
 			w.serve(c)
