limit, planner: room that callers can rely on

Cause: while many were refused, each refusal moved the told room further, also for callers who could not wait so long, and while nothing was let through for a moment the told time was a minute. Change: room is kept only for a caller that still waits then, at the upstream that it would have had, by this instance's part in the offers of all. Result: TestRetryAt, 100 callers with 2 s at a limit of 4 a second: at most 8 are told to come within their time, none later than a second after it.

--- a/limit/gate.go
+++ b/limit/gate.go
@@ -89,21 +89,38 @@
 	return min(1, equal/g.offers.ownRate(now)), equalBurst * equal
 }
 
-// RetryAt returns when this instance expects to have room for one more request, and counts
-// that request: the next call returns a later time.
-func (g *Gate) RetryAt(now time.Time, instances func() int) time.Time {
-	fraction, most := g.part(now, instances)
-	perSecond := min(most, fraction*g.offers.rate(now).Mean)
+// RetryAt returns when this instance expects to have room for one more request whose caller
+// waits until the given instant. If that is in time, the room is kept for the request: the next
+// call returns a later one.
+func (g *Gate) RetryAt(until, now time.Time, instances func() int) time.Time {
 	if g.room.Before(now) {
 		g.room = now
 	}
-	wait := min(1/max(perSecond, MinPerSecond/float64(max(1, instances()))), maxWait.Seconds())
-	g.room = g.room.Add(time.Duration(wait * float64(time.Second)))
-	return g.room
+	wait := min(1/g.share(now, instances), maxWait.Seconds())
+	at := g.room.Add(time.Duration(wait * float64(time.Second)))
+	if !at.After(until) {
+		g.room = at
+	}
+	return at
 }
 
-// maxWait bounds the time between two requests for which room is expected.
-const maxWait = time.Minute
+// share returns the part of the limit that this instance may expect, in requests a second: by
+// its part in the offers of all, or without a recent fraction an equal one.
+func (g *Gate) share(now time.Time, instances func() int) float64 {
+	part := 1 / float64(max(1, instances()))
+	if now.Sub(g.state.FractionAt) < fractionFor {
+		own := g.offers.rate(now).Mean
+		part = own / max(own, g.state.Reported)
+	}
+	return targetUse * g.state.Rate() * max(part, minShare)
+}
+
+const (
+	// minShare is the least part of a limit that an instance expects.
+	minShare = 0.001
+	// maxWait bounds the expected time between two requests.
+	maxWait = time.Minute
+)
 
 // Demand returns the rate of the offers of this instance.
 func (g *Gate) Demand(now time.Time) Demand {
--- a/limit/model_test.go
+++ b/limit/model_test.go
@@ -431,3 +431,27 @@
 		}
 	}
 }
+
+// TestRetryAt guards against room that is told to more callers than it can serve, and against a
+// time that grows with callers who do not wait for it.
+func TestRetryAt(t *testing.T) {
+	const limited, callers = 4.0, 100
+	one := func() int { return 1 }
+	patience := 2 * time.Second
+	g := NewGate(ID{Key: 1}, "a", 0)
+	g.Record(Response{Named: true, PerSecond: limited, SentAt: epoch}, epoch)
+	until, kept := epoch.Add(patience), 0
+	for range callers {
+		g.Offer(epoch, one)
+		at := g.RetryAt(until, epoch, one)
+		if !at.After(until) {
+			kept++
+		}
+		if at.After(until.Add(time.Second)) {
+			t.Fatalf("a caller is told to come back after %s", at.Sub(epoch))
+		}
+	}
+	if most := limited * patience.Seconds(); float64(kept) > most || float64(kept) < most/2 {
+		t.Errorf("%d callers are told to come back within %s, want at most %.0f", kept, patience, most)
+	}
+}
--- a/load/limit.go
+++ b/load/limit.go
@@ -69,15 +69,15 @@
 }
 
 // RetryAt returns when this instance expects to have room for one more request to an
-// upstream with a limit, and counts that request.
-func (tr *Tracker) RetryAt(id string, instances func() int, now time.Time) time.Time {
+// upstream with a limit. See limit.Gate.
+func (tr *Tracker) RetryAt(id string, until time.Time, instances func() int, now time.Time) time.Time {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	s, ok := tr.states[id]
 	if !ok {
 		return now
 	}
-	return s.gate.RetryAt(now, instances)
+	return s.gate.RetryAt(until, now, instances)
 }
 
 // Limits returns the limits to exchange with other instances: those in force, and those that
--- a/planner/limit.go
+++ b/planner/limit.go
@@ -27,7 +27,7 @@
 			return choice, u
 		}
 		if req.heldBack == nil {
-			req.heldBack = make(map[string]bool)
+			req.heldBack, req.firstHeldBack = make(map[string]bool), u.ID
 		}
 		req.heldBack[u.ID] = true
 	}
@@ -44,17 +44,14 @@
 	return choice
 }
 
-// RetryAt returns the earliest instant at which one of the upstreams whose limits held the
-// request back is expected to have room for it. Each call counts one more request that waits
-// for that room. It returns false if no limit held the request back.
+// RetryAt returns the instant at which the first upstream whose limit held the request back
+// is expected to have room for it. The room is kept for the request if its caller still waits
+// then. It returns false if no limit held the request back.
 func (p *Planner) RetryAt(req *Request, now time.Time) (time.Time, bool) {
-	var earliest time.Time
-	for id := range req.heldBack {
-		if at := p.tracker.RetryAt(id, p.countInstances, now); earliest.IsZero() || at.Before(earliest) {
-			earliest = at
-		}
+	if req.firstHeldBack == "" {
+		return time.Time{}, false
 	}
-	return earliest, !earliest.IsZero()
+	return p.tracker.RetryAt(req.firstHeldBack, req.Deadline, p.countInstances, now), true
 }
 
 // RecordLimit records what the response of an upstream says of its limit. It returns the
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -140,8 +140,10 @@
 	// not be chosen again.
 	Tried map[string]bool
 
-	// heldBack holds the IDs of upstreams whose limit kept the request from them.
-	heldBack map[string]bool
+	// heldBack holds the IDs of upstreams whose limit kept the request from them. The request
+	// would have been sent to firstHeldBack.
+	heldBack      map[string]bool
+	firstHeldBack string
 }
 
 // StartRequest counts a new request and sets req.Service, the service that serves it.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -148,7 +149,7 @@
 func (p *Pool) tryAcquire(req *Request, now time.Time) (*Slot, *fault.Error) {
 	candidates, upstreams := p.candidates(req, now)
 	_, serviceTime := p.tracker.ServiceTimes(req.Service, route.Class{})
-	var heldBack []string
+	heldBack := "" // the best upstream whose limit has no room
 	for len(candidates) > 0 {
 		choice := placement.Choose(placement.Request{
 			TimeLeft: noLimit, Objective: serviceTime, WarmTime: serviceTime, ColdTime: serviceTime, Region: -1,
@@ -158,7 +159,7 @@
 		}
 		u := upstreams[choice.Index]
 		if !p.tracker.Offer(u, p.instances, now) {
-			heldBack = append(heldBack, u.ID)
+			heldBack = cmp.Or(heldBack, u.ID)
 			candidates = slices.Delete(candidates, choice.Index, choice.Index+1)
 			upstreams = slices.Delete(upstreams, choice.Index, choice.Index+1)
 			continue
@@ -171,10 +172,10 @@
 		p.lastUsed[u.ID] = now
 		return &Slot{pool: p, upstream: u, dialer: dialer}, nil
 	}
-	if len(heldBack) == 0 {
+	if heldBack == "" {
 		return nil, nil
 	}
-	return nil, p.limited(heldBack, now)
+	return nil, p.limited(req, heldBack, now)
 }
 
 // candidates returns the upstreams that may serve a request and have a free slot. The lock is
@@ -194,16 +195,11 @@
 }
 
 // limited returns the fault of a request that the limits of upstreams held back, with the
-// earliest instant at which one of them is expected to have room. The lock is held.
-func (p *Pool) limited(heldBack []string, now time.Time) *fault.Error {
-	var earliest time.Time
-	for _, id := range heldBack {
-		if at := p.tracker.RetryAt(id, p.instances, now); earliest.IsZero() || at.Before(earliest) {
-			earliest = at
-		}
-	}
+// instant at which the given one is expected to have room for it. The lock is held.
+func (p *Pool) limited(req *Request, upstream string, now time.Time) *fault.Error {
+	at := p.tracker.RetryAt(upstream, req.Deadline, p.instances, now)
 	return notExecuted(fault.Overloaded, "the upstreams name limits that have no room", "retry after the given time",
-		fault.WithRetryAt(earliest))
+		fault.WithRetryAt(at))
 }
 
 // coldShare returns the rate at which this instance may send requests to a cold upstream.
