limit: compute a fraction at most every 0.1 s

Cause: the holder added up all reports at each report, which costs by the square of the instances. Change: it keeps a fraction for 0.1 s.

--- a/limit/gate.go
+++ b/limit/gate.go
@@ -41,8 +41,9 @@
 func (g *Gate) State() State { return g.state }
 
 // Record applies what a response says of the limit and reports whether the limit changed. A
-// lower limit counts at once. A higher one, or none, counts only if the request was sent after
-// the newest response that named a limit: responses may overtake one another.
+// lower limit, or the first one, counts at once. A higher one, or none, counts only if the
+// request was sent after the newest response that named a limit was received: responses may
+// overtake one another.
 func (g *Gate) Record(r Response, now time.Time) (changed bool) {
 	newest := r.SentAt.After(g.state.NamedAt)
 	switch {
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -15,6 +15,9 @@
 	stopSlack = 2.0
 	// settleTime is how long a new holder collects offers before it tells a fraction.
 	settleTime = 1500 * time.Millisecond
+	// computeEvery is how often a fraction is computed: not at each report, since that would
+	// cost by the square of the instances.
+	computeEvery = 100 * time.Millisecond
 	// reportFor is the age up to which a report counts in full: the next one is due. An older
 	// one fades.
 	reportFor = 400 * time.Millisecond
@@ -41,6 +44,7 @@
 	state      State
 	since      time.Time // of the first report
 	reportedAt time.Time // of the last report
+	computedAt time.Time // of the fraction
 	offers     map[netip.Addr]meter
 	sent       map[netip.Addr]meter
 	// others is what was reported to another holder, while the views of the fleet differ.
@@ -64,7 +68,10 @@
 		if len(h.held) >= maxHeld {
 			return
 		}
-		one = &held{state: State{ID: d.ID, Domain: d.Domain}, since: now, offers: make(map[netip.Addr]meter), sent: make(map[netip.Addr]meter), others: make(map[netip.Addr]otherHolder)}
+		one = &held{
+			state: State{ID: d.ID, Domain: d.Domain}, since: now,
+			offers: make(map[netip.Addr]meter), sent: make(map[netip.Addr]meter), others: make(map[netip.Addr]otherHolder),
+		}
 		h.held[d.ID] = one
 	}
 	one.state.Merge(known)
@@ -101,8 +108,17 @@
 	if now.Sub(one.since) < settleTime || !one.state.InForce {
 		return State{}, false
 	}
+	if now.Sub(one.computedAt) >= computeEvery {
+		one.compute(h.self, present, now)
+	}
+	return one.state, true
+}
+
+// compute adds up the reports and sets the fraction.
+func (one *held) compute(self netip.Addr, present float64, now time.Time) {
+	one.computedAt = now
 	offered, sent := total(one.offers, now).highest(), total(one.sent, now).Mean
-	one.state.Holder, one.state.Reported = h.self, offered
+	one.state.Holder, one.state.Reported = self, offered
 	for holder, other := range one.others {
 		if now.Sub(other.at) > otherFor {
 			delete(one.others, holder)
@@ -118,7 +134,6 @@
 	if sent*offerTime.Seconds() > stopUse*allowed*offerTime.Seconds()+stopSlack {
 		one.state.Fraction = 0
 	}
-	return one.state, true
 }
 
 // total adds up the rates that instances reported, and drops those of instances that have not
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	// offerTime is the time constant of the estimated rate of offers.
+	// offerTime is the time constant of the estimated rate of offers. A shorter one would let
+	// bursts through at limits of few requests: the estimate falls by chance.
 	offerTime = 4 * time.Second
 	// recentTime is the shorter time constant, by which a rise of the offers is seen.
 	recentTime = 500 * time.Millisecond
