--- a/hosted/limit_test.go
+++ b/hosted/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,6 +28,17 @@
 	return most
 }
 
+// logged returns the lines that an instance logged about a request.
+func logged(m *member, id string) string {
+	var out []string
+	for _, line := range strings.Split(m.logs.String(), "\n") {
+		if strings.Contains(line, `"id":"`+id+`"`) {
+			out = append(out, line)
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
 // TestNamedLimit guards against an upstream that gets more requests from all instances
 // together than the limit that it names in its responses, and against one that gets hardly any.
 func TestNamedLimit(t *testing.T) {
@@ -43,7 +55,7 @@
 	c := newCluster(t)
 	c.configure(reads)
 	limited := c.worker("list", "one-a", nil)
-	c.worker("list", "one-a", nil)
+	c.worker("list", "one-a", func(w *standin.WorkerConfig) { w.Slots = 60 }) // always has room
 	members := []*member{c.start("a", "one-a"), c.start("b", "one-a"), c.start("c", "one-b")}
 	for _, m := range members {
 		c.ready(m, 2)
@@ -58,6 +70,7 @@
 					id := fmt.Sprintf("%d-%d-%d", i, j, n)
 					if r := c.send(m, callerRequest{path: "/read/x", id: id, object: id}); r.Status != 200 {
 						refused.Add(1)
+						t.Logf("%s: %+v, logged: %s", id, r, logged(m, id))
 					}
 					time.Sleep(100 * time.Millisecond)
 				}
