--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -97,6 +97,7 @@
 	// Prepare sets the protocol's headers of a request that must be answered by the deadline.
 	Prepare(h http.Header, r *Request, deadline time.Time)
 	// ClassifyResponse returns the class of a response to the request, by the response's head.
+	// It is called once for each response.
 	ClassifyResponse(r *Request, resp *http.Response) ResponseClass
 }
 
@@ -267,8 +268,8 @@
 		if err != nil {
 			return false, x.receiveFailure(ctx, err)
 		}
-		if x.dialect.ClassifyResponse(x.request, resp) != Stale {
-			return x.forward(resp, sink)
+		if class := x.dialect.ClassifyResponse(x.request, resp); class != Stale {
+			return x.forward(class, resp, sink)
 		}
 		if err := x.discard(resp); err != nil {
 			return false, x.receiveFailure(ctx, err)
@@ -304,11 +305,11 @@
 	return &failure{kind: fault.Corrupt, text: "the connection to the upstream ended without an answer", cause: err}
 }
 
-// forward checks the response and forwards it to the sink. It reports whether the connection
-// can be reused.
-func (x *Exchange) forward(resp *http.Response, sink Sink) (bool, *failure) {
+// forward forwards a response of the given class to the sink, if it is Accepted. It reports
+// whether the connection can be reused.
+func (x *Exchange) forward(class ResponseClass, resp *http.Response, sink Sink) (bool, *failure) {
 	defer func() { _ = resp.Body.Close() }()
-	switch x.dialect.ClassifyResponse(x.request, resp) {
+	switch class {
 	case Accepted:
 	case Refused:
 		x.progress.MarkRefused()
