gossip: one check of senders, one ranking, one bound on limits

Cause: datagrams about limits checked their sender in a copy of the check of heartbeats, first ranked members as ranksFirst does, and the highest limit stood in two packages. Change: accepts serves both, ranksFirst uses first, the bound is limit.MaxPerSecond. Behaviour as before.

--- a/gossip/limit.go
+++ b/gossip/limit.go
@@ -126,7 +126,7 @@
 func (v *view) limitHolder(domain string, key uint64, now time.Time) (netip.Addr, bool) {
 	owner := v.ownerAmong(domain, key, func(s *Summary) bool { return now.Sub(s.madeAt) < limitDomainFor })
 	if owner == v.domain {
-		return v.first(key, now), true
+		return v.first(key, (*Member).serves, now), true
 	}
 	contacts := v.contacts[owner]
 	if len(contacts) == 0 {
@@ -149,8 +149,7 @@
 // response, and the states in the message, with the fractions of which this instance is the
 // holder.
 func (v *view) handleLimits(m *limitMessage, from netip.Addr, now time.Time) ([]datagram, []limit.State) {
-	if _, known := v.regions[m.Domain]; !known || m.From != from || from == v.self.Address {
-		rejected.Inc()
+	if !v.accepts(m.Domain, m.From, from) {
 		return nil, nil
 	}
 	states := make([]limit.State, len(m.States))
--- a/gossip/limit_test.go
+++ b/gossip/limit_test.go
@@ -82,7 +82,7 @@
 		"calm":  func(*simulation) {},
 		"lossy": func(s *simulation) { s.loss = 0.2 },
 		"the holder dies": func(s *simulation) {
-			s.byIP[s.members[0].view.first(id.Key, s.now)].down = true
+			s.byIP[s.members[0].view.first(id.Key, (*Member).serves, s.now)].down = true
 		},
 		"the failure domain of the upstream is cut off": func(s *simulation) {
 			for i, p := range s.members {
--- a/gossip/limitwire.go
+++ b/gossip/limitwire.go
@@ -143,7 +143,7 @@
 	}
 	known := func(index int) bool { return index >= 0 && index < len(m.Domains) }
 	for _, r := range m.States {
-		if !known(r.Domain) || r.FractionAge > maxAgeMillis || r.Milli > maxLimitMilli {
+		if !known(r.Domain) || r.FractionAge > maxAgeMillis || r.Milli > limit.MaxPerSecond*milli {
 			return nil, errors.New("a limit has an invalid failure domain, age or rate")
 		}
 	}
@@ -154,6 +154,3 @@
 	}
 	return &m, nil
 }
-
-// maxLimitMilli is the highest limit that is accepted, in thousandths of a request a second.
-const maxLimitMilli = 1e9
--- a/gossip/role.go
+++ b/gossip/role.go
@@ -15,27 +15,18 @@
 // ranksFirst reports whether this instance has the highest rank for a key among the
 // members of its failure domain that are alive and for which fits returns true.
 func (v *view) ranksFirst(key uint64, fits func(m *Member) bool, now time.Time) bool {
-	if !fits(&v.self) {
-		return false
-	}
-	own := rank(v.self.Address, key)
-	for _, m := range v.others {
-		if m.lives(now) && fits(&m.member) && rank(m.member.Address, key) > own {
-			return false
-		}
-	}
-	return true
+	return fits(&v.self) && v.first(key, fits, now) == v.self.Address
 }
 
-// first returns the live member with the highest rank for a key that serves callers, or this
-// instance if there is none.
-func (v *view) first(key uint64, now time.Time) netip.Addr {
+// first returns the member with the highest rank for a key among those that are alive and for
+// which fits returns true, or this instance if there is none.
+func (v *view) first(key uint64, fits func(m *Member) bool, now time.Time) netip.Addr {
 	best, bestRank := v.self.Address, uint64(0)
-	if v.self.serves() {
+	if fits(&v.self) {
 		bestRank = rank(v.self.Address, key)
 	}
 	for _, m := range v.others {
-		if !m.lives(now) || !m.member.serves() {
+		if !m.lives(now) || !fits(&m.member) {
 			continue
 		}
 		if r := rank(m.member.Address, key); r > bestRank {
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -277,9 +277,7 @@
 // from an unknown failure domain, from another address than that in the message, or from this
 // instance itself.
 func (v *view) handle(m *message, from netip.Addr, now time.Time) (replies []datagram, ok bool) {
-	_, knownDomain := v.regions[m.Domain]
-	if !knownDomain || m.From.Address != from || from == v.self.Address {
-		rejected.Inc()
+	if !v.accepts(m.Domain, m.From.Address, from) {
 		return nil, false
 	}
 	_, known := v.others[from]
@@ -306,6 +304,17 @@
 	return replies, true
 }
 
+// accepts reports whether a message is accepted by the failure domain and the address of its
+// sender that it holds, and counts one that is not. It came from the address from.
+func (v *view) accepts(domain string, sender, from netip.Addr) bool {
+	_, known := v.regions[domain]
+	if !known || sender != from || from == v.self.Address {
+		rejected.Inc()
+		return false
+	}
+	return true
+}
+
 // reply returns the encoded reply to an instance in a failure domain: to a member of this
 // one's failure domain the members and summaries, or only this instance's state after the
 // member's first joinHeartbeats heartbeats; to an instance elsewhere the contacts in its
--- a/limit/parse.go
+++ b/limit/parse.go
@@ -8,12 +8,12 @@
 	"strings"
 )
 
-// maxPerSecond is the highest limit that an upstream may name, in requests a second. A
+// MaxPerSecond is the highest limit that an upstream may name, in requests a second. A
 // higher one is an error of the upstream.
-const maxPerSecond = 1e6
+const MaxPerSecond = 1e6
 
 // Parse returns the limit in the values of a response's header, in requests a second, and
-// whether they name one. A limit that is no decimal number from 0 to maxPerSecond, or is
+// whether they name one. A limit that is no decimal number from 0 to MaxPerSecond, or is
 // repeated, gives an error.
 func Parse(values []string) (perSecond float64, named bool, err error) {
 	switch len(values) {
@@ -27,7 +27,7 @@
 	if err != nil {
 		return 0, false, fmt.Errorf("the limit is not a number: %w", err)
 	}
-	if math.IsNaN(perSecond) || perSecond < 0 || perSecond > maxPerSecond {
+	if math.IsNaN(perSecond) || perSecond < 0 || perSecond > MaxPerSecond {
 		return 0, false, errors.New("the limit is not between 0 and the highest possible")
 	}
 	return perSecond, true, nil
