limit, load, hosted: what is sent is kept once

Cause: load.Limit repeated the rate that its demand holds, the names of the metrics stood twice, and the clock was read for each limit. Change: the demand alone holds the rate, one table names the metrics, one reading serves an exchange. Behaviour as before. Result: tests of limit, load and planner pass, of hosted TestNamedLimit, TestOperations, TestOneWatches, TestWatcherRefused.

--- a/hosted/limit.go
+++ b/hosted/limit.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -26,11 +27,11 @@
 func (i *Instance) exchangeLimits(ctx context.Context) error {
 	shown := make(map[string]bool)
 	return interval.Each(ctx, limitsInterval, func(time.Time) {
-		now := time.Now()
+		now, clockNow := time.Now(), clock.Now()
 		limits := i.tracker.Limits(now.Add(-endedFor), now)
 		states, demands := make([]limit.State, len(limits)), make([]limit.Demand, len(limits))
 		for n, one := range limits {
-			states[n], demands[n] = shiftState(one.State, now, clock.Now()), one.Demand
+			states[n], demands[n] = shiftState(one.State, now, clockNow), one.Demand
 		}
 		states = i.mesh.ExchangeLimits(states, demands)
 		i.receiveLimits(states)
@@ -61,28 +62,32 @@
 	}
 }
 
+// limitMetrics are the metrics of a limit, by name.
+var limitMetrics = map[string]func(one *load.Limit) float64{
+	"limit":    func(one *load.Limit) float64 { return one.State.PerSecond },
+	"fraction": func(one *load.Limit) float64 { return one.State.Fraction },
+	"offered":  func(one *load.Limit) float64 { return one.Demand.Offers.Mean },
+	"sent":     func(one *load.Limit) float64 { return one.Demand.Sent },
+}
+
 // showLimits sets the metrics of the limits in force, and removes those of others. shown
 // holds the upstreams that have metrics.
 func showLimits(limits []load.Limit, shown map[string]bool) {
-	inForce := make(map[string]bool)
-	for _, one := range limits {
+	ended := maps.Clone(shown)
+	for n := range limits {
+		one := &limits[n]
 		if !one.State.InForce {
 			continue
 		}
-		inForce[one.Upstream], shown[one.Upstream] = true, true
-		for name, value := range map[string]float64{
-			"limit": one.State.PerSecond, "fraction": one.State.Fraction,
-			"offered": one.Demand.Offers.Mean, "sent": one.Sent,
-		} {
-			metrics.GetOrCreateGauge(limitMetric(name, one.Upstream), nil).Set(value)
+		shown[one.Upstream] = true
+		delete(ended, one.Upstream)
+		for name, value := range limitMetrics {
+			metrics.GetOrCreateGauge(limitMetric(name, one.Upstream), nil).Set(value(one))
 		}
 	}
-	for upstream := range shown {
-		if inForce[upstream] {
-			continue
-		}
+	for upstream := range ended {
 		delete(shown, upstream)
-		for _, name := range []string{"limit", "fraction", "offered", "sent"} {
+		for name := range limitMetrics {
 			metrics.UnregisterMetric(limitMetric(name, upstream))
 		}
 	}
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -123,10 +123,7 @@
 	maxWait = time.Minute
 )
 
-// Demand returns the rate of the offers of this instance.
+// Demand returns the rates of what this instance offers and sends.
 func (g *Gate) Demand(now time.Time) Demand {
-	return Demand{ID: g.state.ID, Domain: g.state.Domain, Offers: g.offers.rate(now), Sent: g.Sent(now)}
+	return Demand{ID: g.state.ID, Domain: g.state.Domain, Offers: g.offers.rate(now), Sent: g.sent.rate(now).Mean}
 }
-
-// Sent returns the rate at which this instance sends to the upstream, in requests a second.
-func (g *Gate) Sent(now time.Time) float64 { return g.sent.rate(now).Mean }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -38,9 +38,9 @@
 	equalBurst = 1.5
 	// fractionFor is the age up to which a fraction is used.
 	fractionFor = 3 * time.Second
-	// MinPerSecond is the rate at which requests are sent to an upstream that names a lower
+	// minPerSecond is the rate at which requests are sent to an upstream that names a lower
 	// limit, since only a response can show that the limit has changed.
-	MinPerSecond = 0.2
+	minPerSecond = 0.2
 	// burstTime is the time in which one instance may use up the limit of a longer one: it
 	// bounds what an instance sends before the fraction follows its offers.
 	burstTime = 500 * time.Millisecond
@@ -76,7 +76,7 @@
 }
 
 // Rate returns the rate at which all instances together may send, in requests a second.
-func (s *State) Rate() float64 { return max(s.PerSecond, MinPerSecond) }
+func (s *State) Rate() float64 { return max(s.PerSecond, minPerSecond) }
 
 // Merge takes over from the state that another instance has what is newer. It reports
 // whether the limit changed.
@@ -99,10 +99,11 @@
 	if s.InForce == inForce && s.PerSecond == perSecond {
 		return false
 	}
-	if old := s.Rate(); s.InForce && inForce && perSecond < old {
-		s.Fraction *= max(perSecond, MinPerSecond) / old
-	}
+	old, lasts := s.Rate(), s.InForce && inForce
 	s.InForce, s.PerSecond = inForce, perSecond
+	if rate := s.Rate(); lasts && rate < old {
+		s.Fraction *= rate / old
+	}
 	return true
 }
 
--- a/load/limit.go
+++ b/load/limit.go
@@ -27,8 +27,6 @@
 	Upstream string // id
 	State    limit.State
 	Demand   limit.Demand
-	// Sent is the rate at which this instance sends to the upstream, in requests a second.
-	Sent float64
 }
 
 // newGate returns the gate to an upstream that has just been added.
@@ -90,7 +88,7 @@
 	for _, s := range tr.states {
 		state := s.gate.State()
 		if state.InForce || state.NamedAt.After(endedSince) {
-			out = append(out, Limit{Upstream: s.id, State: state, Demand: s.gate.Demand(now), Sent: s.gate.Sent(now)})
+			out = append(out, Limit{Upstream: s.id, State: state, Demand: s.gate.Demand(now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Limit) int {
