server, hosted: tell of each request whose caller got no whole response

The HTTP servers of an instance on the platform now wrap each connection and know the state of its request. A connection that ends under a request logs event 504 and counts hickorydrum_requests_lost_total, each with the reason: closed as an idle one, closed at the end of the stop, left by the caller, or aborted by the handler. What is closed when is as before.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -28,8 +28,6 @@
 )
 
 const (
-	maxHeaderBytes = 64 << 10
-	headerTimeout  = 10 * time.Second
 	// upstreamTimeout is the TCP user timeout of connections to upstreams: a connection whose
 	// sent bytes are not acknowledged for so long is closed.
 	upstreamTimeout = time.Second
@@ -140,7 +138,7 @@
 	defer cancel()
 	event.Started.Log(ctx, i.log, slog.String("instance", i.settings.Name), slog.String("domain", i.settings.Domain),
 		slog.String("caller", i.settings.Front))
-	i.servers.serve(&i.group, i.log)
+	i.servers.serve(&i.group)
 	i.group.Go(func() error { return i.mesh.Run(ctx) })
 	i.group.Go(func() error { return i.follower.run(ctx) })
 	i.group.Go(func() error { return i.reload(ctx, reload) })
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -28,10 +28,12 @@
 	// domain, waits for the change to arrive from its own failure domain before it asks that peer.
 	farWait = 300 * time.Millisecond
 	// askPause is the pause after a round of calls to peers that left changes missing.
-	askPause      = 100 * time.Millisecond
-	peersAsked    = 3 // peers called in one round
-	peerTimeout   = time.Second
-	maxStateBytes = 16 << 20 // of an encoded state, before and after decompression
+	askPause   = 100 * time.Millisecond
+	peersAsked = 3 // peers called in one round
+	// maxHeaderBytes is the largest header of a peer's response.
+	maxHeaderBytes = 64 << 10
+	peerTimeout    = time.Second
+	maxStateBytes  = 16 << 20 // of an encoded state, before and after decompression
 	// minCompressBytes is the size from which an encoded state is compressed.
 	minCompressBytes = 16 << 10
 )
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"context"
 	"errors"
-	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -16,10 +13,8 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/sync/errgroup"
 
-	"hickorydrum/event"
-	"hickorydrum/fault"
 	"hickorydrum/platform"
-	"hickorydrum/socket"
+	"hickorydrum/server"
 )
 
 const (
@@ -38,88 +33,52 @@
 	maxAddresses = 64
 )
 
-// server is an HTTP server with its listener.
-type server struct {
-	http     *http.Server
-	listener net.Listener
-}
-
 // servers are the HTTP servers of an instance.
 type servers struct {
-	front, ready, directory, control *server // for callers, readiness checks, look-ups, and other instances
+	front, ready, directory, control *server.Server // for callers, readiness checks, look-ups, and other instances
 
-	mu        sync.Mutex
-	idle      time.Duration          // how long callers may leave a connection idle
-	idleSince map[net.Conn]time.Time // idle connections of callers, and since when they are idle
+	mu   sync.Mutex
+	idle time.Duration // how long callers may leave a connection idle
 }
 
-// listen opens the listeners of all servers. If one fails, it closes the servers, but the
-// listeners that it opened stay open, since an http.Server closes only those that it serves.
+// listen opens the listeners of all servers. If one fails, it closes those that it opened.
 func (i *Instance) listen() error {
 	s := &i.servers
-	s.idle, s.idleSince = defaultIdle, make(map[net.Conn]time.Time)
+	s.idle = defaultIdle
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-		into    **server
+		into    **server.Server
 	}{
 		{i.settings.Front, i.ingress, &s.front},
 		{i.settings.Ready, i.readyHandler(), &s.ready},
 		{i.settings.Directory, i.directoryHandler(), &s.directory},
 		{i.settings.Control, i.controlHandler(), &s.control},
 	} {
-		opened, err := listen(l.address, l.handler)
+		opened, err := server.Listen(l.address, l.handler, acceptedTimeout, i.log)
 		if err != nil {
 			return errors.Join(err, s.close())
 		}
 		*l.into = opened
 	}
-	s.front.http.ConnState = s.trackIdle
 	return nil
 }
 
-// listen opens a listener and returns a server that is not serving yet.
-func listen(address string, handler http.Handler) (*server, error) {
-	config := net.ListenConfig{Control: socket.UserTimeout(acceptedTimeout)}
-	listener, err := config.Listen(context.Background(), "tcp4", address)
-	if err != nil {
-		return nil, fault.New(fault.Unavailable, "the address "+address+" cannot be listened on", "free the address",
-			fault.WithCause(err))
-	}
-	return &server{listener: listener, http: &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
-		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
-	}}, nil
-}
-
 // all returns the servers. Those that are not open yet are nil.
-func (s *servers) all() []*server { return []*server{s.front, s.ready, s.directory, s.control} }
+func (s *servers) all() []*server.Server {
+	return []*server.Server{s.front, s.ready, s.directory, s.control}
+}
 
-// serve starts all servers in the group and logs those that end for another reason than being
-// closed.
-func (s *servers) serve(group *errgroup.Group, log *slog.Logger) {
+// serve starts all servers in the group.
+func (s *servers) serve(group *errgroup.Group) {
 	for _, one := range s.all() {
 		group.Go(func() error {
-			err := one.http.Serve(one.listener)
-			if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-				event.ServeFailed.Log(context.Background(), log, slog.String("error", err.Error()))
-			}
+			one.Serve()
 			return nil
 		})
 	}
 }
 
-// trackIdle records when each connection of a caller became idle.
-func (s *servers) trackIdle(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idleSince[c] = time.Now()
-		return
-	}
-	delete(s.idleSince, c)
-}
-
 // setIdle sets how long callers may leave a connection idle.
 func (s *servers) setIdle(idle time.Duration) {
 	s.mu.Lock()
@@ -130,36 +89,20 @@
 // closeIdle closes the connections that have been idle for too long.
 func (s *servers) closeIdle(now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, since := range s.idleSince {
-		if now.Sub(since) > s.idle {
-			_ = c.Close()
-			delete(s.idleSince, c)
-		}
-	}
+	idle := s.idle
+	s.mu.Unlock()
+	s.front.CloseIdle(now, idle)
 }
 
 // stopAccepting closes the callers' listener and their idle connections.
-func (s *servers) stopAccepting() {
-	_ = s.front.listener.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.idleSince {
-		_ = c.Close()
-	}
-	clear(s.idleSince)
-}
+func (s *servers) stopAccepting() { _ = s.front.StopAccepting() }
 
-// close closes all servers, the listeners that they serve, and their connections. The callers'
-// listener may be closed already by stopAccepting, which is no error.
+// close closes all servers and their connections.
 func (s *servers) close() error {
 	var errs []error
 	for _, one := range s.all() {
-		if one == nil {
-			continue
-		}
-		if err := one.http.Close(); !errors.Is(err, net.ErrClosed) {
-			errs = append(errs, err)
+		if one != nil {
+			errs = append(errs, one.Close())
 		}
 	}
 	return errors.Join(errs...)
--- a/hosted/servers_test.go
+++ b/hosted/servers_test.go
@@ -1,11 +1,14 @@
 package hosted
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"testing"
 
 	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/server"
 )
 
 // slowListener is a listener whose Accept stays blocked until the second call of Close.
@@ -38,10 +41,10 @@
 		t.Fatal(err)
 	}
 	listener := &slowListener{Listener: opened, accepting: make(chan struct{}), release: make(chan struct{})}
-	s := &servers{front: &server{listener: listener, http: &http.Server{}}}
+	s := &servers{front: server.New(listener, http.NotFoundHandler(), slog.New(slog.DiscardHandler))}
 	var group errgroup.Group
 	group.Go(func() error {
-		_ = s.front.http.Serve(listener) // Serve returns when the listener is closed
+		s.front.Serve()
 		return nil
 	})
 	<-listener.accepting
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hickorydrum/planner"
+	"hickorydrum/server"
 )
 
 // Ingress is the HTTP handler for the callers of one instance.
@@ -53,6 +54,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := newExchange(g, w, r)
+	server.SetID(r.Context(), x.id)
 	defer x.report()
 	x.serve()
 }
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,171 @@
+// Package server is an HTTP/1.1 server that knows of every request on its connections: from
+// the read of its first byte until the kernel has the last byte of its response. Whatever
+// ends a connection asks the connection's state first.
+package server
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"hickorydrum/event"
+	"hickorydrum/fault"
+	"hickorydrum/socket"
+)
+
+const (
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 10 * time.Second
+)
+
+// Server serves HTTP/1.1 on one listener.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	handler  http.Handler
+	log      *slog.Logger
+
+	mu    sync.Mutex
+	conns map[*conn]struct{} // the connections that are open
+}
+
+// Listen opens a listener and returns a server that isn't serving yet. Bytes that a client does
+// not acknowledge for userTimeout end its connection. The error is of kind fault.Unavailable.
+func Listen(address string, handler http.Handler, userTimeout time.Duration, log *slog.Logger) (*Server, error) {
+	config := net.ListenConfig{Control: socket.UserTimeout(userTimeout)}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, "the address "+address+" cannot be listened on", "free the address",
+			fault.WithCause(err))
+	}
+	return New(listener, handler, log), nil
+}
+
+// New returns a server on a listener, which it closes.
+func New(listener net.Listener, handler http.Handler, log *slog.Logger) *Server {
+	s := &Server{listener: listener, handler: handler, log: log, conns: make(map[*conn]struct{})}
+	s.http = &http.Server{
+		Handler: http.HandlerFunc(s.serveRequest), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
+		ConnState: setState, ConnContext: withConn,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+	return s
+}
+
+// Serve accepts and serves connections until the listener is closed.
+func (s *Server) Serve() {
+	err := s.http.Serve(tracked{Listener: s.listener, server: s})
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		event.ServeFailed.Log(context.Background(), s.log, slog.String("error", err.Error()))
+	}
+}
+
+// tracked is a listener whose connections are tracked by a server.
+type tracked struct {
+	net.Listener
+	server *Server
+}
+
+// Accept waits for the next connection.
+func (l tracked) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.server.add(raw), nil
+}
+
+func (s *Server) add(raw net.Conn) *conn {
+	c := &conn{Conn: raw, server: s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	return c
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// all returns the connections that are open.
+func (s *Server) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// Counts has the number of open connections by state.
+type Counts struct {
+	Idle    int // no byte of a request has been read since the last response
+	Reading int // a part of a request's head has been read
+	Serving int // a request is handled, or its response is being written
+}
+
+// Open returns the number of open connections.
+func (c Counts) Open() int { return c.Idle + c.Reading + c.Serving }
+
+// Counts returns the number of open connections by state.
+func (s *Server) Counts() Counts {
+	var out Counts
+	for _, c := range s.all() {
+		switch c.load() {
+		case idle:
+			out.Idle++
+		case reading:
+			out.Reading++
+		case serving:
+			out.Serving++
+		}
+	}
+	return out
+}
+
+// serveRequest handles one request.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	c := connOf(r.Context())
+	c.begin()
+	s.handler.ServeHTTP(w, r)
+	c.handled.Store(true)
+}
+
+// CloseIdle closes the connections that have been idle for longer than the given time.
+func (s *Server) CloseIdle(now time.Time, longest time.Duration) {
+	for _, c := range s.all() {
+		if since, ok := c.listedIdle(); ok && now.Sub(since) > longest {
+			_ = c.end(closedIdle) // it has no request; nothing is left to do about the error
+		}
+	}
+}
+
+// StopAccepting closes the listener and the idle connections.
+func (s *Server) StopAccepting() error {
+	err := s.listener.Close()
+	for _, c := range s.all() {
+		if _, ok := c.listedIdle(); ok {
+			_ = c.end(closedIdle) // it has no request; nothing is left to do about the error
+		}
+	}
+	return err
+}
+
+// Close closes the listener and all connections. It is no error if the listener was closed
+// before.
+func (s *Server) Close() error {
+	for _, c := range s.all() {
+		c.setReason(closedAtEnd)
+	}
+	if err := s.http.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
