restart: TestServeStopLosesNothing fails, planned stops of the own interface

The built program runs as `serve` in a process of its own and gets SIGTERM, while callers use their connections until it is gone. Rows: idle connections used as they are closed, with and without keys; slow upstreams; a new connection each; connections that carry no request; the store away; a limit shortened with requests in flight. A request that an upstream ran and whose caller got no whole response is lost; the stop must not take longer than the last request, and no response comes after the limit.

--- a/restart/caller_test.go
+++ b/restart/caller_test.go
@@ -92,7 +92,8 @@
 	path    string
 	method  string
 	body    string
-	fresh   bool // use a connection for one request only
+	fresh   bool                   // use a connection for one request only
+	header  func(id string) string // further lines of the head of the request with the ID, if set
 	// wait returns when the caller is to send its request number n.
 	wait func(r *rand.Rand, n int)
 }
@@ -143,6 +144,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %sx HTTP/1.1\r\nHost: h.example\r\nHickorydrum-Attempt-Id: %s\r\n", c.method, c.path, id)
 	b.WriteString("Hickorydrum-Deadline-Remaining: 20000\r\n")
+	if c.header != nil {
+		b.WriteString(c.header(id))
+	}
 	if c.body != "" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.body))
 	}
--- /dev/null
+++ b/restart/serve_test.go
@@ -0,0 +1,439 @@
+package restart
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"hickorydrum/declaration"
+	"hickorydrum/peer"
+	"hickorydrum/platform"
+	"hickorydrum/rollout"
+	"hickorydrum/standin"
+)
+
+const (
+	attemptHeader = "Hickorydrum-Attempt-Id"
+	serveSlots    = 2000
+	responseSize  = 8 << 10
+	// A response of slowResponseSize fits the send buffer of the instance, and not the receive buffer of
+	// a caller, slowReadBuffer.
+	slowResponseSize = 1 << 20
+	slowReadBuffer   = 16 << 10
+	// serveStopTimeout is how long an instance of the own interface may take to stop.
+	serveStopTimeout = 40 * time.Second
+	// responseMargin is how long after its limit a request may get its response, and after the end of
+	// the last request the process may exit.
+	responseMargin = 500 * time.Millisecond
+	// storeTimeout is how long an instance tries to write the outcome of a request with a key.
+	storeTimeout = 5 * time.Second
+	// shutdownDelay is how long after SIGTERM such an instance closes its listener: the shortest
+	// lookup-life and the time for its leaving state to reach the other instances.
+	shutdownDelay = 1500 * time.Millisecond
+
+	callerPort, adminPort, peerPort, probePort = 18120, 18121, 18122, 18123
+)
+
+// ownDeployment is a platform and an upstream in this process, and one instance of the own
+// interface in a process of its own.
+type ownDeployment struct {
+	t      *testing.T
+	store  *standin.Store
+	api    *httptest.Server
+	up     *httptest.Server
+	ip     string
+	logs   string // path of the file with the log of the instance
+	cmd    *exec.Cmd
+	exited chan struct{}
+
+	mu   sync.Mutex
+	runs map[string]int // by ID of the request
+}
+
+// unframedWriter writes responses without Content-Length.
+type unframedWriter struct{ http.ResponseWriter }
+
+// WriteHeader writes the head of the response.
+func (w unframedWriter) WriteHeader(status int) {
+	w.Header().Del("Content-Length")
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// newOwnDeployment starts an instance for the row, and waits until it is ready.
+func newOwnDeployment(t *testing.T, row ownRow) *ownDeployment {
+	t.Helper()
+	d := &ownDeployment{
+		t: t, store: standin.NewStore(), ip: newAddress(), runs: make(map[string]int), exited: make(chan struct{}),
+	}
+	d.api = httptest.NewServer(standin.PlatformHandler(d.store))
+	t.Cleanup(func() {
+		d.api.CloseClientConnections()
+		d.api.Close()
+	})
+	d.up = httptest.NewServer(d.upstream(row))
+	t.Cleanup(func() {
+		d.up.CloseClientConnections()
+		d.up.Close()
+	})
+	d.declare(row.limit)
+	d.launch()
+	d.await("the instance ready", d.ready)
+	return d
+}
+
+// upstream returns the handler of an upstream that takes the row's time for each request.
+func (d *ownDeployment) upstream(row ownRow) http.Handler {
+	standin := standin.NewUpstream(serveSlots, time.Millisecond, 1, func(string) {}).Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(attemptHeader)
+		if id == "" {
+			standin.ServeHTTP(w, r) // the health page
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return // the request is not run
+		}
+		d.recordRun(id)
+		select {
+		case <-time.After(row.work):
+		case <-r.Context().Done():
+		}
+		if row.unframed {
+			w = unframedWriter{w}
+		}
+		standin.ServeHTTP(w, r)
+	})
+}
+
+// recordRun counts a run of a request.
+func (d *ownDeployment) recordRun(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs[id]++
+}
+
+// runsOf returns how often the upstream ran the request with the ID.
+func (d *ownDeployment) runsOf(id string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runs[id]
+}
+
+// declare applies the declarations, with the limit of the service.
+func (d *ownDeployment) declare(limit time.Duration) {
+	d.t.Helper()
+	text := fmt.Sprintf("kind: region\nname: one\ndomains: [a]\n---\nkind: service\nname: orders\npath: /orders\nlimit: %s\n"+
+		"workers:\n  - {at: %q, domain: a, slots: %d}\n---\n{kind: block, prefix: 127.0.0.0/8, region: one}\n",
+		limit, strings.TrimPrefix(d.up.URL, "http://"), serveSlots)
+	set, err := declaration.Parse(map[string][]byte{"f.yaml": []byte(text)})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	client := platform.New(d.api.URL)
+	defer client.Close()
+	base, _, err := rollout.Current(d.t.Context(), client)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if _, err := rollout.Apply(d.t.Context(), client, set, base, "test", time.Now()); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func (d *ownDeployment) address(port int) string { return fmt.Sprintf("%s:%d", d.ip, port) }
+
+// launch starts the process of the instance.
+func (d *ownDeployment) launch() {
+	d.t.Helper()
+	dir := d.t.TempDir()
+	d.logs = filepath.Join(dir, "log")
+	out, err := os.Create(d.logs)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	args := append([]string{
+		"serve", "-name", "a1", "-region", "one", "-domain", "a", "-platform", d.api.URL, "-bind", d.ip,
+		"-caller", d.address(callerPort), "-admin", d.address(adminPort), "-peer", d.address(peerPort),
+		"-probe", d.address(probePort), "-lookup-life", "1s", "-log", "json", "-log-level", "debug",
+	}, d.keyFlags(dir)...)
+	d.cmd = exec.Command(binary, args...)
+	d.cmd.Stdout, d.cmd.Stderr = out, out
+	if err := d.cmd.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	waited := startGroup(func() {
+		_ = d.cmd.Wait() // the exit code is checked by stop
+		_ = out.Close()
+		close(d.exited)
+	})
+	d.t.Cleanup(func() {
+		_ = d.cmd.Process.Kill() // it may have exited already
+		waited()
+	})
+}
+
+// keyFlags returns the flags with a new certificate of the instance.
+func (d *ownDeployment) keyFlags(dir string) []string {
+	d.t.Helper()
+	now := time.Now()
+	authority, err := peer.NewAuthority("test", now, now.Add(time.Hour))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	pair, err := authority.Certify("a1", now, now.Add(time.Hour))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	cert, key := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	if err := pair.WriteFiles(cert, key); err != nil {
+		d.t.Fatal(err)
+	}
+	return []string{"-ca", string(authority.Cert()), "-cert", cert, "-key", key}
+}
+
+// connect opens a connection to the instance, which is closed when the test ends.
+func (d *ownDeployment) connect() net.Conn {
+	d.t.Helper()
+	conn, err := net.Dial("tcp", d.address(callerPort))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { _ = conn.Close() }) // the instance may have closed it
+	return conn
+}
+
+// ready reports whether the instance passes its readiness check.
+func (d *ownDeployment) ready() bool {
+	resp, err := http.Get("http://" + d.address(adminPort) + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // nothing of it is read
+	return resp.StatusCode == http.StatusOK
+}
+
+// await waits until the condition holds, and fails the test after waitTimeout.
+func (d *ownDeployment) await(what string, condition func() bool) {
+	d.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	if err := standin.Await(ctx, condition); err != nil {
+		d.t.Fatalf("waited too long for: %s\n%s", what, d.log())
+	}
+}
+
+// log returns the log of the process so far.
+func (d *ownDeployment) log() string {
+	text, err := os.ReadFile(d.logs)
+	if err != nil {
+		d.t.Error(err)
+	}
+	return string(text)
+}
+
+// linesOf returns the lines of the log that contain the text.
+func (d *ownDeployment) linesOf(text string) string {
+	var out []string
+	for _, line := range strings.Split(d.log(), "\n") {
+		if strings.Contains(line, text) {
+			out = append(out, line)
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
+// awaitExit waits until the process has exited after SIGTERM, and returns how long that took.
+func (d *ownDeployment) awaitExit(signalled time.Time) time.Duration {
+	d.t.Helper()
+	select {
+	case <-d.exited:
+	case <-time.After(serveStopTimeout):
+		d.t.Fatal("the instance did not stop")
+	}
+	if code := d.cmd.ProcessState.ExitCode(); code != 0 {
+		d.t.Errorf("the instance exited with code %d", code)
+	}
+	return time.Since(signalled)
+}
+
+// ownRow is one planned stop under load.
+type ownRow struct {
+	work, limit time.Duration
+	shortened   time.Duration // if set, the limit that is declared after the first requests are sent
+	callers     int
+	fresh       bool
+	keyed       bool // each request has an idempotency key of its own
+	unframed    bool // responses of the upstream have no Content-Length
+	storeAway   bool // the platform's store is away from SIGTERM on
+	unused      int  // open connections that carry no request
+	method      string
+	pause       time.Duration // longest pause of a caller between two requests
+	// moment, if set, is when after SIGTERM each caller sends its second request, give or take spread.
+	moment, spread time.Duration
+}
+
+// TestServeStopLosesNothing stops an instance of the own interface with SIGTERM while callers use their
+// connections until it is gone. It guards against requests that an upstream runs and whose caller gets
+// no whole response.
+func TestServeStopLosesNothing(t *testing.T) {
+	for name, r := range map[string]ownRow{
+		"idle connections used as they are closed": {
+			work: 5 * time.Millisecond, limit: time.Second, callers: 400, method: http.MethodPost,
+			pause: 200 * time.Millisecond, moment: shutdownDelay, spread: 8 * time.Millisecond,
+		},
+		"idle connections used as they are closed, with keys": {
+			work: 5 * time.Millisecond, limit: time.Second, callers: 150, keyed: true, method: http.MethodPost,
+			pause: 200 * time.Millisecond, moment: shutdownDelay, spread: 8 * time.Millisecond,
+		},
+		"upstreams as slow as the limit": {
+			work: 1500 * time.Millisecond, limit: 2 * time.Second, callers: 40, method: http.MethodPost, pause: time.Second,
+		},
+		"a new connection each": {
+			work: 5 * time.Millisecond, limit: time.Second, callers: 100, fresh: true, method: http.MethodPost,
+			pause: 20 * time.Millisecond,
+		},
+		"open connections that carry no request": {
+			work: 5 * time.Millisecond, limit: time.Second, callers: 10, unused: 50, method: http.MethodPost,
+			pause: 20 * time.Millisecond,
+		},
+		"the limit is shortened with requests in flight": {
+			work: 18 * time.Second, limit: 30 * time.Second, shortened: time.Second, callers: 10, method: http.MethodPost,
+			pause: time.Second,
+		},
+		"the store away, responses without a length": {
+			work: 1500 * time.Millisecond, limit: 3 * time.Second, callers: 20, keyed: true, unframed: true, storeAway: true,
+			method: http.MethodPost, pause: 500 * time.Millisecond,
+		},
+		"the store away, upstreams slower than the limit": {
+			work: 5 * time.Second, limit: 3 * time.Second, callers: 20, keyed: true, storeAway: true,
+			method: http.MethodPost, pause: 500 * time.Millisecond,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r.check(t, 1)
+		})
+	}
+}
+
+// header returns the further lines of the head of the request with the ID.
+func (r ownRow) header(id string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %d\r\n", standin.HeaderSize, responseSize)
+	if r.keyed {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", id)
+	}
+	return b.String()
+}
+
+// check runs the row with a seed, and fails the test if a request is lost.
+func (r ownRow) check(t *testing.T, seed uint64) {
+	t.Helper()
+	d := newOwnDeployment(t, r)
+	j, stop := &journal{}, &stopTime{sent: make(chan struct{})}
+	timing := row{pause: r.pause, moment: r.moment, spread: r.spread}
+	end := time.Now().Add(time.Minute)
+	for i := range r.callers {
+		c := &caller{
+			name: fmt.Sprint(i), address: d.address(callerPort), path: "/orders/", method: r.method, fresh: r.fresh, header: r.header,
+			wait: func(random *rand.Rand, n int) { timing.wait(random, n, stop) }, body: "body",
+		}
+		defer startGroup(func() { c.run(j, seed*1000+uint64(i), end) })()
+	}
+	for range r.unused {
+		d.connect()
+	}
+	time.Sleep(2 * time.Second)
+	if r.shortened > 0 {
+		d.declare(r.shortened)
+		time.Sleep(time.Second)
+	}
+	if r.storeAway {
+		d.store.Fail(standin.StoreDown, -1)
+	}
+	signalled := time.Now()
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	stop.at = signalled
+	close(stop.sent)
+	took := d.awaitExit(signalled)
+	time.Sleep(100 * time.Millisecond) // callers see the end of their connections
+	c, lost := j.count(d.runsOf)
+	t.Logf("stop took %v; %v", took.Round(time.Millisecond), c)
+	for _, a := range lost {
+		t.Logf("lost: %s, sent %v and ended %v after SIGTERM", a.id, a.sent.Sub(signalled), a.ended.Sub(signalled))
+	}
+	if c.lost > 0 || c.untrue > 0 {
+		t.Errorf("%d requests were lost and %d rejected though they ran, want 0", c.lost, c.untrue)
+	}
+	r.checkTimes(t, took, j)
+	t.Log(d.linesOf(`"event":10`))
+}
+
+// checkTimes fails the test if the stop took longer than it must, or a response came late.
+func (r ownRow) checkTimes(t *testing.T, took time.Duration, j *journal) {
+	t.Helper()
+	longestStop := shutdownDelay + r.limit + responseMargin
+	if r.storeAway {
+		longestStop += storeTimeout
+	}
+	if took > longestStop {
+		t.Errorf("the stop took %v, want at most %v", took.Round(time.Millisecond), longestStop)
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	late := 0
+	for _, a := range j.attempts {
+		if a.status != 0 && a.ended.Sub(a.sent) > r.limit+responseMargin {
+			late++
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d responses came later than %v, want 0", late, r.limit+responseMargin)
+	}
+}
+
+// TestServeStopSlowReader guards against a large response that is cut off since its caller has sent the
+// next request already: the connection is closed after the response, with unread bytes.
+func TestServeStopSlowReader(t *testing.T) {
+	t.Parallel()
+	d := newOwnDeployment(t, ownRow{work: 100 * time.Millisecond, limit: 5 * time.Second})
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	signalled := time.Now()
+	time.Sleep(50 * time.Millisecond) // the instance announces that it leaves
+	c := &caller{path: "/orders/", method: http.MethodPost, body: "body", header: func(string) string {
+		return fmt.Sprintf("%s: %d\r\n", standin.HeaderSize, slowResponseSize)
+	}}
+	conn := d.connect()
+	if err := conn.(*net.TCPConn).SetReadBuffer(slowReadBuffer); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"first", "next"} {
+		if _, err := io.WriteString(conn, c.request(id)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	var a attempt
+	a.receive(bufio.NewReader(conn))
+	if a.status != http.StatusOK || d.runsOf("next") > 0 {
+		t.Errorf("status %d of a whole response, and %d runs of the next request; want 200 and 0", a.status, d.runsOf("next"))
+	}
+	t.Logf("stop took %v", d.awaitExit(signalled).Round(time.Millisecond))
+}
