entry: send the end of a response before the end of its claim is written

What callers saw: while the platform's store was away, a request with a key got its response up to 5 s late, after its limit: a failure as a whole, a response without Content-Length its last chunk. Cause: the handler wrote the end of the claim to the store, with retries for up to 5 s, before it returned, and the HTTP server ends a response when its handler returns.

The claim now ends in the claimer's background work, for which the instance waits at its end, before it closes its connections to the platform. A repeated request waits for that write as before, for up to 0.5 s.

--- a/entry/request.go
+++ b/entry/request.go
@@ -126,17 +126,21 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
 	defer cancel()
 	err = x.forward(ctx, req)
-	// The caller gets its response before the claim ends. The claim ends before the handler
-	// returns, so that a planned stop waits for it.
-	if err == nil {
-		_ = x.response.rc.Flush()
-		claim.Finish(idempotency.NewResponse(x.response.status, x.response.header, x.response.stored))
-	} else {
-		claim.Fail(err)
-	}
+	x.endClaim(claim, err)
 	return x.finish(c, err)
 }
 
+// endClaim ends the claim of the request, which ended with err. It does not wait: the end of a
+// response is sent when its handler returns, and the platform may be slow.
+func (x *exchange) endClaim(claim *idempotency.Claim, err error) {
+	if err != nil {
+		x.entry.claimer.Go(func() { claim.Fail(err) })
+		return
+	}
+	response := idempotency.NewResponse(x.response.status, x.response.header, x.response.stored)
+	x.entry.claimer.Go(func() { claim.Finish(response) })
+}
+
 // replay answers a repeated request with the stored response.
 func (x *exchange) replay(stored *idempotency.Response) error {
 	head := dispatch.Head{Status: stored.Status(), Header: stored.Header(), Length: int64(len(stored.Body()))}
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -110,6 +110,14 @@
 	return &Claimer{store: store, log: log, now: time.Now, ctx: ctx}
 }
 
+// Go runs f in the background, such as the end of a claim whose caller must not wait for it.
+func (cl *Claimer) Go(f func()) {
+	cl.group.Go(func() error {
+		f()
+		return nil
+	})
+}
+
 // Wait waits for the background work to end.
 func (cl *Claimer) Wait() { _ = cl.group.Wait() }
 
@@ -193,10 +201,7 @@
 	if !fault.IsNotExecuted(err) {
 		// The write may have taken effect. No instance will dispatch the request under
 		// this claim, so it must not block a repeated request.
-		c.claimer.group.Go(func() error {
-			c.releaseUncertain()
-			return nil
-		})
+		c.claimer.Go(c.releaseUncertain)
 	}
 	return nil, nil, c.claimer.storeUnavailable(err)
 }
