entry, instance: a planned stop ends after the latest deadline of its requests

What callers saw: a request that was in flight at SIGTERM ended with a closed connection, though an upstream ran it. Cause: each step of the stop waited for the longest limit that was declared when the step began. If a limit was shortened, or its service removed, while a request with the old limit was in flight, the stop ended before that request. In the same way a limit that was lengthened during the stop gave requests a deadline after its end.

The entry now knows the latest deadline of the requests that it admitted. The stop has one end, set when it begins: that deadline, or the expiry of look-up responses and the longest limit, whichever is later. A request whose deadline is after the end is rejected at once: 503, not run, and the response closes the connection.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,11 +71,11 @@
 	frozen    func(now time.Time) bool
 	lookupTTL time.Duration // how long callers may cache the response to a look-up
 
-	snapshot atomic.Pointer[snapshot]
-	flows    *flows
-	links    *links
-	budget   budget
-	draining atomic.Bool
+	snapshot  atomic.Pointer[snapshot]
+	flows     *flows
+	links     *links
+	budget    budget
+	admission admission
 
 	mu    sync.Mutex // guards table, view and the replacement of snapshot
 	table *steering.Table
@@ -148,9 +148,17 @@
 	})
 }
 
-// Leave makes every response from now on close its connection, so that callers connect to
-// another instance. It is called when a planned stop begins.
-func (e *Entry) Leave() { e.draining.Store(true) }
+// Leave begins a planned stop and returns its end: the given time, or the latest deadline of the
+// requests in flight if that is later. From now on every response closes its connection, so that
+// callers connect to another instance, and a request whose deadline is after the end is rejected.
+func (e *Entry) Leave(end time.Time) time.Time { return e.admission.leave(end) }
+
+// closeIfLeaving makes a response close its connection if a planned stop has begun.
+func (e *Entry) closeIfLeaving(h http.Header) {
+	if e.admission.leaving() {
+		h.Set("Connection", "close")
+	}
+}
 
 // Run moves traffic between regions, step by step, until the context is done.
 func (e *Entry) Run(ctx context.Context) error {
@@ -249,9 +257,7 @@
 		h.Set(upstream.HeaderRequestID, id)
 	}
 	setRetryAfter(h, f.RetryAt(), time.Now())
-	if e.draining.Load() {
-		h.Set("Connection", "close")
-	}
+	e.closeIfLeaving(h)
 	event.RequestFailed.Log(c.Request().Context(), e.log, slog.String("id", id), slog.String("error", err.Error()))
 	metrics.GetOrCreateCounter(`hickorydrum_failures_total{kind="` + string(f.Kind()) + `",ran="` + string(f.Execution()) + `"}`).Inc()
 	return c.JSON(f.Status(), failure{Kind: f.Kind(), Text: f.Text(), Remedy: f.Remedy(), Executed: f.Execution(), ID: id})
--- a/entry/request.go
+++ b/entry/request.go
@@ -49,8 +49,12 @@
 	if err != nil {
 		return e.fail(c, id, err)
 	}
+	deadline := start.Add(limit)
+	if err := e.admission.admit(deadline); err != nil {
+		return e.fail(c, id, err)
+	}
 	x := &exchange{
-		entry: e, snapshot: s, service: service, id: id, deadline: start.Add(limit),
+		entry: e, snapshot: s, service: service, id: id, deadline: deadline,
 		body: newCallerBody(c.Response().Writer, r),
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
@@ -103,7 +107,7 @@
 	x.response = &callerResponse{
 		w: w, rc: http.NewResponseController(w), id: x.id,
 		bodyless:        r.Method == http.MethodHead,
-		closeConnection: x.entry.draining.Load(),
+		closeConnection: x.entry.admission.leaving(),
 	}
 	req, err := x.newRequest(r)
 	if err != nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -49,11 +49,14 @@
 	propagationMargin = 500 * time.Millisecond
 	stopStepTimeout   = 3 * time.Second
 	stopPoll          = 20 * time.Millisecond
-	// stopSlack is added to the longest time limit of a service to get how long a planned
-	// stop waits for the requests in flight.
-	stopSlack    = 5 * time.Second
-	seedInterval = 300 * time.Millisecond
-	seedAttempts = 10
+	// arrivalMargin is how long after the expiry of the look-up responses that name an instance
+	// requests may still arrive there.
+	arrivalMargin = time.Second
+	// responseMargin is the time from the latest deadline of a request to the end of a planned stop,
+	// for its response to be written.
+	responseMargin = 2 * time.Second
+	seedInterval   = 300 * time.Millisecond
+	seedAttempts   = 10
 )
 
 // Instance is one instance of hickorydrum: listeners for callers, peers and operators, and
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -14,36 +14,37 @@
 // until look-up responses that name it have expired, finish the requests in flight, and
 // announce that it is gone.
 func (i *Instance) stopSteps() []shutdown.Step {
-	var leaveTime time.Time
-	requestDeadline := func() time.Time {
-		limit := stopSlack
-		if set := i.state.Set(); set != nil {
-			for _, s := range set.Services() {
-				limit = max(limit, s.Timeout()+stopSlack)
-			}
-		}
-		return time.Now().Add(limit)
-	}
+	var expiry, end time.Time
+	stopEnd := func() time.Time { return end }
 	return []shutdown.Step{
 		shutdown.NewStep("leave", func(ctx context.Context) error {
-			leaveTime = time.Now()
-			i.entry.Leave()
+			expiry = time.Now().Add(i.settings.Duration("lookup-life") + propagationMargin)
+			end = i.entry.Leave(expiry.Add(arrivalMargin + i.longestLimit())).Add(responseMargin)
 			i.roster.SetSelf(roster.Leaving)
 			return i.publish(ctx, roster.Leaving)
 		}),
-		shutdown.WaitUntil("expire", func() time.Time {
-			return leaveTime.Add(i.settings.Duration("lookup-life") + propagationMargin)
-		}),
+		shutdown.WaitUntil("expire", func() time.Time { return expiry }),
 		shutdown.NewStep("finish callers", func(ctx context.Context) error {
-			ctx, cancel := context.WithDeadline(ctx, requestDeadline())
+			ctx, cancel := context.WithDeadline(ctx, end)
 			defer cancel()
 			return i.callers.http.Shutdown(ctx)
 		}),
-		shutdown.WaitFor("finish upstreams", stopPoll, requestDeadline, func() bool { return i.pool.InFlight() == 0 }),
+		shutdown.WaitFor("finish upstreams", stopPoll, stopEnd, func() bool { return i.pool.InFlight() == 0 }),
 		shutdown.NewStep("depart", func(ctx context.Context) error { return i.publish(ctx, roster.Gone) }),
 	}
 }
 
+// longestLimit returns the longest time limit of a declared service.
+func (i *Instance) longestLimit() time.Duration {
+	longest := time.Duration(0)
+	if set := i.state.Set(); set != nil {
+		for _, s := range set.Services() {
+			longest = max(longest, s.Timeout())
+		}
+	}
+	return longest
+}
+
 // publish sends this instance's state to the platform and to peers, and waits for both.
 func (i *Instance) publish(ctx context.Context, state roster.State) error {
 	ctx, cancel := context.WithTimeout(ctx, stopStepTimeout)
