entry: every response from the begin of a planned stop closes its connection

Cause: whether a response closes its connection was decided when its request arrived, and never for look-ups. A caller with a request in flight at SIGTERM, or one that looked something up, stayed on its connection until the stop closed it, and could cross that with its next request.

It is now decided as the head of the response is sent, for look-ups too. TestLeave fails before (look-up, request in flight) and passes now; tests of entry pass with -race.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -89,19 +89,19 @@
 // callerResponse writes the response to one request to its caller. It is the
 // dispatch.Sink of the request.
 type callerResponse struct {
-	w               http.ResponseWriter
-	rc              *http.ResponseController
-	id              string
-	closeConnection bool // ask the caller to close the connection after the response
-	bodyless        bool // responses to the request's method have no body
-	wroteHead       bool
-	status          int
-	header          http.Header
-	length          int64 // of the body, in bytes; below zero if it is unknown or not sent
-	written         int64 // bytes of the body so far
-	store           bool  // store the body for repeated requests with the same idempotency key
-	callerGone      bool  // a write to the caller failed; the rest of the body is only stored
-	stored          []byte
+	w             http.ResponseWriter
+	rc            *http.ResponseController
+	id            string
+	setConnection func(http.Header) // is called with the header of the response before it is sent
+	bodyless      bool              // responses to the request's method have no body
+	wroteHead     bool
+	status        int
+	header        http.Header
+	length        int64 // of the body, in bytes; below zero if it is unknown or not sent
+	written       int64 // bytes of the body so far
+	store         bool  // store the body for repeated requests with the same idempotency key
+	callerGone    bool  // a write to the caller failed; the rest of the body is only stored
+	stored        []byte
 }
 
 // Head writes the head of the upstream's response to the caller.
@@ -122,9 +122,7 @@
 	if h.Length >= 0 {
 		out.Set("Content-Length", strconv.FormatInt(h.Length, 10))
 	}
-	if r.closeConnection {
-		out.Set("Connection", "close")
-	}
+	r.setConnection(out)
 	r.w.WriteHeader(h.Status)
 	return nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -229,6 +229,7 @@
 	}
 	h := c.Response().Header()
 	h.Set("Cache-Control", "max-age="+strconv.Itoa(int(e.lookupTTL.Seconds())))
+	e.closeIfLeaving(h)
 	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, body)
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +16,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"hickorydrum/declaration"
+	"hickorydrum/dispatch"
+	"hickorydrum/fault"
 	"hickorydrum/roster"
 	"hickorydrum/steering"
 	"hickorydrum/upstream"
@@ -293,3 +297,79 @@
 		}
 	})
 }
+
+// stubUpstreams serves every request after it calls a function.
+type stubUpstreams struct{ before func() }
+
+func (s stubUpstreams) Serve(_ context.Context, _ *upstream.Request, _ io.ReadCloser, sink dispatch.Sink) error {
+	s.before()
+	return sink.Head(dispatch.Head{Status: http.StatusOK, Header: make(http.Header)})
+}
+
+func (stubUpstreams) Utilization(string, string, time.Time) float64 { return 0 }
+
+// TestLeave guards against callers that stay on their connections during a planned stop, and against
+// requests that the rest of it has no time for: 2 s, the limit of the service.
+func TestLeave(t *testing.T) {
+	enough := time.Now().Add(time.Minute)
+	tests := map[string]struct {
+		path          string
+		before, while time.Time // end of the stop that begins before the request, or while it is in flight
+		status        int
+		closed        bool
+	}{
+		"no stop":                              {path: "/list", status: http.StatusOK},
+		"look-up":                              {path: LookupPath, before: enough, status: http.StatusOK, closed: true},
+		"request":                              {path: "/list", before: enough, status: http.StatusOK, closed: true},
+		"request in flight as the stop begins": {path: "/list", while: enough, status: http.StatusOK, closed: true},
+		"no time left":                         {path: "/list", before: time.Now().Add(time.Second), status: http.StatusServiceUnavailable, closed: true},
+		"unknown path":                         {path: "/other", before: enough, status: http.StatusNotFound, closed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			self := testMember("a1", "one", "a", roster.Live)
+			var e *Entry
+			leave := func(end time.Time) {
+				if !end.IsZero() {
+					e.Leave(end)
+				}
+			}
+			up := stubUpstreams{before: func() { leave(test.while) }}
+			e = New(func() roster.Member { return self }, up, nil, slog.New(slog.DiscardHandler))
+			e.SetTable(testTable(t, ""))
+			e.SetView(testView(self))
+			leave(test.before)
+			w := httptest.NewRecorder()
+			r := httptest.NewRequest(http.MethodGet, test.path, nil)
+			e.Handler().ServeHTTP(w, r)
+			got := []any{w.Code, w.Header().Get("Connection") == "close"}
+			if diff := cmp.Diff([]any{test.status, test.closed}, got); diff != "" {
+				t.Error(diff)
+			}
+			if w.Code == http.StatusServiceUnavailable && w.Header().Get(upstream.HeaderRan) != string(fault.NotExecuted) {
+				t.Errorf("ran %q, want no", w.Header().Get(upstream.HeaderRan))
+			}
+		})
+	}
+}
+
+// TestAdmissionEnd checks that a planned stop ends no earlier than the latest deadline of the requests
+// in flight.
+func TestAdmissionEnd(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct{ deadline, end, want time.Time }{
+		"nothing in flight": {end: now.Add(time.Second), want: now.Add(time.Second)},
+		"short requests":    {deadline: now.Add(time.Second), end: now.Add(time.Minute), want: now.Add(time.Minute)},
+		"a long request":    {deadline: now.Add(time.Minute), end: now.Add(time.Second), want: now.Add(time.Minute)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a admission
+			if err := a.admit(test.deadline); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(test.want, a.leave(test.end)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -106,8 +106,8 @@
 	w := c.Response().Writer
 	x.response = &callerResponse{
 		w: w, rc: http.NewResponseController(w), id: x.id,
-		bodyless:        r.Method == http.MethodHead,
-		closeConnection: x.entry.admission.leaving(),
+		bodyless:      r.Method == http.MethodHead,
+		setConnection: x.entry.closeIfLeaving,
 	}
 	req, err := x.newRequest(r)
 	if err != nil {
