--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -373,3 +373,45 @@
 		})
 	}
 }
+
+// failingUpstreams fails the sends of a request one after the other with the given faults.
+type failingUpstreams struct{ faults []*fault.Error }
+
+func (f *failingUpstreams) Serve(_ context.Context, req *upstream.Request, _ io.ReadCloser, _ dispatch.Sink) error {
+	req.Tried[fmt.Sprint(len(f.faults))] = true
+	err := f.faults[0]
+	f.faults = f.faults[1:]
+	return err
+}
+
+func (*failingUpstreams) Utilization(string, string, time.Time) float64 { return 0 }
+
+// TestRefusalIsTrue guards against a response which says that a request was not run after an earlier send
+// of it may have been run.
+func TestRefusalIsTrue(t *testing.T) {
+	cut := fault.New(fault.Corrupt, "cut", "", fault.WithExecution(fault.MaybeExecuted))
+	leaves := fault.New(fault.Unavailable, "leaves", "")
+	denied := fault.New(fault.Invalid, "refused", "")
+	for name, test := range map[string]struct {
+		faults []*fault.Error
+		want   fault.Execution
+	}{
+		"refused":                   {[]*fault.Error{denied}, fault.NotExecuted},
+		"refused twice":             {[]*fault.Error{leaves, denied}, fault.NotExecuted},
+		"cut":                       {[]*fault.Error{cut, cut, cut}, fault.MaybeExecuted},
+		"cut, then refused":         {[]*fault.Error{cut, denied}, fault.MaybeExecuted},
+		"cut, then refused, thrice": {[]*fault.Error{cut, leaves, denied}, fault.MaybeExecuted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			self := testMember("a1", "one", "a", roster.Live)
+			e := New(func() roster.Member { return self }, &failingUpstreams{test.faults}, nil, slog.New(slog.DiscardHandler))
+			e.SetTable(testTable(t, ""))
+			e.SetView(testView(self))
+			w := httptest.NewRecorder()
+			e.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/list", nil))
+			if diff := cmp.Diff(string(test.want), w.Header().Get(upstream.HeaderRan)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
