fault, entry, upstream: a refusal does not hide an earlier send

What callers saw: "Ran: no", though the first upstream may have run the request before its connection ended. Cause: of several sends, one after the other or hedged, only the error of the last one was returned. A fault now counts the earlier one: after a send that may have been executed, the request may have been. Requests that are not idempotent are never sent again after that, so their keys are not touched.

--- a/entry/request.go
+++ b/entry/request.go
@@ -242,10 +242,10 @@
 		if err != nil && last != nil && len(req.Tried) == triedBefore {
 			return last // the last attempt found no further upstream
 		}
-		last = err
+		last = fault.After(last, err)
 		x.recordReachability(ctx, p, err)
 		if err == nil || !x.mayRetry(ctx, req, err) {
-			return err
+			return last
 		}
 		retries.Inc()
 	}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -168,6 +168,17 @@
 	return errors.As(err, &e) && e.execution == NotExecuted
 }
 
+// After returns err as the error of a request that was sent before and ended with the earlier error:
+// if the earlier send may have been executed, the request may have been.
+func After(earlier, err error) error {
+	if earlier == nil || IsNotExecuted(earlier) || !IsNotExecuted(err) {
+		return err
+	}
+	e := *From(err)
+	e.execution = MaybeExecuted
+	return &e
+}
+
 var statusByKind = map[Kind]int{
 	Invalid:     http.StatusBadRequest,
 	Missing:     http.StatusNotFound,
--- a/upstream/serve.go
+++ b/upstream/serve.go
@@ -78,7 +78,7 @@
 	if !sent || race.won(first) {
 		return err
 	}
-	return secondErr
+	return fault.After(err, secondErr)
 }
 
 // hedgeSlot returns a slot for the second attempt, or nil if the first one has received the head
