server: give up a connection only while no request is on it

What callers saw: on a connection kept since before a planned stop, the response never came, though an upstream ran the request. Cause: a connection was listed as idle until the HTTP server had parsed the head of the next request, and the listed ones were closed without asking. The handler then ran a request whose caller was cut off.

A connection now changes its state at the read of the first byte and at the start of the handling, each by one atomic step, and it is given up only by a step from idle. If the read comes first, the connection stays; if the giving up comes first, the bytes are dropped and the handler does not begin. A connection whose bytes the kernel has already is not given up either. The idle timeout of callers uses the same step, and a shorter timeout holds from a connection's next idle time on.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -199,7 +199,7 @@
 		return
 	}
 	i.planner.SetTable(table)
-	i.servers.setIdle(table.Limits().IdleTimeout)
+	i.servers.front.SetIdle(table.Limits().IdleTimeout)
 	versionInForce.Set(float64(table.Version()))
 	event.RevisionApplied.Log(context.Background(), i.log, slog.Uint64("version", table.Version()),
 		slog.Uint64("revision", o.Version), slog.Int("routes", table.Len()))
@@ -338,5 +338,5 @@
 // closeIdle closes callers' connections that have been idle for too long, every
 // idleCheckInterval until the context is done.
 func (i *Instance) closeIdle(ctx context.Context) error {
-	return interval.Each(ctx, idleCheckInterval, i.servers.closeIdle)
+	return interval.Each(ctx, idleCheckInterval, i.servers.front.CloseIdle)
 }
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -1,12 +1,10 @@
 package hosted
 
 import (
-	"cmp"
 	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,9 +21,6 @@
 	// acceptedTimeout is the TCP user timeout of the connections that all servers accept: one
 	// whose sent bytes are not acknowledged for so long is closed.
 	acceptedTimeout = 5 * time.Second
-	// defaultIdle is how long callers may leave a connection idle if the configuration sets no
-	// time.
-	defaultIdle = 30 * time.Second
 	// lookupTTL is the longest time for which callers may cache the response to a look-up. It is
 	// short, so that few of them still connect to an instance when its planned stop ends.
 	lookupTTL = 1500 * time.Millisecond
@@ -36,15 +31,11 @@
 // servers are the HTTP servers of an instance.
 type servers struct {
 	front, ready, directory, control *server.Server // for callers, readiness checks, look-ups, and other instances
-
-	mu   sync.Mutex
-	idle time.Duration // how long callers may leave a connection idle
 }
 
 // listen opens the listeners of all servers. If one fails, it closes those that it opened.
 func (i *Instance) listen() error {
 	s := &i.servers
-	s.idle = defaultIdle
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -79,21 +70,6 @@
 	}
 }
 
-// setIdle sets how long callers may leave a connection idle.
-func (s *servers) setIdle(idle time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.idle = cmp.Or(idle, defaultIdle)
-}
-
-// closeIdle closes the connections that have been idle for too long.
-func (s *servers) closeIdle(now time.Time) {
-	s.mu.Lock()
-	idle := s.idle
-	s.mu.Unlock()
-	s.front.CloseIdle(now, idle)
-}
-
 // stopAccepting closes the callers' listener and their idle connections.
 func (s *servers) stopAccepting() { _ = s.front.StopAccepting() }
 
--- a/server/conn.go
+++ b/server/conn.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hickorydrum/event"
+	"hickorydrum/socket"
 )
 
 // state says whether a request is under way on a connection.
@@ -30,10 +31,9 @@
 type reason string
 
 const (
-	closedIdle  reason = "closed-as-idle" // the connection was taken for an idle one
-	closedAtEnd reason = "stopped"        // the server was closed
-	callerLeft  reason = "caller-left"    // the caller closed its connection before, or doesn't read
-	aborted     reason = "aborted"        // the handler gave up, such as when an upstream broke off
+	closedAtEnd reason = "stopped"     // the server was closed
+	callerLeft  reason = "caller-left" // the caller closed its connection before, or doesn't read
+	aborted     reason = "aborted"     // the handler gave up, such as when an upstream broke off
 )
 
 // conn is one connection of a client.
@@ -45,7 +45,8 @@
 	left    atomic.Bool // the client closed the connection, or a write to it failed
 
 	mu        sync.Mutex
-	idleSince time.Time // when the connection was last listed as idle, zero if it isn't
+	idleSince time.Time // when the connection became idle
+	idleUntil time.Time // until when it may stay idle, by the idle time that was set when it became idle
 	id        string    // of the request under way
 	begun     time.Time // when that request was read
 	reason    reason    // why this process ends the connection
@@ -53,11 +54,11 @@
 
 func (c *conn) load() state { return state(c.state.Load()) }
 
-// Read reads from the connection.
+// Read reads from the connection. Bytes that arrive on a connection that was given up are dropped.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.state.CompareAndSwap(int32(idle), int32(reading))
+	if n > 0 && !c.startReading() {
+		return 0, net.ErrClosed
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		c.left.Store(true)
@@ -74,13 +75,29 @@
 	return n, err
 }
 
-// begin marks the start of the handling of a request.
-func (c *conn) begin() {
-	c.state.Store(int32(serving))
+// startReading marks the read of a part of a request. It reports false if the connection is closed.
+func (c *conn) startReading() bool {
+	return c.state.CompareAndSwap(int32(idle), int32(reading)) || c.load() != closed
+}
+
+// begin marks the start of the handling of a request. It reports false if the connection is
+// closed: the request must not be handled then. The state is still idle if the request was read
+// together with the one before it.
+func (c *conn) begin() bool {
 	c.handled.Store(false)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.id, c.begun = "", time.Now()
+	c.mu.Unlock()
+	return c.state.CompareAndSwap(int32(reading), int32(serving)) || c.state.CompareAndSwap(int32(idle), int32(serving))
+}
+
+// giveUp closes the connection if it is idle. A request that arrives meanwhile is never handled.
+func (c *conn) giveUp() {
+	if socket.Unread(c.Conn) || !c.state.CompareAndSwap(int32(idle), int32(closed)) {
+		return
+	}
+	c.server.remove(c)
+	_ = c.Conn.Close() // nothing is left to be sent
 }
 
 // setID sets the ID of the request under way.
@@ -99,17 +116,12 @@
 	}
 }
 
-// listedIdle returns since when the connection is listed as idle, if it is.
-func (c *conn) listedIdle() (since time.Time, ok bool) {
+// idleTimes returns since when the connection is idle, if it is, and until when it is kept at
+// least.
+func (c *conn) idleTimes() (since, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleSince, !c.idleSince.IsZero()
-}
-
-// end closes the connection for a reason.
-func (c *conn) end(r reason) error {
-	c.setReason(r)
-	return c.Close()
+	return c.idleSince, c.idleUntil
 }
 
 // Close closes the connection.
@@ -156,19 +168,17 @@
 // after the response was written.
 func setState(raw net.Conn, s http.ConnState) {
 	c := raw.(*conn)
-	switch s {
-	case http.StateIdle:
+	if s == http.StateIdle {
+		c.setIdle(time.Now(), c.server.idleTime())
 		c.state.CompareAndSwap(int32(serving), int32(idle))
-		c.setIdleSince(time.Now())
-	case http.StateActive:
-		c.setIdleSince(time.Time{})
 	}
 }
 
-func (c *conn) setIdleSince(at time.Time) {
+// setIdle sets that the connection is idle from now on, and may stay so for the given time.
+func (c *conn) setIdle(now time.Time, longest time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince = at
+	c.idleSince, c.idleUntil = now, now.Add(longest)
 }
 
 // connKey is the key of a request's connection in its context.
--- a/server/server.go
+++ b/server/server.go
@@ -4,6 +4,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -20,6 +21,7 @@
 const (
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
+	defaultIdle    = 30 * time.Second
 )
 
 // Server serves HTTP/1.1 on one listener.
@@ -31,6 +33,7 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{} // the connections that are open
+	idle  time.Duration      // how long clients may leave a connection idle
 }
 
 // Listen opens a listener and returns a server that isn't serving yet. Bytes that a client does
@@ -47,7 +50,7 @@
 
 // New returns a server on a listener, which it closes.
 func New(listener net.Listener, handler http.Handler, log *slog.Logger) *Server {
-	s := &Server{listener: listener, handler: handler, log: log, conns: make(map[*conn]struct{})}
+	s := &Server{listener: listener, handler: handler, log: log, conns: make(map[*conn]struct{}), idle: defaultIdle}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveRequest), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ConnState: setState, ConnContext: withConn,
@@ -83,6 +86,7 @@
 	c := &conn{Conn: raw, server: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.setIdle(time.Now(), s.idle)
 	s.conns[c] = struct{}{}
 	return c
 }
@@ -133,16 +137,33 @@
 // serveRequest handles one request.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	c := connOf(r.Context())
-	c.begin()
+	if !c.begin() {
+		panic(http.ErrAbortHandler) // the caller sees its connection end, and the request is not run
+	}
 	s.handler.ServeHTTP(w, r)
 	c.handled.Store(true)
 }
 
-// CloseIdle closes the connections that have been idle for longer than the given time.
-func (s *Server) CloseIdle(now time.Time, longest time.Duration) {
+// SetIdle sets how long clients may leave a connection idle, defaultIdle if it is 0. Connections that are idle already
+// are kept for the longer of the old and the new time.
+func (s *Server) SetIdle(longest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = cmp.Or(longest, defaultIdle)
+}
+
+func (s *Server) idleTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.idle
+}
+
+// CloseIdle closes the connections that have been idle for too long.
+func (s *Server) CloseIdle(now time.Time) {
+	longest := s.idleTime()
 	for _, c := range s.all() {
-		if since, ok := c.listedIdle(); ok && now.Sub(since) > longest {
-			_ = c.end(closedIdle) // it has no request; nothing is left to do about the error
+		if since, until := c.idleTimes(); now.After(until) && now.Sub(since) > longest {
+			c.giveUp()
 		}
 	}
 }
@@ -151,9 +172,7 @@
 func (s *Server) StopAccepting() error {
 	err := s.listener.Close()
 	for _, c := range s.all() {
-		if _, ok := c.listedIdle(); ok {
-			_ = c.end(closedIdle) // it has no request; nothing is left to do about the error
-		}
+		c.giveUp()
 	}
 	return err
 }
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,79 @@
+package server
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// hookedConn is a connection whose Read calls a function after bytes were read.
+type hookedConn struct {
+	net.Conn
+	afterRead func()
+}
+
+func (c *hookedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.afterRead()
+	return n, err
+}
+
+// newTestConn returns a tracked connection on which a byte of a request has been sent.
+func newTestConn(t *testing.T, afterRead func(*conn)) *conn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(listener, http.NotFoundHandler(), slog.New(slog.DiscardHandler))
+	t.Cleanup(func() { _ = s.Close() })
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	raw, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	hooked := &hookedConn{Conn: raw}
+	c := s.add(hooked)
+	hooked.afterRead = func() { afterRead(c) }
+	if _, err := client.Write([]byte("G")); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestGiveUpCrossesRequest guards against a request that is handled on a connection that was closed as
+// an idle one.
+func TestGiveUpCrossesRequest(t *testing.T) {
+	for name, one := range map[string]struct {
+		afterRead func(*conn)
+		handled   bool
+	}{
+		"given up between the read and its handling": {afterRead: (*conn).giveUp},
+		"read, then not given up":                    {afterRead: func(*conn) {}, handled: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestConn(t, one.afterRead)
+			_, err := c.Read(make([]byte, 1))
+			c.giveUp()
+			if read, handled := err == nil, c.begin(); read != one.handled || handled != one.handled {
+				t.Errorf("read %v, handled %v, want %v", read, handled, one.handled)
+			}
+		})
+	}
+}
+
+// TestGiveUpWithUnreadBytes guards against a close of a connection whose next request has already
+// arrived.
+func TestGiveUpWithUnreadBytes(t *testing.T) {
+	c := newTestConn(t, func(*conn) {})
+	c.Conn = c.Conn.(*hookedConn).Conn // a socket, which the kernel can be asked about
+	c.giveUp()
+	if c.load() != idle {
+		t.Error("given up with unread bytes")
+	}
+}
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -1,8 +1,10 @@
-// Package socket sets socket options for which package net has no field.
+// Package socket sets socket options for which package net has no field, and asks the kernel
+// about sockets.
 package socket
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -24,3 +26,26 @@
 		return errors.Join(err, optionErr)
 	}
 }
+
+// Unread reports whether the kernel has received bytes on the connection that were not read yet.
+// It reports false if the kernel cannot be asked.
+func Unread(c net.Conn) bool { return queued(c, unix.SIOCINQ) }
+
+// queued reports whether a queue of the connection's socket holds bytes.
+func queued(c net.Conn, request uint) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, ioctlErr := unix.IoctlGetInt(int(fd), request); ioctlErr == nil {
+			count = n
+		}
+	})
+	return err == nil && count > 0
+}
