ingress: reject what the rest of a planned stop has no time for

What callers saw: a request sent late in a planned stop, on a kept or a new connection, reached an upstream and ended with a closed connection. Cause: until 1.7 s before the end of the grace period every request was sent on, whatever its deadline, and 0.3 s before the end whatever still ran was cut.

The planned stop now has an end that ingress knows. A request whose deadline is later is rejected before its body is read and before each send: 503, not run, Retry-After 0, and the response closes the connection. 0.2 s are kept for responses that come at the deadline.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -38,7 +38,10 @@
 	// During a planned stop, no more connections are accepted from acceptMargin before the end
 	// of the grace period. From then on the stop ends as soon as no request is in flight, at
 	// the latest stopMargin before the end of the grace period.
-	stopMargin   = 300 * time.Millisecond
+	stopMargin = 300 * time.Millisecond
+	// answerMargin is the time from the latest deadline of a request that is still sent to an
+	// upstream to the end of the stop, for its response to be written.
+	answerMargin = 200 * time.Millisecond
 	acceptMargin = 1700 * time.Millisecond
 	// stopPoll is how often a planned stop checks whether requests are still in flight.
 	stopPoll = 50 * time.Millisecond
@@ -160,7 +163,7 @@
 	started := time.Now()
 	grace := i.settings.Bounds.Grace
 	event.StopBegun.Log(context.Background(), i.log, slog.Int64("in_flight", i.ingress.InFlight()))
-	i.ingress.Leave()
+	i.ingress.Leave(started.Add(grace - stopMargin - answerMargin))
 	i.mesh.Leave()
 	time.Sleep(time.Until(started.Add(grace - acceptMargin)))
 	i.servers.stopAccepting()
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -96,7 +96,7 @@
 	}
 	x.planReq.Route = match
 	x.planReq.Deadline = x.deadline()
-	if !x.readBody() {
+	if x.refuseLate() || !x.readBody() {
 		return
 	}
 	x.planReq.Object, x.planReq.Sticky = x.affinityHash()
@@ -118,6 +118,16 @@
 	return limit
 }
 
+// refuseLate refuses a request that may take longer than the rest of a planned stop, before it is
+// sent to an upstream or sent again. It reports whether it did.
+func (x *exchange) refuseLate() bool {
+	if !x.ingress.endsBefore(x.planReq.Deadline) {
+		return false
+	}
+	x.refuse("the instance stops before the request's deadline")
+	return true
+}
+
 // affinityHash returns the hash of the request's affinity key. Without a key, or on a route
 // that isn't sticky, the hash is random, which spreads the requests over the upstreams.
 func (x *exchange) affinityHash() (hash uint64, sticky bool) {
@@ -179,6 +189,9 @@
 			x.result = result{outcome: "caller-gone", detail: "the caller left"}
 			panic(http.ErrAbortHandler)
 		}
+		if x.refuseLate() {
+			return
+		}
 		now := time.Now()
 		if !x.choose(now) {
 			x.refuse("no upstream can serve it: " + string(x.choice.Reason))
@@ -368,9 +381,13 @@
 	x.fail(http.StatusServiceUnavailable, "refused", detail)
 }
 
-// retryAfter returns how long the caller of a refused request should wait. If a limit of
+// retryAfter returns how long the caller of a refused request should wait. If a planned stop
+// leaves no time for the request, it need not wait. If a limit of
 // upstreams kept the request from them, that is until this instance has room for it.
 func (x *exchange) retryAfter(now time.Time) time.Duration {
+	if x.ingress.endsBefore(x.planReq.Deadline) {
+		return 0 // another instance has the time for it
+	}
 	if x.choice.Reason == placement.ReasonLimited {
 		if at, ok := x.ingress.planner.RetryAt(&x.planReq, now); ok {
 			return max(minRetryAfter, at.Sub(now))
@@ -383,7 +400,7 @@
 // fail answers the request with an error of this instance, with the detail as the body.
 func (x *exchange) fail(status int, outcome, detail string) {
 	x.result = result{status: status, outcome: outcome, detail: detail}
-	if x.ingress.draining.Load() {
+	if x.ingress.leaving() {
 		x.w.Header().Set("Connection", "close")
 	}
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -20,7 +21,7 @@
 	limiter *logLimiter
 	// limitLines bounds the lines about limits of upstreams.
 	limitLines lineCounter
-	draining   atomic.Bool
+	end        atomic.Pointer[time.Time] // of the planned stop, nil before it begins
 	inFlight   atomic.Int64
 }
 
@@ -32,12 +33,22 @@
 // Ready reports whether requests can be served: a configuration and a view of the upstreams
 // are in force and Leave was not called.
 func (g *Ingress) Ready() bool {
-	return g.planner.Table() != nil && g.planner.View() != nil && !g.draining.Load()
+	return g.planner.Table() != nil && g.planner.View() != nil && !g.leaving()
 }
 
-// Leave starts the planned stop: every further response closes its connection, and Ready returns
-// false.
-func (g *Ingress) Leave() { g.draining.Store(true) }
+// Leave starts the planned stop, which ends at the given time: every further response closes its
+// connection, a request whose deadline is after the end is sent to no upstream any more, and
+// Ready returns false.
+func (g *Ingress) Leave(end time.Time) { g.end.Store(&end) }
+
+// leaving reports whether a planned stop has begun.
+func (g *Ingress) leaving() bool { return g.end.Load() != nil }
+
+// endsBefore reports whether a planned stop has begun that ends before the given time.
+func (g *Ingress) endsBefore(deadline time.Time) bool {
+	end := g.end.Load()
+	return end != nil && deadline.After(*end)
+}
 
 // InFlight returns the number of requests that are being served.
 func (g *Ingress) InFlight() int64 { return g.inFlight.Load() }
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -74,7 +74,7 @@
 	if length >= 0 {
 		out.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	if x.ingress.draining.Load() {
+	if x.ingress.leaving() {
 		out.Set("Connection", "close")
 	}
 	x.w.WriteHeader(status)
