--- a/restart/caller_test.go
+++ b/restart/caller_test.go
@@ -37,11 +37,16 @@
 type counts struct {
 	sent, served, rejected, failed, closedUnread, lost int
 	untrue                                             int // rejected as not run, but run
+	late                                               int // closed unread, later than lossSlack after the last byte was sent
 }
 
+// lossSlack is how long after its last byte was sent a request may be closed unread at the latest: it
+// crossed the close then.
+const lossSlack = 200 * time.Millisecond
+
 func (c counts) String() string {
-	return fmt.Sprintf("sent %d, served %d, rejected %d, failed %d, closed unread %d, lost %d, untrue %d",
-		c.sent, c.served, c.rejected, c.failed, c.closedUnread, c.lost, c.untrue)
+	return fmt.Sprintf("sent %d, served %d, rejected %d, failed %d, closed unread %d, late %d, lost %d, untrue %d",
+		c.sent, c.served, c.rejected, c.failed, c.closedUnread, c.late, c.lost, c.untrue)
 }
 
 // journal collects the attempts of all callers. It is safe for concurrent use.
@@ -79,6 +84,9 @@
 			lost = append(lost, a)
 		default:
 			c.closedUnread++
+			if a.complete && a.ended.Sub(a.sent) > lossSlack {
+				c.late++
+			}
 		}
 	}
 	return c, lost
@@ -95,12 +103,15 @@
 	fresh   bool // use a connection for one request only
 	// wait returns when the caller is to send its request number n.
 	wait func(r *rand.Rand, n int)
+	// waitToOpen returns when the caller is to open the connection for that request.
+	waitToOpen func(n int)
 }
 
 // run sends requests until the address refuses a connection, or until the end.
 func (c *caller) run(j *journal, seed uint64, end time.Time) {
 	r := rand.New(rand.NewPCG(seed, 0))
 	for n := 0; time.Now().Before(end); {
+		c.waitToOpen(n)
 		conn, err := net.DialTimeout("tcp", c.address, time.Second)
 		if err != nil {
 			return
--- a/restart/deployment_test.go
+++ b/restart/deployment_test.go
@@ -185,6 +185,7 @@
 		t.Fatal(err)
 	}
 	p.command = exec.Command(binary, "host", "-node-file", file)
+	p.command.Env = append(os.Environ(), "GOMAXPROCS=1")
 	p.command.Stdout, p.command.Stderr = out, out
 	if err := p.command.Start(); err != nil {
 		t.Fatal(err)
