hosted, server: end a planned stop by the state of its connections

What callers saw: requests that the kernel had, and nobody in the process knew, ended with a closed connection. Cause: the stop ended as soon as no handler ran. A handler runs only from the parsed head to its last write: a request that was not read yet, and a response that was not flushed, were not counted.

The stop now runs in steps that ask the connections: leave; wait until look-ups that name the instance have expired; accept until late users of look-ups are gone, or until nobody has come for 0.5 s and no connection is open; stop accepting; wait until no connection is open, and give up those that are idle for 0.5 s; at the last deadline that it serves, end the sends to upstreams, whose callers get a whole 502; close. Event 103 has the connections that each step found and left. Idle connections are thus closed seconds earlier than before, and the stop ends as soon as it can: the listener is closed 2 to 5 s after SIGTERM instead of 1.7 s before the end of the grace period, and never so late that the longest timeout does not fit.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -35,16 +35,6 @@
 	// dialSlack.
 	dialRoundTrips = 3
 	dialSlack      = 120 * time.Millisecond
-	// During a planned stop, no more connections are accepted from acceptMargin before the end
-	// of the grace period. From then on the stop ends as soon as no request is in flight, at
-	// the latest stopMargin before the end of the grace period.
-	stopMargin = 300 * time.Millisecond
-	// answerMargin is the time from the latest deadline of a request that is still sent to an
-	// upstream to the end of the stop, for its response to be written.
-	answerMargin = 200 * time.Millisecond
-	acceptMargin = 1700 * time.Millisecond
-	// stopPoll is how often a planned stop checks whether requests are still in flight.
-	stopPoll = 50 * time.Millisecond
 )
 
 var (
@@ -133,8 +123,7 @@
 		dispatch.WithDialTimes(func(took time.Duration) { i.tracker.ObserveDial(u.Domain, took) }))
 }
 
-// Run serves until the context stop is done, then stops without cutting off a request earlier
-// than stopMargin before the end of the grace period. Each value received from reload makes it
+// Run serves until the context stop is done, then performs a planned stop. Each value received from reload makes it
 // read the settings file again.
 func (i *Instance) Run(stop context.Context, reload <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -156,23 +145,6 @@
 	return errors.Join(err, i.group.Wait())
 }
 
-// stop performs a planned stop. It directs callers to other instances and goes on serving until
-// acceptMargin before the end of the grace period. From then on it accepts no connections, and
-// returns when no request is in flight, at the latest stopMargin before the end.
-func (i *Instance) stop() {
-	started := time.Now()
-	grace := i.settings.Bounds.Grace
-	event.StopBegun.Log(context.Background(), i.log, slog.Int64("in_flight", i.ingress.InFlight()))
-	i.ingress.Leave(started.Add(grace - stopMargin - answerMargin))
-	i.mesh.Leave()
-	time.Sleep(time.Until(started.Add(grace - acceptMargin)))
-	i.servers.stopAccepting()
-	for time.Until(started.Add(grace-stopMargin)) > 0 && i.ingress.InFlight() > 0 {
-		time.Sleep(stopPoll)
-	}
-	event.Stopped.Log(context.Background(), i.log, slog.Int64("in_flight", i.ingress.InFlight()))
-}
-
 // apply puts the current objects of a kind in the platform's store into force. It is called
 // after each change of them.
 func (i *Instance) apply(kind string) {
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -338,7 +338,7 @@
 				"Hickorydrum-Deadline-Remaining: 900\r\nContent-Length: 0\r\n\r\n", test.method, test.path)
 			c.await("the request at the worker", func() bool { return w.Runs("left") == 1 })
 			_ = conn.Close()
-			c.await("the end of the request", func() bool { return m.instance.ingress.InFlight() == 0 })
+			c.await("the end of the request", func() bool { return m.instance.servers.front.Counts().Serving == 0 })
 			c.await("the canceled run", func() bool { return w.Aborted() == test.canceledRuns })
 			if got := c.send(m, callerRequest{path: "/read/y", id: "next"}); got.Status != 200 {
 				t.Errorf("the next request: %d", got.Status)
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -70,9 +70,6 @@
 	}
 }
 
-// stopAccepting closes the callers' listener and their idle connections.
-func (s *servers) stopAccepting() { _ = s.front.StopAccepting() }
-
 // close closes all servers and their connections.
 func (s *servers) close() error {
 	var errs []error
--- a/hosted/servers_test.go
+++ b/hosted/servers_test.go
@@ -48,7 +48,9 @@
 		return nil
 	})
 	<-listener.accepting
-	s.stopAccepting()
+	if err := s.front.StopAccepting(); err != nil {
+		t.Error(err)
+	}
 	if err := s.close(); err != nil {
 		t.Error(err)
 	}
--- /dev/null
+++ b/hosted/stop.go
@@ -0,0 +1,95 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"time"
+
+	"hickorydrum/shutdown"
+)
+
+const (
+	// stopMargin is how long before the end of the grace period a planned stop ends at the latest.
+	stopMargin = 300 * time.Millisecond
+	// answerMargin is the time from the latest deadline of a request that is still sent to an
+	// upstream to the end of the stop, for its response to be written.
+	answerMargin = 200 * time.Millisecond
+	// propagationMargin is how long it takes until no instance names this one in look-ups any more.
+	propagationMargin = 500 * time.Millisecond
+	// lateLookups is how many times as long as they may some callers use the response to a look-up.
+	lateLookups = 3
+	// quietTime is how long no caller must have opened a connection for the stop to go on early, and how
+	// long a connection must have been idle to be closed.
+	quietTime = 500 * time.Millisecond
+	stopPoll  = 20 * time.Millisecond
+	// defaultTimeout is the longest time that a request may take if no configuration is in force.
+	defaultTimeout = time.Second
+)
+
+// stop performs a planned stop: it directs callers to other instances, serves them until the look-ups
+// that name this instance have expired, and then waits until no connection is open. Correctness does not
+// depend on its times: a connection is given up only while no request is on it, and a request whose
+// deadline is after the end of the stop is rejected.
+func (i *Instance) stop() {
+	shutdown.Stop(context.Background(), i.log, i.openConnections, i.stopSteps(time.Now())...)
+}
+
+func (i *Instance) openConnections() slog.LogValuer { return i.servers.front.Counts() }
+
+// stopSteps returns the steps of a planned stop that begins now.
+func (i *Instance) stopSteps(begun time.Time) []shutdown.Step {
+	end := begun.Add(i.settings.Bounds.Grace - stopMargin)
+	lastAnswer := end.Add(-answerMargin)
+	expired, lastAccept := i.acceptTimes(begun, lastAnswer)
+	front := i.servers.front
+	closed := func() bool { return front.Counts().Open() == 0 }
+	return []shutdown.Step{
+		shutdown.NewStep("leave", func(context.Context) error {
+			i.ingress.Leave(lastAnswer)
+			i.mesh.Leave()
+			return nil
+		}),
+		shutdown.WaitUntil("expire", func() time.Time { return expired }),
+		shutdown.WaitUntilOr("late look-ups", stopPoll, lastAccept, i.quiet),
+		shutdown.NewStep("stop accepting", func(context.Context) error { return front.StopAccepting() }),
+		shutdown.WaitUntilOr("finish callers", stopPoll, lastAnswer, func() bool {
+			front.GiveUpIdle(time.Now().Add(-quietTime))
+			return closed()
+		}),
+		shutdown.NewStep("cut", func(context.Context) error {
+			i.ingress.Cut()
+			front.GiveUpIdle(time.Now())
+			return nil
+		}),
+		shutdown.WaitUntilOr("last answers", stopPoll, end, closed),
+	}
+}
+
+// acceptTimes returns when the look-ups that name this instance have expired, and when the last
+// connection is accepted: when those of callers who use them for too long have expired as well, but no
+// later than a request with the longest timeout can be answered.
+func (i *Instance) acceptTimes(begun, lastAnswer time.Time) (expired, last time.Time) {
+	ttl := min(lookupTTL, i.settings.Bounds.LookupTTL)
+	longest := defaultTimeout
+	if t := i.planner.Table(); t != nil {
+		longest = cmp.Or(t.LongestTimeout(), longest)
+	}
+	expired = earlier(begun.Add(ttl+propagationMargin), lastAnswer)
+	last = earlier(begun.Add(lateLookups*ttl+propagationMargin), lastAnswer.Add(-longest))
+	return expired, last
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// quiet gives up idle connections and reports whether no connection is open and none was opened lately.
+func (i *Instance) quiet() bool {
+	front, now := i.servers.front, time.Now()
+	front.GiveUpIdle(now.Add(-quietTime))
+	return front.Counts().Open() == 0 && now.Sub(front.LastAccepted()) > quietTime
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -271,15 +271,21 @@
 	return done
 }
 
-// sendContext returns the context of a send, which ends at the deadline. An idempotent request
-// is also cancelled when its caller disconnects. Other requests are not: closing the connection
-// to the upstream would leave unknown whether the request was executed.
+// sendContext returns the context of a send, which ends at the deadline, or when a planned stop has no
+// time left for sends. An idempotent request is also cancelled when its caller disconnects. Other
+// requests are not: closing the connection to the upstream would leave unknown whether the request was
+// executed.
 func (x *exchange) sendContext() (context.Context, context.CancelFunc) {
 	ctx := x.r.Context()
 	if !x.planReq.Route.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithDeadline(ctx, x.planReq.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, x.planReq.Deadline)
+	stop := context.AfterFunc(x.ingress.sends, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 // request returns the request to the upstream, with the end-to-end headers of the caller's.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -22,12 +23,15 @@
 	// limitLines bounds the lines about limits of upstreams.
 	limitLines lineCounter
 	end        atomic.Pointer[time.Time] // of the planned stop, nil before it begins
-	inFlight   atomic.Int64
+	sends      context.Context           // done when sends to upstreams must end
+	cut        context.CancelFunc
 }
 
 // New returns a handler that sends requests to the upstreams that the planner chooses.
 func New(p *planner.Planner, log *slog.Logger) *Ingress {
-	return &Ingress{planner: p, log: log, limiter: newLogLimiter()}
+	g := &Ingress{planner: p, log: log, limiter: newLogLimiter()}
+	g.sends, g.cut = context.WithCancel(context.Background())
+	return g
 }
 
 // Ready reports whether requests can be served: a configuration and a view of the upstreams
@@ -50,8 +54,8 @@
 	return end != nil && deadline.After(*end)
 }
 
-// InFlight returns the number of requests that are being served.
-func (g *Ingress) InFlight() int64 { return g.inFlight.Load() }
+// Cut ends the sends to upstreams that are under way. Their callers get a 502.
+func (g *Ingress) Cut() { g.cut() }
 
 var (
 	latency = metrics.GetOrCreateHistogram(`hickorydrum_request_seconds`)
@@ -62,8 +66,6 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
 	x := newExchange(g, w, r)
 	server.SetID(r.Context(), x.id)
 	defer x.report()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -72,8 +72,8 @@
 	follower *rollout.Follower
 	entry    *entry.Entry
 	claimer  *idempotency.Claimer
-	callers  *server
-	admin    *server
+	callers  *httpServer
+	admin    *httpServer
 
 	ctx    context.Context // of the background work
 	cancel context.CancelFunc
@@ -163,22 +163,22 @@
 	}))
 }
 
-// server is an HTTP server with its listener.
-type server struct {
+// httpServer is an HTTP server with its listener.
+type httpServer struct {
 	listener net.Listener
 	http     *http.Server
 }
 
 // listenHTTP opens an HTTP listener. flag is the command-line flag of the address, for the
 // error.
-func listenHTTP(address, flag string) (*server, error) {
+func listenHTTP(address, flag string) (*httpServer, error) {
 	config := net.ListenConfig{Control: socket.UserTimeout(callerUserTimeout)}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "the address "+address+" cannot be listened on",
 			"set "+flag+" to a free address of this machine", fault.WithCause(err))
 	}
-	return &server{listener: listener, http: &http.Server{
+	return &httpServer{listener: listener, http: &http.Server{
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}}, nil
@@ -275,7 +275,7 @@
 		i.group.Go(func() error { return run(i.ctx) })
 	}
 	<-stop.Done()
-	shutdown.Stop(i.ctx, i.log, i.stopSteps()...)
+	shutdown.Stop(i.ctx, i.log, i.openRequests, i.stopSteps()...)
 	i.cancel()
 	i.pool.Close()
 	i.platform.Close()
@@ -287,7 +287,7 @@
 }
 
 // serveHTTP starts to serve on s in the background.
-func (i *Instance) serveHTTP(s *server) {
+func (i *Instance) serveHTTP(s *httpServer) {
 	i.group.Go(func() error {
 		err := s.http.Serve(s.listener)
 		if !errors.Is(err, http.ErrServerClosed) {
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/roster"
+	"hickorydrum/server"
 	"hickorydrum/shutdown"
 )
 
@@ -44,6 +46,9 @@
 	}
 }
 
+// openRequests returns the requests that are being sent to upstreams.
+func (i *Instance) openRequests() slog.LogValuer { return server.Counts{Serving: i.pool.InFlight()} }
+
 // publish sends this instance's state to the platform and to peers, and waits for both.
 func (i *Instance) publish(ctx context.Context, state roster.State) error {
 	ctx, cancel := context.WithTimeout(ctx, stopStepTimeout)
--- a/route/route.go
+++ b/route/route.go
@@ -96,6 +96,7 @@
 	byHost   map[string][]*Route // longest prefix first
 	services map[string]Service
 	count    int
+	longest  time.Duration // longest timeout of a route
 }
 
 // NewTable returns the table of a version.
@@ -107,6 +108,7 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		t.longest = max(t.longest, r.Timeout)
 	}
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -123,6 +125,9 @@
 // Limits returns the bounds on what callers may send.
 func (t *Table) Limits() Limits { return t.limits }
 
+// LongestTimeout returns the longest timeout of a route.
+func (t *Table) LongestTimeout() time.Duration { return t.longest }
+
 // Len returns the number of routes.
 func (t *Table) Len() int { return t.count }
 
--- a/server/conn.go
+++ b/server/conn.go
@@ -31,9 +31,9 @@
 type reason string
 
 const (
-	closedAtEnd reason = "stopped"     // the server was closed
-	callerLeft  reason = "caller-left" // the caller closed its connection before, or doesn't read
-	aborted     reason = "aborted"     // the handler gave up, such as when an upstream broke off
+	stopped    reason = "stopped"     // the server was closed
+	callerLeft reason = "caller-left" // the caller closed its connection before
+	aborted    reason = "aborted"     // the handler gave up, such as when an upstream broke off
 )
 
 // conn is one connection of a client.
@@ -130,10 +130,10 @@
 	if last == closed {
 		return net.ErrClosed
 	}
-	c.server.remove(c)
 	if last == serving {
 		c.reportLost()
 	}
+	c.server.remove(c)
 	return c.Conn.Close()
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -34,6 +34,8 @@
 	mu    sync.Mutex
 	conns map[*conn]struct{} // the connections that are open
 	idle  time.Duration      // how long clients may leave a connection idle
+
+	lastAccepted time.Time
 }
 
 // Listen opens a listener and returns a server that isn't serving yet. Bytes that a client does
@@ -86,7 +88,8 @@
 	c := &conn{Conn: raw, server: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.setIdle(time.Now(), s.idle)
+	s.lastAccepted = time.Now()
+	c.setIdle(s.lastAccepted, s.idle)
 	s.conns[c] = struct{}{}
 	return c
 }
@@ -118,6 +121,11 @@
 // Open returns the number of open connections.
 func (c Counts) Open() int { return c.Idle + c.Reading + c.Serving }
 
+// LogValue returns the counts as a group of attributes.
+func (c Counts) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int("idle", c.Idle), slog.Int("reading", c.Reading), slog.Int("serving", c.Serving))
+}
+
 // Counts returns the number of open connections by state.
 func (s *Server) Counts() Counts {
 	var out Counts
@@ -168,20 +176,30 @@
 	}
 }
 
-// StopAccepting closes the listener and the idle connections.
-func (s *Server) StopAccepting() error {
-	err := s.listener.Close()
+// StopAccepting closes the listener.
+func (s *Server) StopAccepting() error { return s.listener.Close() }
+
+// GiveUpIdle closes the connections that have been idle since before the given time.
+func (s *Server) GiveUpIdle(before time.Time) {
 	for _, c := range s.all() {
-		c.giveUp()
+		if since, _ := c.idleTimes(); since.Before(before) {
+			c.giveUp()
+		}
 	}
-	return err
+}
+
+// LastAccepted returns when the last connection was accepted, zero if none was.
+func (s *Server) LastAccepted() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastAccepted
 }
 
 // Close closes the listener and all connections. It is no error if the listener was closed
 // before.
 func (s *Server) Close() error {
 	for _, c := range s.all() {
-		c.setReason(closedAtEnd)
+		c.setReason(stopped)
 	}
 	if err := s.http.Close(); !errors.Is(err, net.ErrClosed) {
 		return err
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -22,19 +23,20 @@
 }
 
 // Stop runs the steps in order. After a step fails, the later steps still run, since they protect
-// requests too; the error is logged.
-func Stop(ctx context.Context, log *slog.Logger, steps ...Step) {
+// requests too; the error is logged. open returns the connections and requests that are open; the
+// log lines have what each step found and left.
+func Stop(ctx context.Context, log *slog.Logger, open func() slog.LogValuer, steps ...Step) {
 	begun := time.Now()
-	event.StopBegun.Log(ctx, log)
+	event.StopBegun.Log(ctx, log, slog.Any("open", open()))
 	for _, step := range steps {
 		start := time.Now()
-		attrs := []slog.Attr{slog.String("step", step.name)}
+		attrs := []slog.Attr{slog.String("step", step.name), slog.Any("found", open())}
 		if err := step.run(ctx); err != nil {
 			attrs = append(attrs, slog.String("error", err.Error()))
 		}
-		event.StopStep.Log(ctx, log, append(attrs, slog.Duration("took", time.Since(start)))...)
+		event.StopStep.Log(ctx, log, append(attrs, slog.Any("left", open()), slog.Duration("took", time.Since(start)))...)
 	}
-	event.Stopped.Log(ctx, log, slog.Duration("took", time.Since(begun)))
+	event.Stopped.Log(ctx, log, slog.Any("open", open()), slog.Duration("took", time.Since(begun)))
 }
 
 // WaitUntil returns a step that waits until the time that deadline returns, such as the expiry of
@@ -70,3 +72,16 @@
 		return nil
 	})
 }
+
+// WaitUntilOr returns a step that checks a condition at the given interval until it holds, at the latest
+// until the deadline. Unlike WaitFor it does not fail then.
+func WaitUntilOr(name string, interval time.Duration, deadline time.Time, condition func() bool) Step {
+	wait := WaitFor(name, interval, func() time.Time { return deadline }, condition)
+	return NewStep(name, func(ctx context.Context) error {
+		err := wait.run(ctx)
+		if errors.Is(err, context.DeadlineExceeded) {
+			return nil
+		}
+		return err
+	})
+}
