server: accept what the kernel has accepted before the listener is closed

Closing a listener resets the connections in its queue, with the requests that callers have sent on them. They are never run, but the callers see a connection end for no reason. The server now waits, at most 0.1 s, until the kernel says that the queue is empty.

--- a/server/server.go
+++ b/server/server.go
@@ -22,6 +22,8 @@
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	defaultIdle    = 30 * time.Second
+	drainTime      = 100 * time.Millisecond
+	drainPoll      = time.Millisecond
 )
 
 // Server serves HTTP/1.1 on one listener.
@@ -176,8 +178,14 @@
 	}
 }
 
-// StopAccepting closes the listener.
-func (s *Server) StopAccepting() error { return s.listener.Close() }
+// StopAccepting closes the listener once all connections that the kernel has accepted are accepted
+// from it, at the latest after drainTime: the others are reset.
+func (s *Server) StopAccepting() error {
+	for deadline := time.Now().Add(drainTime); socket.Backlog(s.listener) > 0 && time.Now().Before(deadline); {
+		time.Sleep(drainPoll)
+	}
+	return s.listener.Close()
+}
 
 // GiveUpIdle closes the connections that have been idle since before the given time.
 func (s *Server) GiveUpIdle(before time.Time) {
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -31,21 +31,39 @@
 // It reports false if the kernel cannot be asked.
 func Unread(c net.Conn) bool { return queued(c, unix.SIOCINQ) }
 
+// Backlog returns how many connections the kernel has accepted on a listener that were not accepted
+// from it yet, 0 if the kernel cannot be asked.
+func Backlog(l net.Listener) int {
+	count := 0
+	control(l, func(fd int) {
+		// Of a listening socket this field has the length of its queue.
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			count = int(info.Unacked)
+		}
+	})
+	return count
+}
+
 // queued reports whether a queue of the connection's socket holds bytes.
 func queued(c net.Conn, request uint) bool {
-	socket, ok := c.(syscall.Conn)
+	count := 0
+	control(c, func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, request); err == nil {
+			count = n
+		}
+	})
+	return count > 0
+}
+
+// control calls f with the descriptor of a connection or listener, if it has one that is open.
+func control(of any, f func(fd int)) {
+	socket, ok := of.(syscall.Conn)
 	if !ok {
-		return false
+		return
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return
 	}
-	count := 0
-	err = raw.Control(func(fd uintptr) {
-		if n, ioctlErr := unix.IoctlGetInt(int(fd), request); ioctlErr == nil {
-			count = n
-		}
-	})
-	return err == nil && count > 0
+	_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // it fails if the descriptor is closed
 }
