server: a response is not cut by bytes that come after its request

A connection that is closed while bytes are unread, or that gets some afterwards, is reset by the kernel, and the part of the response that was not delivered is lost. Callers that pipeline requests meet that at each planned stop, since every response closes its connection then: a large response to a slow reader ends early.

A connection with unread or undelivered bytes is now closed for writing first and read until the caller closes it, at most for 2 s. The stop waits for such connections too; they are a state of their own in the counts.

--- a/server/conn.go
+++ b/server/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -36,6 +37,9 @@
 	aborted    reason = "aborted"     // the handler gave up, such as when an upstream broke off
 )
 
+// lingerTime is how long a connection is kept at the longest for its last response to be read.
+const lingerTime = 2 * time.Second
+
 // conn is one connection of a client.
 type conn struct {
 	net.Conn
@@ -124,7 +128,9 @@
 	return c.idleSince, c.idleUntil
 }
 
-// Close closes the connection.
+// Close closes the connection. If the kernel still has bytes to deliver or to be read, it closes the
+// connection for writing and goes on reading in the background: the arrival of bytes at a closed socket
+// would reset it, and the response could be lost.
 func (c *conn) Close() error {
 	last := state(c.state.Swap(int32(closed)))
 	if last == closed {
@@ -133,10 +139,31 @@
 	if last == serving {
 		c.reportLost()
 	}
+	if w, ok := c.Conn.(closeWriter); ok && last == serving && (socket.Unread(c.Conn) || socket.Unsent(c.Conn)) {
+		c.server.lingering.Go(func() error { return c.linger(w) })
+		return nil
+	}
 	c.server.remove(c)
 	return c.Conn.Close()
 }
 
+// closeWriter is a connection that can be closed for writing only.
+type closeWriter interface {
+	CloseWrite() error
+}
+
+// linger closes the connection for writing, and closes it once the client has closed it, at the latest
+// after lingerTime.
+func (c *conn) linger(w closeWriter) error {
+	defer c.server.remove(c)
+	defer func() { _ = c.Conn.Close() }() // the response is delivered, or can't be
+	if w.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return nil // the client has closed the connection
+	}
+	_, _ = io.Copy(io.Discard, c.Conn) // it ends with the client's close, or an error that means the same
+	return nil
+}
+
 // reportLost logs and counts the request under way, unless its response was written whole.
 func (c *conn) reportLost() {
 	why, lost := c.lostReason()
--- a/server/server.go
+++ b/server/server.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/socket"
@@ -32,6 +34,8 @@
 	listener net.Listener
 	handler  http.Handler
 	log      *slog.Logger
+	// lingering has the goroutines of connections that are closed for writing only.
+	lingering errgroup.Group
 
 	mu    sync.Mutex
 	conns map[*conn]struct{} // the connections that are open
@@ -118,14 +122,16 @@
 	Idle    int // no byte of a request has been read since the last response
 	Reading int // a part of a request's head has been read
 	Serving int // a request is handled, or its response is being written
+	Closing int // closed for writing, until the client has acknowledged the response
 }
 
 // Open returns the number of open connections.
-func (c Counts) Open() int { return c.Idle + c.Reading + c.Serving }
+func (c Counts) Open() int { return c.Idle + c.Reading + c.Serving + c.Closing }
 
 // LogValue returns the counts as a group of attributes.
 func (c Counts) LogValue() slog.Value {
-	return slog.GroupValue(slog.Int("idle", c.Idle), slog.Int("reading", c.Reading), slog.Int("serving", c.Serving))
+	return slog.GroupValue(slog.Int("idle", c.Idle), slog.Int("reading", c.Reading), slog.Int("serving", c.Serving),
+		slog.Int("closing", c.Closing))
 }
 
 // Counts returns the number of open connections by state.
@@ -139,6 +145,8 @@
 			out.Reading++
 		case serving:
 			out.Serving++
+		case closed:
+			out.Closing++
 		}
 	}
 	return out
@@ -203,14 +211,18 @@
 	return s.lastAccepted
 }
 
-// Close closes the listener and all connections. It is no error if the listener was closed
-// before.
+// Close closes the listener and all connections, and waits for the connections that were closed
+// before. It is no error if the listener was closed before.
 func (s *Server) Close() error {
 	for _, c := range s.all() {
 		c.setReason(stopped)
 	}
-	if err := s.http.Close(); !errors.Is(err, net.ErrClosed) {
-		return err
+	err := s.http.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	for _, c := range s.all() {
+		_ = c.Conn.Close() // the error of a connection that ends without delivering its response is no other
 	}
-	return nil
+	return errors.Join(err, s.lingering.Wait())
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -31,6 +31,10 @@
 // It reports false if the kernel cannot be asked.
 func Unread(c net.Conn) bool { return queued(c, unix.SIOCINQ) }
 
+// Unsent reports whether bytes that were written to the connection are not acknowledged yet. It
+// reports false if the kernel cannot be asked.
+func Unsent(c net.Conn) bool { return queued(c, unix.SIOCOUTQ) }
+
 // Backlog returns how many connections the kernel has accepted on a listener that were not accepted
 // from it yet, 0 if the kernel cannot be asked.
 func Backlog(l net.Listener) int {
