--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -3,9 +3,11 @@
 package ingress
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -20,27 +22,40 @@
 	limiter *logLimiter
 	// limitLines bounds the lines about limits of upstreams.
 	limitLines lineCounter
-	draining   atomic.Bool
-	inFlight   atomic.Int64
+	end        atomic.Pointer[time.Time] // of the planned stop, nil before it begins
+	sends      context.Context           // done when sends to upstreams must end
+	cut        context.CancelFunc
 }
 
 // New returns a handler that sends requests to the upstreams that the planner chooses.
 func New(p *planner.Planner, log *slog.Logger) *Ingress {
-	return &Ingress{planner: p, log: log, limiter: newLogLimiter()}
+	g := &Ingress{planner: p, log: log, limiter: newLogLimiter()}
+	g.sends, g.cut = context.WithCancel(context.Background())
+	return g
 }
 
 // Ready reports whether requests can be served: a configuration and a view of the upstreams
 // are in force and Leave was not called.
 func (g *Ingress) Ready() bool {
-	return g.planner.Table() != nil && g.planner.View() != nil && !g.draining.Load()
+	return g.planner.Table() != nil && g.planner.View() != nil && !g.leaving()
 }
 
-// Leave starts the planned stop: every further response closes its connection, and Ready returns
-// false.
-func (g *Ingress) Leave() { g.draining.Store(true) }
+// Leave starts the planned stop, which ends at the given time: every further response closes its
+// connection, a request whose deadline is after the end is sent to no upstream any more, and
+// Ready returns false.
+func (g *Ingress) Leave(end time.Time) { g.end.Store(&end) }
 
-// InFlight returns the number of requests that are being served.
-func (g *Ingress) InFlight() int64 { return g.inFlight.Load() }
+// leaving reports whether a planned stop has begun.
+func (g *Ingress) leaving() bool { return g.end.Load() != nil }
+
+// endsBefore reports whether a planned stop has begun that ends before the given time.
+func (g *Ingress) endsBefore(deadline time.Time) bool {
+	end := g.end.Load()
+	return end != nil && deadline.After(*end)
+}
+
+// Cut ends the sends to upstreams that are under way. Their callers get a 502.
+func (g *Ingress) Cut() { g.cut() }
 
 var (
 	latency = metrics.GetOrCreateHistogram(`hickorydrum_request_seconds`)
@@ -51,8 +66,6 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
 	x := newExchange(g, w, r)
 	server.SetID(r.Context(), x.id)
 	defer x.report()
--- a/server/server.go
+++ b/server/server.go
@@ -4,6 +4,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -12,6 +13,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/socket"
@@ -20,6 +23,9 @@
 const (
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
+	defaultIdle    = 30 * time.Second
+	drainTime      = 100 * time.Millisecond
+	drainPoll      = time.Millisecond
 )
 
 // Server serves HTTP/1.1 on one listener.
@@ -28,9 +34,14 @@
 	listener net.Listener
 	handler  http.Handler
 	log      *slog.Logger
+	// lingering has the goroutines of connections that are closed for writing only.
+	lingering errgroup.Group
 
 	mu    sync.Mutex
 	conns map[*conn]struct{} // the connections that are open
+	idle  time.Duration      // how long clients may leave a connection idle
+
+	lastAccepted time.Time
 }
 
 // Listen opens a listener and returns a server that isn't serving yet. Bytes that a client does
@@ -47,7 +58,7 @@
 
 // New returns a server on a listener, which it closes.
 func New(listener net.Listener, handler http.Handler, log *slog.Logger) *Server {
-	s := &Server{listener: listener, handler: handler, log: log, conns: make(map[*conn]struct{})}
+	s := &Server{listener: listener, handler: handler, log: log, conns: make(map[*conn]struct{}), idle: defaultIdle}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveRequest), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ConnState: setState, ConnContext: withConn,
@@ -83,6 +94,8 @@
 	c := &conn{Conn: raw, server: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lastAccepted = time.Now()
+	c.setIdle(s.lastAccepted, s.idle)
 	s.conns[c] = struct{}{}
 	return c
 }
@@ -109,10 +122,17 @@
 	Idle    int // no byte of a request has been read since the last response
 	Reading int // a part of a request's head has been read
 	Serving int // a request is handled, or its response is being written
+	Closing int // closed for writing, until the client has acknowledged the response
 }
 
 // Open returns the number of open connections.
-func (c Counts) Open() int { return c.Idle + c.Reading + c.Serving }
+func (c Counts) Open() int { return c.Idle + c.Reading + c.Serving + c.Closing }
+
+// LogValue returns the counts as a group of attributes.
+func (c Counts) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int("idle", c.Idle), slog.Int("reading", c.Reading), slog.Int("serving", c.Serving),
+		slog.Int("closing", c.Closing))
+}
 
 // Counts returns the number of open connections by state.
 func (s *Server) Counts() Counts {
@@ -125,6 +145,8 @@
 			out.Reading++
 		case serving:
 			out.Serving++
+		case closed:
+			out.Closing++
 		}
 	}
 	return out
@@ -133,39 +155,74 @@
 // serveRequest handles one request.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	c := connOf(r.Context())
-	c.begin()
+	if !c.begin() {
+		panic(http.ErrAbortHandler) // the caller sees its connection end, and the request is not run
+	}
 	s.handler.ServeHTTP(w, r)
 	c.handled.Store(true)
 }
 
-// CloseIdle closes the connections that have been idle for longer than the given time.
-func (s *Server) CloseIdle(now time.Time, longest time.Duration) {
+// SetIdle sets how long clients may leave a connection idle, defaultIdle if it is 0. Connections that are idle already
+// are kept for the longer of the old and the new time.
+func (s *Server) SetIdle(longest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = cmp.Or(longest, defaultIdle)
+}
+
+func (s *Server) idleTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.idle
+}
+
+// CloseIdle closes the connections that have been idle for too long.
+func (s *Server) CloseIdle(now time.Time) {
+	longest := s.idleTime()
 	for _, c := range s.all() {
-		if since, ok := c.listedIdle(); ok && now.Sub(since) > longest {
-			_ = c.end(closedIdle) // it has no request; nothing is left to do about the error
+		if since, until := c.idleTimes(); now.After(until) && now.Sub(since) > longest {
+			c.giveUp()
 		}
 	}
 }
 
-// StopAccepting closes the listener and the idle connections.
+// StopAccepting closes the listener once all connections that the kernel has accepted are accepted
+// from it, at the latest after drainTime: the others are reset.
 func (s *Server) StopAccepting() error {
-	err := s.listener.Close()
+	for deadline := time.Now().Add(drainTime); socket.Backlog(s.listener) > 0 && time.Now().Before(deadline); {
+		time.Sleep(drainPoll)
+	}
+	return s.listener.Close()
+}
+
+// GiveUpIdle closes the connections that have been idle since before the given time.
+func (s *Server) GiveUpIdle(before time.Time) {
 	for _, c := range s.all() {
-		if _, ok := c.listedIdle(); ok {
-			_ = c.end(closedIdle) // it has no request; nothing is left to do about the error
+		if since, _ := c.idleTimes(); since.Before(before) {
+			c.giveUp()
 		}
 	}
-	return err
 }
 
-// Close closes the listener and all connections. It is no error if the listener was closed
-// before.
+// LastAccepted returns when the last connection was accepted, zero if none was.
+func (s *Server) LastAccepted() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastAccepted
+}
+
+// Close closes the listener and all connections, and waits for the connections that were closed
+// before. It is no error if the listener was closed before.
 func (s *Server) Close() error {
 	for _, c := range s.all() {
-		c.setReason(closedAtEnd)
+		c.setReason(stopped)
 	}
-	if err := s.http.Close(); !errors.Is(err, net.ErrClosed) {
-		return err
+	err := s.http.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	for _, c := range s.all() {
+		_ = c.Conn.Close() // the error of a connection that ends without delivering its response is no other
 	}
-	return nil
+	return errors.Join(err, s.lingering.Wait())
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -1,8 +1,10 @@
-// Package socket sets socket options for which package net has no field.
+// Package socket sets socket options for which package net has no field, and asks the kernel
+// about sockets.
 package socket
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -24,3 +26,48 @@
 		return errors.Join(err, optionErr)
 	}
 }
+
+// Unread reports whether the kernel has received bytes on the connection that were not read yet.
+// It reports false if the kernel cannot be asked.
+func Unread(c net.Conn) bool { return queued(c, unix.SIOCINQ) }
+
+// Unsent reports whether bytes that were written to the connection are not acknowledged yet. It
+// reports false if the kernel cannot be asked.
+func Unsent(c net.Conn) bool { return queued(c, unix.SIOCOUTQ) }
+
+// Backlog returns how many connections the kernel has accepted on a listener that were not accepted
+// from it yet, 0 if the kernel cannot be asked.
+func Backlog(l net.Listener) int {
+	count := 0
+	control(l, func(fd int) {
+		// Of a listening socket this field has the length of its queue.
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			count = int(info.Unacked)
+		}
+	})
+	return count
+}
+
+// queued reports whether a queue of the connection's socket holds bytes.
+func queued(c net.Conn, request uint) bool {
+	count := 0
+	control(c, func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, request); err == nil {
+			count = n
+		}
+	})
+	return count > 0
+}
+
+// control calls f with the descriptor of a connection or listener, if it has one that is open.
+func control(of any, f func(fd int)) {
+	socket, ok := of.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // it fails if the descriptor is closed
+}
