hosted, server: look-ups, readiness checks and calls of peers end as callers' connections do

The other three servers were closed at once at the end of a planned stop, with what was under way on them. They now stop accepting, give up their idle connections and finish what is read, within the same end of the stop.

--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -70,6 +70,30 @@
 	}
 }
 
+// others returns the servers that are not for callers' requests.
+func (s *servers) others() []*server.Server {
+	return []*server.Server{s.ready, s.directory, s.control}
+}
+
+// stopAcceptingOthers closes the listeners of the other servers.
+func (s *servers) stopAcceptingOthers() error {
+	var errs []error
+	for _, one := range s.others() {
+		errs = append(errs, one.StopAccepting())
+	}
+	return errors.Join(errs...)
+}
+
+// othersClosed gives up the idle connections of the other servers and reports whether none is open.
+func (s *servers) othersClosed() bool {
+	open := 0
+	for _, one := range s.others() {
+		one.GiveUpIdle(time.Now())
+		open += one.Counts().Open()
+	}
+	return open == 0
+}
+
 // close closes all servers and their connections.
 func (s *servers) close() error {
 	var errs []error
--- a/hosted/stop.go
+++ b/hosted/stop.go
@@ -63,6 +63,8 @@
 			return nil
 		}),
 		shutdown.WaitUntilOr("last answers", stopPoll, end, closed),
+		shutdown.NewStep("stop accepting others", func(context.Context) error { return i.servers.stopAcceptingOthers() }),
+		shutdown.WaitUntilOr("finish others", stopPoll, end, i.servers.othersClosed),
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -34,6 +35,7 @@
 	listener net.Listener
 	handler  http.Handler
 	log      *slog.Logger
+	closing  atomic.Bool // StopAccepting was called
 	// lingering has the goroutines of connections that are closed for writing only.
 	lingering errgroup.Group
 
@@ -158,6 +160,9 @@
 	if !c.begin() {
 		panic(http.ErrAbortHandler) // the caller sees its connection end, and the request is not run
 	}
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.handler.ServeHTTP(w, r)
 	c.handled.Store(true)
 }
@@ -187,8 +192,10 @@
 }
 
 // StopAccepting closes the listener once all connections that the kernel has accepted are accepted
-// from it, at the latest after drainTime: the others are reset.
+// from it, at the latest after drainTime: the others are reset. Each further response closes its
+// connection.
 func (s *Server) StopAccepting() error {
+	s.closing.Store(true)
 	for deadline := time.Now().Add(drainTime); socket.Backlog(s.listener) > 0 && time.Now().Before(deadline); {
 		time.Sleep(drainPoll)
 	}
