event: Limiter limits the log lines of a second

lineCounter and logLimiter of package ingress counted the lines of a second alike, and package server needs such a limiter too. Limiter is the one type that does so; both keep what differs, which is the limits and how omitted lines are reported.

--- a/ingress/report.go
+++ b/ingress/report.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,62 +20,40 @@
 
 // logLimiter limits the log lines about requests in each second.
 type logLimiter struct {
-	mu       sync.Mutex
-	second   int64
-	answered int
-	failed   int
-	omitted  int
+	answered *event.Limiter
+	failed   *event.Limiter
 }
 
-// maxLimitLines limits the log lines a second about the limits of upstreams.
-const maxLimitLines = 20
+func newLogLimiter() *logLimiter {
+	return &logLimiter{
+		answered: event.NewLimiter(event.LinesPerSecond(maxAnsweredLines)),
+		failed:   event.NewLimiter(event.LinesPerSecond(maxFailedLines)),
+	}
+}
 
-// lineCounter counts the log lines of the current second. It is safe for concurrent use.
-type lineCounter struct {
-	mu     sync.Mutex
-	second int64
-	lines  int
+// allow reports whether a line may be written now. On the first call in a second it also
+// returns how many lines were omitted before.
+func (l *logLimiter) allow(now time.Time, answered bool) (ok bool, omitted int) {
+	omitted = l.answered.Omitted(now) + l.failed.Omitted(now)
+	if answered {
+		return l.answered.Allow(now), omitted
+	}
+	return l.failed.Allow(now), omitted
 }
 
+// lineCounter limits the log lines about the limits of upstreams in each second.
+type lineCounter struct{ limiter event.Limiter }
+
 // allow reports whether one more line may be written now. Others are dropped and counted in
 // hickorydrum_limit_lines_omitted_total.
 func (c *lineCounter) allow(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if second := now.Unix(); second != c.second {
-		c.second, c.lines = second, 0
-	}
-	if c.lines >= maxLimitLines {
+	if !c.limiter.Allow(now) {
 		limitLinesOmitted.Inc()
 		return false
 	}
-	c.lines++
 	return true
 }
 
-func newLogLimiter() *logLimiter { return &logLimiter{} }
-
-// allow reports whether a line may be written now. On the first call in a second it also
-// returns how many lines were omitted in the second of the previous call.
-func (l *logLimiter) allow(now time.Time, answered bool) (ok bool, omitted int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if second := now.Unix(); second != l.second {
-		omitted = l.omitted
-		l.second, l.answered, l.failed, l.omitted = second, 0, 0, 0
-	}
-	count, limit := &l.failed, maxFailedLines
-	if answered {
-		count, limit = &l.answered, maxAnsweredLines
-	}
-	if *count >= limit {
-		l.omitted++
-		return false, omitted
-	}
-	*count++
-	return true, omitted
-}
-
 // report logs the request and updates the metrics.
 func (x *exchange) report() {
 	now := time.Now()
