steering, load, rollout: remove names that nothing uses

MaxRegions was never compared with anything, load.maxIdle never read, and Follower.wake of package rollout made but neither sent to nor received from. The comment on CallerBlock.region now says what MaxRegions only seemed to ensure.

Behaviour is unchanged: the tree compiles without them.

--- a/load/load.go
+++ b/load/load.go
@@ -51,7 +51,6 @@
 	objectWarmFor = 10 * time.Second
 	// maxObjects is how many objects are kept for one upstream before all are dropped.
 	maxObjects = 512
-	maxIdle    = 64
 )
 
 // upstreamState is the state of one upstream. The tracker's lock guards it.
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -104,7 +104,6 @@
 	onList func(InstanceList)
 
 	loader       loader
-	wake         chan struct{}
 	watchFailing atomic.Bool   // the last call for the watch failed
 	changed      chan struct{} // has an entry if peers must be notified of a change
 }
@@ -116,7 +115,7 @@
 ) *Follower {
 	f := &Follower{
 		state: state, store: store, roster: r, asker: asker, log: log, onList: onList,
-		wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1),
 	}
 	r.OnChange(func(*roster.View) { f.scheduleNotify() })
 	return f
--- a/steering/table.go
+++ b/steering/table.go
@@ -14,10 +14,6 @@
 	"hickorydrum/declaration"
 )
 
-// MaxRegions is the largest number of regions in one set: the index of a region is
-// stored in one byte.
-const MaxRegions = 255
-
 // Addresses outside every declared block are grouped into blocks of these prefix
 // lengths.
 const (
@@ -29,7 +25,7 @@
 // its home region.
 type CallerBlock struct {
 	hash     uint64
-	region   uint8
+	region   uint8 // index; no check refuses a set with more regions than it holds
 	declared bool
 }
 
