peer, steering: remove exported names that nothing uses

Flow.HomeRegion, Route.Moved, Stream.BufferData, Stream.StopSending and peer.IsUnreachable had no caller, tests included.

Behaviour is unchanged: the tree and its tests compile without them.

--- a/peer/node.go
+++ b/peer/node.go
@@ -238,10 +238,6 @@
 		fault.WithCause(errors.Join(errUnreachable, err)))
 }
 
-// IsUnreachable reports whether err means that the stream of a call could not be
-// opened, so that the peer received nothing of it.
-func IsUnreachable(err error) bool { return errors.Is(err, errUnreachable) }
-
 // Ask makes a unary call: it sends the request and receives the response.
 func (n *Node) Ask(ctx context.Context, to Target, call Call, req, resp any) error {
 	s, err := n.open(ctx, to, call, 0)
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -157,9 +157,6 @@
 	return nil
 }
 
-// BufferData adds a part of a body of at most MaxData bytes to the send buffer.
-func (s *Stream) BufferData(part []byte) { s.append(FrameData, part) }
-
 // Buffered returns the number of bytes in the send buffer.
 func (s *Stream) Buffered() int { return len(s.pending) }
 
@@ -282,7 +279,3 @@
 	b.stream.raw.CancelRead(resetCode)
 	return nil
 }
-
-// StopSending resets the sending side. It has no effect once the peer has
-// acknowledged everything up to Close.
-func (s *Stream) StopSending() { s.raw.CancelWrite(resetCode) }
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -97,9 +97,6 @@
 	return &Flow{homeRegion: uint8(home), regions: regions}
 }
 
-// HomeRegion returns the index of the flow's home region.
-func (f *Flow) HomeRegion() int { return int(f.homeRegion) }
-
 // Placement returns the placement in force, or nil as long as no traffic has left the
 // home region.
 func (f *Flow) Placement() *Placement { return f.placement.Load() }
@@ -114,9 +111,6 @@
 // Region returns the index of the region that serves the request.
 func (r Route) Region() int { return int(r.region) }
 
-// Moved reports whether the request counts as traffic moved by the last step.
-func (r Route) Moved() bool { return r.moved }
-
 // bucketOf returns the bucket of the block with the given hash.
 func bucketOf(blockHash uint64) int { return int(blockHash >> bucketShift) }
 
