roster: TestPruneGone checks that a recent end is kept

TestMergeOnlyGrows named kept members in its table and never checked them: its condition held only for members that should be removed, and both rows shared one roster in random order. The prune has a test of its own with a roster for each row, and a live member as a third row; all former conditions remain.

Trial: with a PruneGone that removes every member that is gone, the former test passes and TestPruneGone fails. The package's code is unchanged.

--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -48,20 +48,39 @@
 		})
 	}
 	r := New(testMember("self", Live))
-	r.Merge([]Member{testMember("b", Live)})
-	r.MarkGone("b/1")
-	for before, kept := range map[time.Duration]bool{-time.Hour: true, time.Hour: false} {
-		r.PruneGone(time.Now().Add(before))
-		if _, ok := r.View().Member("b/1"); ok && !kept {
-			t.Error("a member that has been gone for long is still in the view")
-		}
-	}
 	r.Merge([]Member{testMember("self", Gone)})
 	if r.Self().State != Live {
 		t.Error("a report of another instance changed the state of this one")
 	}
 }
 
+// TestPruneGone guards against members that stay in the view for ever after their end, and
+// against a recent end that is forgotten, after which an old report could add the member again.
+func TestPruneGone(t *testing.T) {
+	tests := map[string]struct {
+		state  State
+		before time.Duration // of the prune, from now
+		kept   bool
+	}{
+		"gone for long": {Gone, time.Hour, false},
+		"gone lately":   {Gone, -time.Hour, true},
+		"live":          {Live, time.Hour, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(testMember("self", Live))
+			r.Merge([]Member{testMember("b", Live)})
+			if test.state == Gone {
+				r.MarkGone("b/1")
+			}
+			r.PruneGone(time.Now().Add(test.before))
+			if _, kept := r.View().Member("b/1"); kept != test.kept {
+				t.Errorf("the member is in the view: %t, want %t", kept, test.kept)
+			}
+		})
+	}
+}
+
 // TestRankMovesLittle removes one of 10 members and checks that only its keys get
 // another owner, namely its successor. It also bounds the keys of each member.
 func TestRankMovesLittle(t *testing.T) {
