--- a/gossip/role.go
+++ b/gossip/role.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"slices"
 	"time"
@@ -215,3 +216,13 @@
 	}
 	return out
 }
+
+// rank returns the rank of an instance for a key (rendezvous hashing). All members compute
+// the same ranks.
+func rank(address netip.Addr, key uint64) uint64 {
+	var buf [12]byte
+	ip := address.As4()
+	copy(buf[:], ip[:])
+	binary.LittleEndian.PutUint64(buf[4:], key)
+	return xxhash.Sum64(buf[:])
+}
