--- a/trial/deploy.go
+++ b/trial/deploy.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,7 +18,6 @@
 
 	"hickorydrum/declaration"
 	"hickorydrum/rollout"
-	"hickorydrum/standin"
 )
 
 const (
@@ -45,61 +41,6 @@
 	fileMode            = 0o600
 )
 
-// Profile is an example deployment with the load that it gets.
-type Profile struct {
-	name         string
-	rtt          time.Duration // round trip between regions
-	serviceTimes map[string]time.Duration
-	workloads    []Workload
-}
-
-// Profiles holds the example deployments by name.
-var Profiles = map[string]Profile{
-	"caltagirone": {
-		name: "caltagirone", rtt: 20 * time.Millisecond,
-		serviceTimes: map[string]time.Duration{
-			"swatches": 40 * time.Millisecond, "orders": 60 * time.Millisecond, "designs": 100 * time.Millisecond,
-		},
-		workloads: []Workload{
-			{Class: ClassListing, Path: "/swatches", Rate: 400},
-			{Class: ClassOrder, Path: "/orders", Rate: 30},
-			{Class: ClassUpload, Path: "/designs", Rate: 2, Size: 2 << 20, UploadSeconds: 4},
-		},
-	},
-	"valderrama": {
-		name: "valderrama", rtt: 35 * time.Millisecond,
-		serviceTimes: map[string]time.Duration{
-			"phrases": 40 * time.Millisecond, "sales": 60 * time.Millisecond, "recordings": 100 * time.Millisecond,
-		},
-		workloads: []Workload{
-			{Class: ClassListing, Path: "/phrases", Rate: 400},
-			{Class: ClassOrder, Path: "/sales", Rate: 30},
-			{Class: ClassUpload, Path: "/recordings", Rate: 2, Size: 1 << 20, UploadSeconds: 3},
-		},
-	},
-}
-
-// process is one started program. When exited is closed, err is its exit error.
-type process struct {
-	name   string
-	cmd    *exec.Cmd
-	exited chan struct{}
-	err    error
-}
-
-// instanceProcess is the process of one instance with its place and address. The
-// process is nil until the instance is started.
-type instanceProcess struct {
-	*process
-	name   string
-	region string
-	domain string
-	ip     string
-}
-
-func (i *instanceProcess) caller() string { return fmt.Sprintf("%s:%d", i.ip, callerPort) }
-func (i *instanceProcess) admin() string  { return fmt.Sprintf("%s:%d", i.ip, adminPort) }
-
 // Deployment is a small deployment of separate processes on loopback addresses.
 type Deployment struct {
 	profile          Profile
@@ -147,45 +88,6 @@
 	return []byte(strings.ReplaceAll(text, "prefix: 10.", "prefix: 127."))
 }
 
-// shiftPort adds an offset to the port of an address. It returns an invalid address as
-// it is.
-func shiftPort(address string, offset int) string {
-	ap, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return address
-	}
-	return netip.AddrPortFrom(ap.Addr(), ap.Port()+uint16(offset)).String()
-}
-
-// start starts a program that runs until Close. Its standard error goes to a log file
-// in the directory of the deployment, and so does its standard output if out is nil.
-func (d *Deployment) start(name, program string, out io.Writer, args ...string) (*process, error) {
-	cmd := exec.Command(program, args...)
-	log, err := os.Create(filepath.Join(d.dir, name+".log"))
-	if err != nil {
-		return nil, err
-	}
-	cmd.Stderr = log
-	cmd.Stdout = out
-	if out == nil {
-		cmd.Stdout = log
-	}
-	// Pdeathsig kills the process when this one dies. With a process group of its own
-	// it does not get the interrupts of the terminal.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return nil, errors.Join(err, log.Close())
-	}
-	p := &process{name: name, cmd: cmd, exited: make(chan struct{})}
-	d.processes = append(d.processes, p)
-	d.group.Go(func() error {
-		p.err = cmd.Wait()
-		close(p.exited)
-		return log.Close()
-	})
-	return p, nil
-}
-
 // Start starts every process, applies the declarations and waits until every instance
 // is ready. It reports its progress to say.
 func (d *Deployment) Start(ctx context.Context, say func(format string, args ...any)) error {
@@ -217,46 +119,6 @@
 	return waitFor(ctx, "every instance to be ready", func() bool { return d.ready(ctx) })
 }
 
-// startLink assigns names and addresses to the instances and starts the link, which
-// relays every advertised address to the port that the process listens on.
-func (d *Deployment) startLink() error {
-	routes := []standin.Route{{Network: "tcp", From: platformAddress, To: shiftPort(platformAddress, processPortOffset)}}
-	for _, s := range d.set.Services() {
-		for _, w := range s.Workers() {
-			routes = append(routes, standin.Route{Network: "tcp", From: w.Address(), To: shiftPort(w.Address(), processPortOffset)})
-		}
-	}
-	for _, address := range d.directUpstreams() {
-		routes = append(routes, standin.Route{Network: "tcp", From: address, To: shiftPort(address, processPortOffset)})
-	}
-	for r, region := range d.set.Regions() {
-		for k, domain := range region.Domains() {
-			for n := range instancesPerDomain {
-				i := &instanceProcess{
-					name: fmt.Sprintf("%s-%c", domain, 'a'+n), region: region.Name(), domain: domain,
-					ip: fmt.Sprintf("127.%d.%d.%d", r+1, k+1, 11+n),
-				}
-				d.instances = append(d.instances, i)
-				for network, port := range map[string]int{"tcp": callerPort, "udp": peerPort} {
-					from := fmt.Sprintf("%s:%d", i.ip, port)
-					routes = append(routes, standin.Route{Network: network, From: from, To: shiftPort(from, processPortOffset)})
-				}
-			}
-		}
-	}
-	data, err := json.Marshal(routes)
-	if err != nil {
-		return err
-	}
-	file := filepath.Join(d.dir, "routes.json")
-	if err := os.WriteFile(file, data, fileMode); err != nil {
-		return err
-	}
-	_, err = d.start("link", d.standinProgram, nil, "link", "-routes", file, "-control", linkControlAddress,
-		"-domains", "500us", "-regions", d.profile.rtt.String(), "-callers", "3ms")
-	return err
-}
-
 // startUpstreams starts the declared upstreams and those for direct calls.
 func (d *Deployment) startUpstreams() error {
 	for _, s := range d.set.Services() {
@@ -291,38 +153,6 @@
 	return out
 }
 
-// runCounter counts the executions of an upstream from the load ids that it prints, so
-// that the counts outlive its process.
-type runCounter struct {
-	d           *Deployment
-	partialLine string
-}
-
-// Write counts the load ids in complete lines and keeps an incomplete line for the next
-// call. It locks the deployment.
-func (w *runCounter) Write(p []byte) (int, error) {
-	lines := strings.Split(w.partialLine+string(p), "\n")
-	w.partialLine = lines[len(lines)-1]
-	w.d.mu.Lock()
-	defer w.d.mu.Unlock()
-	for _, line := range lines[:len(lines)-1] {
-		w.d.runs[line]++
-	}
-	return len(p), nil
-}
-
-// Runs returns how often each request was executed, by load id. It locks the
-// deployment.
-func (d *Deployment) Runs() map[string]int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	out := make(map[string]int, len(d.runs))
-	for id, n := range d.runs {
-		out[id] = n
-	}
-	return out
-}
-
 // startInstances creates the certificates of the instances and starts them all.
 func (d *Deployment) startInstances() error {
 	var names, seeds []string
