gossip: usual terms for members and their last sign of life

heardAt was the instant of a member's last heartbeat, by whichever way it came; it is now lastSeen, as in other membership protocols. Comments and test names spoke of hearing and hearsay; TestMergeMember and TestMergeOwnState (former TestHear and TestHearsOfItself) name the function that they check, with the same rows.

--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -175,7 +175,7 @@
 			if q == p || q.down || q.cut || q.paused || q.view.domain != p.view.domain {
 				continue
 			}
-			if m, ok := p.view.others[q.view.self.Address]; !ok || s.now.Sub(m.heardAt) >= deadAfter {
+			if m, ok := p.view.others[q.view.self.Address]; !ok || s.now.Sub(m.lastSeen) >= deadAfter {
 				n++
 			}
 		}
@@ -192,7 +192,7 @@
 			continue
 		}
 		for _, q := range s.members {
-			if m, ok := p.view.others[q.view.self.Address]; q.down && ok && s.now.Sub(m.heardAt) < deadAfter {
+			if m, ok := p.view.others[q.view.self.Address]; q.down && ok && s.now.Sub(m.lastSeen) < deadAfter {
 				n++
 			}
 		}
@@ -345,7 +345,7 @@
 				p.cut = i/len(s.regions)%3 == 1
 			}
 		},
-		"all start anew": func(s *simulation) {
+		"all restart": func(s *simulation) {
 			for i, p := range s.members {
 				s.start(i, p.view.domain)
 			}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -43,9 +43,9 @@
 	return m.view.liveMembers(clock.Now())
 }
 
-// TestHear checks how mergeMember combines the states that a member sent itself with those
-// that another member passed on (by hearsay).
-func TestHear(t *testing.T) {
+// TestMergeMember checks how mergeMember combines the states that a member sent itself with
+// those that another member passed on.
+func TestMergeMember(t *testing.T) {
 	member := func(run uint32, heartbeat uint64) Member {
 		return Member{Address: addressOf(2), Run: run, Heartbeat: heartbeat}
 	}
@@ -62,9 +62,9 @@
 	}{
 		"direct":                   {[]update{{member(1, 1), 0, true}}, time.Second, true, 1},
 		"silent":                   {[]update{{member(1, 1), 0, true}}, 4 * time.Second, false, 1},
-		"by hearsay":               {[]update{{member(1, 1), 0, false}}, time.Second, true, 1},
-		"old hearsay is no life":   {[]update{{member(1, 5), 0, true}, {member(1, 5), 2 * time.Second, false}}, 4 * time.Second, false, 1},
-		"new hearsay is":           {[]update{{member(1, 5), 0, true}, {member(1, 6), 2 * time.Second, false}}, 3 * time.Second, true, 1},
+		"passed on":                {[]update{{member(1, 1), 0, false}}, time.Second, true, 1},
+		"passed on, old heartbeat": {[]update{{member(1, 5), 0, true}, {member(1, 5), 2 * time.Second, false}}, 4 * time.Second, false, 1},
+		"passed on, newer one":     {[]update{{member(1, 5), 0, true}, {member(1, 6), 2 * time.Second, false}}, 3 * time.Second, true, 1},
 		"a new run, direct":        {[]update{{member(1, 5), 0, true}, {member(2, 1), 0, true}}, time.Second, true, 2},
 		"a run before, direct":     {[]update{{member(2, 5), 0, true}, {member(1, 1), 0, true}}, time.Second, true, 1},
 		"a new run, too early":     {[]update{{member(1, 5), 0, true}, {member(2, 1), 0, false}}, time.Second, true, 1},
@@ -78,7 +78,7 @@
 				v.mergeMember(u.member, epoch.Add(u.at), u.direct)
 			}
 			m := v.others[addressOf(2)]
-			live := epoch.Add(test.at).Sub(m.heardAt) < deadAfter
+			live := epoch.Add(test.at).Sub(m.lastSeen) < deadAfter
 			if diff := cmp.Diff([]any{test.live, test.run}, []any{live, m.member.Run}); diff != "" {
 				t.Error(diff)
 			}
@@ -86,8 +86,8 @@
 	}
 }
 
-// TestHearsOfItself checks that an instance ignores its own state from other members.
-func TestHearsOfItself(t *testing.T) {
+// TestMergeOwnState checks that an instance ignores its own state from other members.
+func TestMergeOwnState(t *testing.T) {
 	v := newTestView()
 	v.mergeMember(Member{Address: addressOf(1), Run: 7}, epoch, true)
 	if diff := cmp.Diff(1, len(v.liveMembers(epoch))); diff != "" {
@@ -115,7 +115,7 @@
 	v := newTestView()
 	v.mergeMember(Member{Address: addressOf(2), Run: 1, Heartbeat: 1}, epoch.Add(-10*time.Second), true)
 	v.mergeSummary(&Summary{Domain: "two", Live: 2, Present: 3, madeAt: epoch.Add(-10 * time.Second)})
-	v.mergeSummary(&Summary{Domain: "unheard of", Live: 9, Present: 9, madeAt: epoch})
+	v.mergeSummary(&Summary{Domain: "unknown", Live: 9, Present: 9, madeAt: epoch})
 	inRegion, all := v.count("a")
 	if diff := cmp.Diff([]int{2, 5}, []int{inRegion, all}); diff != "" {
 		t.Errorf("a member that is silent for a short time must count: %s", diff)
@@ -436,7 +436,7 @@
 func FuzzTake(f *testing.F) {
 	from := Member{Address: addressOf(2), Run: 1, Heartbeat: 1, Demand: map[string]int{"s": 1}}
 	summaries := []*Summary{{Domain: "two", Live: 1, Present: 1, Contacts: []netip.Addr{addressOf(9)}, madeAt: epoch}}
-	data, err := encode(&message{Domain: "one", Query: true}, &from, []*memberState{{member: Member{Address: addressOf(3)}, heardAt: epoch}}, summaries, epoch)
+	data, err := encode(&message{Domain: "one", Query: true}, &from, []*memberState{{member: Member{Address: addressOf(3)}, lastSeen: epoch}}, summaries, epoch)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/gossip/limit.go
+++ b/gossip/limit.go
@@ -22,7 +22,7 @@
 	minReported = 0.01
 )
 
-// ExchangeLimits tells other instances which limits this one knows, and the holder of each
+// ExchangeLimits sends other instances the limits that this one knows, and the holder of each
 // limit how many requests this one offers. states and demands correspond by index. It
 // returns the states, with the fractions of which this instance is the holder.
 func (m *Mesh) ExchangeLimits(states []limit.State, demands []limit.Demand) []limit.State {
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -34,14 +34,14 @@
 // memberState is what this instance knows of another member of its failure domain.
 type memberState struct {
 	member Member
-	// heardAt is when the member's last heartbeat was received from the member itself, by this
+	// lastSeen is when the member's last heartbeat was received from the member itself, by this
 	// instance or by another member that passed it on. The time of a pause of this instance is
 	// added.
-	heardAt time.Time
+	lastSeen time.Time
 }
 
 // lives reports whether the member counts as alive.
-func (m *memberState) lives(now time.Time) bool { return now.Sub(m.heardAt) < deadAfter }
+func (m *memberState) lives(now time.Time) bool { return now.Sub(m.lastSeen) < deadAfter }
 
 // LoadReport is the load that a nearly saturated upstream reported to some member.
 type LoadReport struct {
--- a/gossip/merge.go
+++ b/gossip/merge.go
@@ -82,14 +82,14 @@
 	switch {
 	case !ok && len(v.others) >= maxMembers:
 	case !ok:
-		v.others[other.Address] = &memberState{member: other, heardAt: at}
+		v.others[other.Address] = &memberState{member: other, lastSeen: at}
 		event.MemberJoined.Log(context.Background(), v.log, slog.String("member", other.Address.String()))
 	case m.member.Run == other.Run:
 		if other.Heartbeat > m.member.Heartbeat {
-			m.member, m.heardAt = other, later(m.heardAt, at)
+			m.member, m.lastSeen = other, later(m.lastSeen, at)
 		}
-	case direct, at.Sub(m.heardAt) > replacedAfter && int32(other.Run-m.member.Run) > 0:
-		m.member, m.heardAt = other, at
+	case direct, at.Sub(m.lastSeen) > replacedAfter && int32(other.Run-m.member.Run) > 0:
+		m.member, m.lastSeen = other, at
 	}
 }
 
--- a/gossip/role.go
+++ b/gossip/role.go
@@ -37,8 +37,8 @@
 	return best
 }
 
-// presentFraction returns the part of all instances, as far as they were ever heard of, that
-// this instance hears from now. The others may be cut off from it and still run.
+// presentFraction returns the part of all instances ever known that this instance receives
+// heartbeats or summaries of now. The others may be cut off from it and still run.
 func (v *view) presentFraction(now time.Time) float64 {
 	live, all := v.live(now), 1+len(v.others)
 	for domain, present := range v.lastPresent {
@@ -86,7 +86,7 @@
 
 // owner returns the failure domain whose instances hold the right to the request rate of
 // the upstream that key identifies, in the given failure domain: that failure domain itself if
-// it was ever heard of, since it may run on, cut off from this one; else another one.
+// it was ever known, since it may still run, cut off from this one; else another one.
 func (v *view) owner(domain string, key uint64) string {
 	if _, ok := v.lastPresent[domain]; ok {
 		return domain
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -147,7 +147,7 @@
 	}
 	v.settledAt = now.Add(settleTime)
 	for _, m := range v.others {
-		m.heardAt = m.heardAt.Add(late)
+		m.lastSeen = m.lastSeen.Add(late)
 	}
 }
 
@@ -156,7 +156,7 @@
 // have just died. The contacts in other failure domains stay.
 func (v *view) forget(now time.Time) {
 	for address, m := range v.others {
-		silent := now.Sub(m.heardAt)
+		silent := now.Sub(m.lastSeen)
 		if silent > deadAfter && silent <= deadAfter+heartbeatInterval {
 			event.MemberGone.Log(context.Background(), v.log, slog.String("member", address.String()), slog.Duration("silent", silent))
 		}
@@ -193,7 +193,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *memberState) int {
-		return cmp.Or(b.heardAt.Compare(a.heardAt), a.member.Address.Compare(b.member.Address))
+		return cmp.Or(b.lastSeen.Compare(a.lastSeen), a.member.Address.Compare(b.member.Address))
 	})
 	return out
 }
