interval, trial: what the library has is not written again

Package trial also had its own sort, search in a slice and copy of a map; package slices and maps have them.

--- a/roster/watch.go
+++ b/roster/watch.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/fault"
+	"hickorydrum/interval"
 )
 
 const (
@@ -194,12 +195,7 @@
 			}
 			return
 		}
-		timer := time.NewTimer(probeRetryInterval)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		interval.Sleep(ctx, probeRetryInterval)
 	}
 }
 
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hickorydrum/event"
+	"hickorydrum/interval"
 )
 
 // Step is one step of a planned stop. Its function returns when the step is done.
@@ -41,14 +42,10 @@
 // the look-up responses that still name the instance. It calls deadline once, when it begins.
 func WaitUntil(name string, deadline func() time.Time) Step {
 	return NewStep(name, func(ctx context.Context) error {
-		timer := time.NewTimer(time.Until(deadline()))
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
+		if !interval.Sleep(ctx, time.Until(deadline())) {
 			return ctx.Err()
-		case <-timer.C:
-			return nil
 		}
+		return nil
 	})
 }
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hickorydrum/fault"
+	"hickorydrum/interval"
 	"hickorydrum/platform"
 )
 
@@ -101,14 +102,8 @@
 		<-ctx.Done()
 		return unavailable(fault.NotExecuted)
 	}
-	if slow {
-		timer := time.NewTimer(slowCallDelay)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-			return unavailable(fault.NotExecuted)
-		case <-timer.C:
-		}
+	if slow && !interval.Sleep(ctx, slowCallDelay) {
+		return unavailable(fault.NotExecuted)
 	}
 	if down {
 		return unavailable(fault.NotExecuted)
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"hickorydrum/interval"
 )
 
 // Headers that the load tool and the stand-in upstream share.
@@ -251,12 +253,7 @@
 	if u.takeFault(UpstreamLate) {
 		d += lateDelay
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.Context().Done():
-	}
+	interval.Sleep(r.Context(), d)
 }
 
 // respond sends the response, with the fault that is set. sum is the hex SHA-256 of the
--- a/trial/control.go
+++ b/trial/control.go
@@ -7,7 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
+
+	"hickorydrum/interval"
 )
 
 // waitFor polls until cond returns true. It fails after waitTimeout or when ctx is
@@ -16,12 +17,8 @@
 	ctx, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
 	for !cond() {
-		timer := time.NewTimer(pollInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !interval.Sleep(ctx, pollInterval) {
 			return fmt.Errorf("waited too long for %s", what)
-		case <-timer.C:
 		}
 	}
 	return nil
--- a/trial/deploy.go
+++ b/trial/deploy.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -219,7 +220,7 @@
 	list := rollout.InstanceList{Leaving: leaving}
 	for _, i := range d.instances {
 		address := i.caller()
-		if !contains(leaving, address) && !contains(gone, address) {
+		if !slices.Contains(leaving, address) && !slices.Contains(gone, address) {
 			list.Live = append(list.Live, address)
 		}
 	}
@@ -230,15 +231,6 @@
 	return forcePut(ctx, rollout.InstanceListKey, data)
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Close kills every process that was started and waits for them.
 func (d *Deployment) Close() error {
 	for _, p := range d.processes {
--- a/trial/load.go
+++ b/trial/load.go
@@ -13,6 +13,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/interval"
 )
 
 // Class is a kind of request of the users' workloads.
@@ -155,12 +157,8 @@
 		if at.After(until) {
 			return
 		}
-		timer := time.NewTimer(time.Until(at))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !interval.Sleep(ctx, time.Until(at)) {
 			return
-		case <-timer.C:
 		}
 		c := l.callers[random.IntN(len(l.callers))]
 		id := l.newID(w.Class)
--- a/trial/meter.go
+++ b/trial/meter.go
@@ -4,6 +4,7 @@
 	"math"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -56,11 +57,5 @@
 
 // medianOf returns the median of the values; of an even count it is the upper one.
 func medianOf(values []float64) float64 {
-	sorted := append([]float64(nil), values...)
-	for i := range sorted {
-		for j := i; j > 0 && sorted[j] < sorted[j-1]; j-- {
-			sorted[j], sorted[j-1] = sorted[j-1], sorted[j]
-		}
-	}
-	return sorted[len(sorted)/2]
+	return slices.Sorted(slices.Values(values))[len(values)/2]
 }
--- a/trial/process.go
+++ b/trial/process.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -86,9 +87,5 @@
 func (d *Deployment) Runs() map[string]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[string]int, len(d.runs))
-	for id, n := range d.runs {
-		out[id] = n
-	}
-	return out
+	return maps.Clone(d.runs)
 }
--- a/trial/try.go
+++ b/trial/try.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"hickorydrum/interval"
 	"hickorydrum/standin"
 )
 
@@ -226,14 +227,10 @@
 
 // sleepUntil sleeps until the given time, or fails when ctx is done.
 func sleepUntil(ctx context.Context, at time.Time) error {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !interval.Sleep(ctx, time.Until(at)) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 // runEvents stops an instance, injects and ends the faults and applies a change, at
