--- a/command/command.go
+++ b/command/command.go
@@ -132,6 +132,20 @@
 	return declaration.Load(args[0])
 }
 
+// runOnStore sets the run function of a command with the setting platform: it calls run with the
+// platform's store and with the declarations in the directory that is the only argument.
+func (b *base) runOnStore(run func(ctx context.Context, store *platform.Client, set *declaration.Set) error) {
+	b.run = func(ctx context.Context, args []string) error {
+		set, err := loadDir(args)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return run(ctx, platform.New(b.settings.Value("platform")), set)
+	}
+}
+
 // newCheck returns the command that checks declarations.
 func newCheck(p printer) subcommands.Command {
 	b := &base{printer: p, name: "check", synopsis: "check a directory of declarations offline", usage: "check DIR"}
@@ -153,20 +167,14 @@
 		printer: p, name: "plan", synopsis: "tell what an apply would change, what it moves and how long the caps make it take",
 		usage: "plan -platform URL DIR", settings: setting.NewTable(setting.Platform()),
 	}
-	b.run = func(ctx context.Context, args []string) error {
-		set, err := loadDir(args)
-		if err != nil {
-			return err
-		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		old, revision, err := rollout.Load(ctx, platform.New(b.settings.Value("platform")))
+	b.runOnStore(func(ctx context.Context, store *platform.Client, set *declaration.Set) error {
+		old, revision, err := rollout.Load(ctx, store)
 		if err != nil {
 			return err
 		}
 		b.printf("%s", planText(old, revision, set, time.Now()))
 		return nil
-	}
+	})
 	return b
 }
 
@@ -176,14 +184,7 @@
 		printer: p, name: "apply", synopsis: "apply a directory of declarations as one revision",
 		usage: "apply -platform URL DIR", settings: setting.NewTable(setting.Platform()),
 	}
-	b.run = func(ctx context.Context, args []string) error {
-		set, err := loadDir(args)
-		if err != nil {
-			return err
-		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		store := platform.New(b.settings.Value("platform"))
+	b.runOnStore(func(ctx context.Context, store *platform.Client, set *declaration.Set) error {
 		current, head, err := rollout.Current(ctx, store)
 		if err != nil {
 			return err
@@ -198,7 +199,7 @@
 		}
 		b.printf("revision %d is accepted: %d declarations, digest %.12s\n", revision, len(set.Records()), set.Digest())
 		return nil
-	}
+	})
 	return b
 }
 
@@ -228,29 +229,6 @@
 	return b
 }
 
-// newLookup returns the command that sends a look-up to an instance.
-func newLookup(p printer) subcommands.Command {
-	var at, address, service string
-	b := &base{printer: p, name: "lookup", synopsis: "ask an instance which instances a caller should use"}
-	c := &lookupCommand{base: b, at: &at, address: &address, service: &service}
-	b.usage = "lookup -at ADDRESS [-address IP] [-service NAME]"
-	b.run = func(ctx context.Context, _ []string) error { return lookup(ctx, b, at, address, service) }
-	return c
-}
-
-// lookupCommand is the lookup command, with its own flags.
-type lookupCommand struct {
-	*base
-	at, address, service *string
-}
-
-// SetFlags declares the flags of lookup.
-func (c *lookupCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(c.at, "at", "", "callers' address of any instance")
-	f.StringVar(c.address, "address", "", "IP number of the caller, if not this machine")
-	f.StringVar(c.service, "service", "", "name of the service that the caller wants")
-}
-
 // getJSON decodes the response to a GET request into the variable that into points to. Any
 // status but 200 is an error.
 func getJSON(ctx context.Context, url string, into any) error {
--- a/command/text.go
+++ b/command/text.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
-	"net/url"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -12,7 +10,6 @@
 
 	"hickorydrum/declaration"
 	"hickorydrum/entry"
-	"hickorydrum/fault"
 	"hickorydrum/instance"
 	"hickorydrum/steering"
 )
@@ -108,27 +105,3 @@
 	slices.Sort(parts)
 	return strings.Join(parts, ", ")
 }
-
-// lookup sends a look-up to the instance at the address at and prints the response.
-// address and service may be empty.
-func lookup(ctx context.Context, b *base, at, address, service string) error {
-	if at == "" {
-		return fault.New(fault.Invalid, "-at is missing", "name the callers' address of any instance")
-	}
-	query := url.Values{}
-	if address != "" {
-		query.Set("address", address)
-	}
-	if service != "" {
-		query.Set("service", service)
-	}
-	var response entry.LookupResponse
-	if err := getJSON(ctx, "http://"+at+entry.LookupPath+"?"+query.Encode(), &response); err != nil {
-		return err
-	}
-	b.printf("region %s, revision %d, until %s\n", response.Region, response.Revision, response.Until.Format(time.RFC3339))
-	for _, n := range response.Instances {
-		b.printf("  %s (%s)\n", n.Address, n.Domain)
-	}
-	return nil
-}
