rollout: one path from a page to the state in force

watchOnce and list each applied a page, confirmed the revision and returned the cursor. nextPage decides between a watch and a list, watchOnce does the rest.

Behaviour is unchanged: the same calls in the same order on each path; the package passes with the race detector.

--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -164,7 +164,7 @@
 // done. After a failure it backs off and lists the objects again.
 func (f *Follower) watch(ctx context.Context) error {
 	failures := 0      // in a row
-	var cursor *uint64 // nil until the objects were listed; the cursor of an empty platform is 0
+	var cursor *uint64 // nil until the objects were listed; the cursor of an empty store is 0
 	for ctx.Err() == nil {
 		if !f.isRelay(time.Now()) {
 			cursor = nil
@@ -200,17 +200,9 @@
 	}
 }
 
-// watchOnce waits for changes after the cursor, applies them and returns the next
-// cursor. It lists the objects instead if the cursor is nil, or if the platform no
-// longer has the history since the cursor, which it reports as a conflict.
+// watchOnce waits for changes after the cursor, applies them and returns the next cursor.
 func (f *Follower) watchOnce(ctx context.Context, cursor *uint64) (uint64, error) {
-	if cursor == nil {
-		return f.list(ctx)
-	}
-	page, err := f.store.Watch(ctx, roster.WatchPrefix, *cursor, watchWait)
-	if fault.KindOf(err) == fault.Conflict {
-		return f.list(ctx)
-	}
+	page, err := f.nextPage(ctx, cursor)
 	if err != nil {
 		return 0, err
 	}
@@ -221,17 +213,17 @@
 	return page.Cursor, nil
 }
 
-// list lists and applies all watched objects and returns the cursor of the listing.
-func (f *Follower) list(ctx context.Context) (uint64, error) {
-	page, err := f.store.List(ctx, roster.WatchPrefix)
-	if err != nil {
-		return 0, err
-	}
-	if err := f.applyObjects(ctx, page.Objects); err != nil {
-		return 0, err
+// nextPage waits for changes after the cursor and returns them. It returns all watched objects
+// instead if the cursor is nil, or if the platform no longer has the history since the cursor,
+// which it reports as a conflict.
+func (f *Follower) nextPage(ctx context.Context, cursor *uint64) (platform.Page, error) {
+	if cursor != nil {
+		page, err := f.store.Watch(ctx, roster.WatchPrefix, *cursor, watchWait)
+		if fault.KindOf(err) != fault.Conflict {
+			return page, err
+		}
 	}
-	f.state.Confirm(time.Now())
-	return page.Cursor, nil
+	return f.store.List(ctx, roster.WatchPrefix)
 }
 
 // applyObjects passes each object to the part of the instance that its key
