comments, test rows: the field's usual terms

Comments and names of test rows told, heard, started anew and were mute; they state, receive, restart and stall.

Behaviour is unchanged: comments, names of test rows and two messages of one test differ.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -25,7 +25,7 @@
 	Denied      Kind = "denied"      // the other side is not trusted
 )
 
-// Execution tells whether an upstream executed a request.
+// Execution states whether an upstream executed a request.
 type Execution string
 
 // The values of Execution.
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -143,7 +143,7 @@
 	cancel context.CancelFunc // ends the watch under way
 	// missingRevision is the revision of the newest change that a peer reported and that was not
 	// in the mirror. It counts while it exceeds the revision of the mirror's newest change. A
-	// change has been missing since missingSince, which the start of a recheck sets anew.
+	// change has been missing since missingSince, which the start of a recheck resets.
 	missingRevision uint64
 	missingSince    time.Time
 	recheck         bool // the next watch only rechecks the store for the missing change
--- a/hosted/limit.go
+++ b/hosted/limit.go
@@ -18,7 +18,7 @@
 const (
 	// limitsInterval is how often limits are exchanged with other instances.
 	limitsInterval = 250 * time.Millisecond
-	// endedFor is how long other instances are told that a limit has ended.
+	// endedFor is how long the end of a limit is sent to other instances.
 	endedFor = 10 * time.Second
 )
 
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -13,7 +13,7 @@
 	// time, and stopSlack, none are let through: the fraction lets more through by chance.
 	stopUse   = 1.05
 	stopSlack = 2.0
-	// settleTime is how long a new holder collects offers before it tells a fraction.
+	// settleTime is how long a new holder collects offers before it publishes a fraction.
 	settleTime = 1500 * time.Millisecond
 	// computeEvery is how often a fraction is computed: not at each report, since that would
 	// cost by the square of the instances.
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -7,9 +7,9 @@
 // instances there are, and however small the limit is, and it does not change when offers
 // move from one instance to another.
 //
-// One instance, the holder, adds up the offers of all instances and tells the fraction (see
-// Holder). An instance that has heard of no fraction lately sends no more than an equal part
-// of the limit, so that a silent holder lets nobody exceed it.
+// One instance, the holder, adds up the offers of all instances and publishes the fraction (see
+// Holder). An instance that has received no fraction lately sends no more than an equal part
+// of the limit, so that the limit also holds while the holder sends nothing.
 //
 // The package does no input or output, and every time is passed in. The types are not safe
 // for concurrent use.
--- a/limit/model_test.go
+++ b/limit/model_test.go
@@ -432,7 +432,7 @@
 	}
 }
 
-// TestRetryAt guards against room that is told to more callers than it can serve, and against a
+// TestRetryAt guards against room that is promised to more callers than it can serve, and against a
 // time that grows with callers who do not wait for it.
 func TestRetryAt(t *testing.T) {
 	const limited, callers = 4.0, 100
@@ -448,10 +448,10 @@
 			kept++
 		}
 		if at.After(until.Add(time.Second)) {
-			t.Fatalf("a caller is told to come back after %s", at.Sub(epoch))
+			t.Fatalf("a caller must retry after %s", at.Sub(epoch))
 		}
 	}
 	if most := limited * patience.Seconds(); float64(kept) > most || float64(kept) < most/2 {
-		t.Errorf("%d callers are told to come back within %s, want at most %.0f", kept, patience, most)
+		t.Errorf("%d callers may retry within %s, want at most %.0f", kept, patience, most)
 	}
 }
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -130,7 +130,7 @@
 			},
 			at: 4 * time.Second,
 		},
-		"started anew under its id": {
+		"restarted under its id": {
 			prepare: func(tr *Tracker) *fleet.View {
 				v := fleet.NewView([]fleet.Upstream{upstream("u", "a-1", nil)}, nil, regions)
 				tr.ApplyView(v, true, coldFor(coldPeriod), start)
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -274,7 +274,7 @@
 	return n, nil
 }
 
-// Close makes a blocked Read return and tells the peer to stop sending.
+// Close makes a blocked Read return and requests the peer to stop sending.
 func (b *Body) Close() error {
 	b.stream.raw.CancelRead(resetCode)
 	return nil
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -19,7 +19,7 @@
 	"hickorydrum/route"
 )
 
-// Instances tells how many instances there are, and which share of the request rate of a
+// Instances counts the instances, and determines which share of the request rate of a
 // cold upstream this one may use.
 type Instances interface {
 	// Count returns how many instances may be running in a region, and in all; those that
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -68,7 +68,7 @@
 		"nothing changes":                 {[]fleet.Upstream{upstream("one", 1, false)}, nil, "one", true},
 		"it leaves":                       {[]fleet.Upstream{upstream("one", 1, true), upstream("two", 1, false)}, nil, "two", false},
 		"it is gone":                      {[]fleet.Upstream{upstream("two", 1, false)}, nil, "two", false},
-		"it starts anew":                  {[]fleet.Upstream{upstream("one", 2, false)}, nil, "one", false},
+		"it restarts":                     {[]fleet.Upstream{upstream("one", 2, false)}, nil, "one", false},
 		"its failure domain is evacuated": {[]fleet.Upstream{upstream("one", 1, false)}, []string{"a-1"}, "", false},
 	}
 	for name, test := range tests {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -219,7 +219,7 @@
 				s.Fail(standin.StoreDown, -1)
 			},
 		},
-		"watches mute": {
+		"watches stalled": {
 			before: func(s *standin.Store, _ *network) { s.Fail(standin.StoreStallWatch, -1) },
 			after: func(s *standin.Store, _ *network) {
 				time.Sleep(4 * time.Second)
--- a/trial/promises.go
+++ b/trial/promises.go
@@ -13,7 +13,7 @@
 	"hickorydrum/platform"
 )
 
-// checkPromises compares what the responses told callers with the executions and
+// checkPromises compares what the responses stated with the executions and
 // counters of the upstreams, and writes the checks of the report.
 func (t *trial) checkPromises(ctx context.Context) {
 	runs := t.Runs()
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -190,7 +190,7 @@
 		},
 		"full, no time to wait":  {take, func(r *Request) { r.Deadline = time.Now().Add(time.Millisecond) }, fault.Overloaded},
 		"full, the wait is over": {take, func(*Request) {}, fault.Overloaded},
-		"told to be full": {
+		"reported as full": {
 			func(p *Pool) { p.tracker.RecordLoad("127.0.0.1:1", 50, 0, time.Now()) },
 			func(r *Request) { r.Deadline = time.Now().Add(time.Millisecond) }, fault.Overloaded,
 		},
@@ -310,9 +310,9 @@
 // idempotent request is answered through a second attempt on a new connection; any other request
 // expires, and its fault states that it may have been executed.
 func TestSilentConnection(t *testing.T) {
-	var mute atomic.Bool
+	var stalled atomic.Bool
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if mute.Swap(false) {
+		if stalled.Swap(false) {
 			<-r.Context().Done()
 			return
 		}
@@ -323,7 +323,7 @@
 	p := newTestPool(t, map[string]int{backend.Listener.Addr().String(): 2})
 	defer p.Close()
 	for i := range 3 {
-		mute.Store(i == 1)
+		stalled.Store(i == 1)
 		req := testRequest("c", 5*time.Second)
 		req.ID, req.Method, req.Idempotent = fmt.Sprintf("id-%d", i), http.MethodGet, true
 		got, err := serve(p, req, http.NoBody)
@@ -331,7 +331,7 @@
 			t.Errorf("request %d: %q, %v", i, got.body.String(), err)
 		}
 	}
-	mute.Store(true)
+	stalled.Store(true)
 	req := testRequest("c", 700*time.Millisecond)
 	req.ID, req.Method = "order", http.MethodPost
 	_, err := serve(p, req, strings.NewReader(""))
