instance: the listeners of callers and operators are of package server

Cause: the stop used Shutdown of the HTTP server, which takes a connection for an idle one by a state that lags behind the kernel. It cuts the requests that cross it unread, waits up to 5 s for connections that never carried a request, closes the listener with connections in its queue, and resets a connection with unread bytes, so that a response the kernel still sends is cut off. The operators' server was closed with responses in flight.

The stop now asks the states of the connections: it accepts what the kernel has accepted, gives up only idle connections, and waits until none is open. Its lines say how many connections each step found and left, by state. Operators get their responses too, for at most 1 s. Requests whose callers got no whole response are logged with their ID (event 504).

--- a/entry/request.go
+++ b/entry/request.go
@@ -21,6 +21,7 @@
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/idempotency"
+	"hickorydrum/server"
 	"hickorydrum/steering"
 	"hickorydrum/upstream"
 )
@@ -35,6 +36,7 @@
 	ctx, span := otel.Tracer("hickorydrum").Start(ctx, "entry")
 	defer span.End()
 	id := xid.New().String()
+	server.SetID(r.Context(), id)
 	span.SetAttributes(attribute.String("id", id))
 	s := e.snapshot.Load()
 	if s == nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -7,7 +7,6 @@
 	"errors"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"sync"
@@ -26,37 +25,26 @@
 	"hickorydrum/platform"
 	"hickorydrum/rollout"
 	"hickorydrum/roster"
+	"hickorydrum/server"
 	"hickorydrum/setting"
-	"hickorydrum/shutdown"
 	"hickorydrum/socket"
 	"hickorydrum/steering"
 	"hickorydrum/upstream"
 )
 
 const (
-	maxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 10 * time.Second
 	callerIdleTimeout = 60 * time.Second
 	callerUserTimeout = 10 * time.Second
+	idleCheckInterval = 500 * time.Millisecond
 	refreshInterval   = 200 * time.Millisecond
 	keysInterval      = 5 * time.Second
 	cleanInterval     = time.Hour
+	callTimeout       = 3 * time.Second // of a message to the platform or to a peer
 	// frozenAfter is the time since the last confirmation of the revision after which
 	// traffic no longer moves between regions.
-	frozenAfter = 10 * time.Second
-	// propagationMargin is how long the leaving state of an instance takes to reach every
-	// instance that answers look-ups.
-	propagationMargin = 500 * time.Millisecond
-	stopStepTimeout   = 3 * time.Second
-	stopPoll          = 20 * time.Millisecond
-	// arrivalMargin is how long after the expiry of the look-up responses that name an instance
-	// requests may still arrive there.
-	arrivalMargin = time.Second
-	// responseMargin is the time from the latest deadline of a request to the end of a planned stop,
-	// for its response to be written.
-	responseMargin = 2 * time.Second
-	seedInterval   = 300 * time.Millisecond
-	seedAttempts   = 10
+	frozenAfter  = 10 * time.Second
+	seedInterval = 300 * time.Millisecond
+	seedAttempts = 10
 )
 
 // Instance is one instance of hickorydrum: listeners for callers, peers and operators, and
@@ -75,8 +63,8 @@
 	follower *rollout.Follower
 	entry    *entry.Entry
 	claimer  *idempotency.Claimer
-	callers  *httpServer
-	admin    *httpServer
+	callers  *server.Server
+	admin    *server.Server
 
 	ctx    context.Context // of the background work
 	cancel context.CancelFunc
@@ -99,33 +87,38 @@
 		loggedStates: make(map[string]roster.State),
 	}
 	i.ctx, i.cancel = context.WithCancel(context.Background())
-	if err := i.listen(bind); err != nil {
+	l, err := i.listen(bind)
+	if err != nil {
 		i.cancel()
 		return nil, err
 	}
-	i.assemble(bind)
+	i.assemble(bind, l)
 	return i, nil
 }
 
+// listeners are the HTTP listeners of an instance.
+type listeners struct{ callers, admin net.Listener }
+
 // listen opens the listeners and creates the roster. If one fails, those opened before it
 // are closed.
-func (i *Instance) listen(bind net.IP) error {
+func (i *Instance) listen(bind net.IP) (listeners, error) {
+	var l listeners
 	var err error
 	if i.node, err = peer.Listen(i.settings.Value("peer"), i.keys); err != nil {
-		return err
+		return l, err
 	}
-	if i.callers, err = listenHTTP(i.settings.Value("caller"), "-caller"); err != nil {
-		return errors.Join(err, i.node.Close())
+	if l.callers, err = listenTCP(i.settings.Value("caller"), "-caller"); err != nil {
+		return l, errors.Join(err, i.node.Close())
 	}
-	if i.admin, err = listenHTTP(i.settings.Value("admin"), "-admin"); err != nil {
-		return errors.Join(err, i.callers.listener.Close(), i.node.Close())
+	if l.admin, err = listenTCP(i.settings.Value("admin"), "-admin"); err != nil {
+		return l, errors.Join(err, l.callers.Close(), i.node.Close())
 	}
 	i.roster = roster.New(i.member())
 	i.watcher, err = roster.NewWatcher(i.roster, i.settings.Value("probe"), bind, i.onGone)
 	if err != nil {
-		return errors.Join(err, i.admin.listener.Close(), i.callers.listener.Close(), i.node.Close())
+		return l, errors.Join(err, l.admin.Close(), l.callers.Close(), i.node.Close())
 	}
-	return nil
+	return l, nil
 }
 
 // member returns this instance's entry of the roster, with a new run ID.
@@ -145,7 +138,7 @@
 }
 
 // assemble creates the parts of the instance and connects them.
-func (i *Instance) assemble(bind net.IP) {
+func (i *Instance) assemble(bind net.IP, l listeners) {
 	self := i.roster.Self()
 	i.registry = roster.NewRegistry(i.platform)
 	i.pool = upstream.NewPool(self.Domain, self.Region, upstream.WithBind(bind),
@@ -155,8 +148,9 @@
 	i.entry = entry.New(i.roster.Self, i.pool, i.claimer, i.log,
 		entry.WithFrozen(i.frozen), entry.WithLookupTTL(i.settings.Duration("lookup-life")))
 	i.follower = rollout.NewFollower(i.state, i.platform, i.roster, i.node, i.log, i.onInstanceList)
-	i.callers.http.Handler = i.entry.Handler()
-	i.admin.http.Handler = i.adminHandler()
+	i.callers = server.New(l.callers, i.entry.Handler(), i.log)
+	i.admin = server.New(l.admin, i.adminHandler(), i.log)
+	i.callers.SetIdle(callerIdleTimeout)
 	i.roster.OnChange(i.onView)
 	i.onView(i.roster.View())
 	i.follower.Register(i.node)
@@ -166,25 +160,15 @@
 	}))
 }
 
-// httpServer is an HTTP server with its listener.
-type httpServer struct {
-	listener net.Listener
-	http     *http.Server
-}
-
-// listenHTTP opens an HTTP listener. flag is the command-line flag of the address, for the
-// error.
-func listenHTTP(address, flag string) (*httpServer, error) {
+// listenTCP opens a listener. flag is the command-line flag of the address, for the error.
+func listenTCP(address, flag string) (net.Listener, error) {
 	config := net.ListenConfig{Control: socket.UserTimeout(callerUserTimeout)}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "the address "+address+" cannot be listened on",
 			"set "+flag+" to a free address of this machine", fault.WithCause(err))
 	}
-	return &httpServer{listener: listener, http: &http.Server{
-		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
-	}}, nil
+	return listener, nil
 }
 
 // frozen reports whether the revision was not confirmed for frozenAfter, so that traffic
@@ -269,37 +253,42 @@
 	event.Started.Log(i.ctx, i.log, slog.String("instance", self.ID()), slog.String("caller", self.Caller),
 		slog.String("peer", self.Peer))
 	i.node.Serve()
-	i.serveHTTP(i.callers)
-	i.serveHTTP(i.admin)
+	i.serve(i.callers)
+	i.serve(i.admin)
 	for _, run := range []func(context.Context) error{
 		i.watcher.Run, i.follower.Run, i.entry.Run, upstream.NewProber(i.pool).Run, i.refresh, i.reloadKeys,
-		i.clean, i.join,
+		i.clean, i.join, i.closeIdle,
 	} {
 		i.group.Go(func() error { return run(i.ctx) })
 	}
 	<-stop.Done()
-	shutdown.Stop(i.ctx, i.log, i.openRequests, i.stopSteps()...)
+	i.stop()
 	i.cancel()
 	i.pool.Close()
-	err = errors.Join(i.admin.http.Close(), i.group.Wait(), i.node.Close())
+	err = errors.Join(i.callers.Close(), i.admin.Close(), i.group.Wait(), i.node.Close())
 	i.claimer.Wait()
 	i.platform.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), stopStepTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	return errors.Join(err, stopTraces(ctx))
 }
 
-// serveHTTP starts to serve on s in the background.
-func (i *Instance) serveHTTP(s *httpServer) {
+// serve starts a server in the background.
+func (i *Instance) serve(s *server.Server) {
 	i.group.Go(func() error {
-		err := s.http.Serve(s.listener)
-		if !errors.Is(err, http.ErrServerClosed) {
-			event.ServeFailed.Log(i.ctx, i.log, slog.String("error", err.Error()))
-		}
+		s.Serve()
 		return nil
 	})
 }
 
+// closeIdle closes the connections of callers and operators that have been idle for too long.
+func (i *Instance) closeIdle(ctx context.Context) error {
+	return interval.Each(ctx, idleCheckInterval, func(now time.Time) {
+		i.callers.CloseIdle(now)
+		i.admin.CloseIdle(now)
+	})
+}
+
 // join copies the state of the peers and then registers this instance with the platform.
 // Look-ups name only registered instances.
 func (i *Instance) join(ctx context.Context) error {
@@ -350,7 +339,7 @@
 		if m.ID() == self.ID() {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, stopStepTimeout)
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := i.entry.AdoptPlacements(ctx, i.node, peer.NewTarget(m.Name, m.Peer))
 		cancel()
 		if err == nil {
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -8,34 +8,64 @@
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/roster"
-	"hickorydrum/server"
 	"hickorydrum/shutdown"
 )
 
+const (
+	// propagationMargin is how long the leaving state of an instance takes to reach every
+	// instance that answers look-ups.
+	propagationMargin = 500 * time.Millisecond
+	// arrivalMargin is how long after the expiry of the look-up responses that name an instance
+	// requests may still arrive there.
+	arrivalMargin = time.Second
+	// responseMargin is the time from the latest deadline of a request to the end of a planned stop,
+	// for its response to be written.
+	responseMargin = 2 * time.Second
+	// quietTime is how long a connection must have been idle to be closed during a planned stop.
+	quietTime = 500 * time.Millisecond
+	// operatorTime is how long a planned stop waits for the responses to operators.
+	operatorTime = time.Second
+	stopPoll     = 20 * time.Millisecond
+)
+
+// stop performs a planned stop. No request that was admitted has a deadline after its end.
+func (i *Instance) stop() {
+	expiry := time.Now().Add(i.settings.Duration("lookup-life") + propagationMargin)
+	end := i.entry.Leave(expiry.Add(arrivalMargin + i.longestLimit())).Add(responseMargin)
+	shutdown.Stop(i.ctx, i.log, i.openConnections, i.stopSteps(expiry, end)...)
+}
+
+func (i *Instance) openConnections() slog.LogValuer { return i.callers.Counts() }
+
 // stopSteps returns the steps of a planned stop: announce that the instance leaves, wait
 // until look-up responses that name it have expired, finish the requests in flight, and
 // announce that it is gone.
-func (i *Instance) stopSteps() []shutdown.Step {
-	var expiry, end time.Time
-	stopEnd := func() time.Time { return end }
+func (i *Instance) stopSteps(expiry, end time.Time) []shutdown.Step {
+	operatorEnd := func() time.Time { return time.Now().Add(operatorTime) }
 	return []shutdown.Step{
 		shutdown.NewStep("leave", func(ctx context.Context) error {
-			expiry = time.Now().Add(i.settings.Duration("lookup-life") + propagationMargin)
-			end = i.entry.Leave(expiry.Add(arrivalMargin + i.longestLimit())).Add(responseMargin)
 			i.roster.SetSelf(roster.Leaving)
 			return i.publish(ctx, roster.Leaving)
 		}),
 		shutdown.WaitUntil("expire", func() time.Time { return expiry }),
-		shutdown.NewStep("finish callers", func(ctx context.Context) error {
-			ctx, cancel := context.WithDeadline(ctx, end)
-			defer cancel()
-			return i.callers.http.Shutdown(ctx)
+		shutdown.NewStep("stop accepting", func(context.Context) error { return i.callers.StopAccepting() }),
+		shutdown.WaitUntilOr("finish callers", stopPoll, end, func() bool {
+			i.callers.GiveUpIdle(time.Now().Add(-quietTime))
+			return i.callers.Counts().Open() == 0
 		}),
-		shutdown.WaitFor("finish upstreams", stopPoll, stopEnd, func() bool { return i.pool.InFlight() == 0 }),
+		shutdown.WaitUntilOr("finish upstreams", stopPoll, end, func() bool { return i.pool.InFlight() == 0 }),
 		shutdown.NewStep("depart", func(ctx context.Context) error { return i.publish(ctx, roster.Gone) }),
+		shutdown.NewStep("stop accepting operators", func(context.Context) error { return i.admin.StopAccepting() }),
+		shutdown.WaitFor("finish operators", stopPoll, operatorEnd, i.operatorsDone),
 	}
 }
 
+// operatorsDone gives up the operators' idle connections and reports whether no other is open.
+func (i *Instance) operatorsDone() bool {
+	i.admin.GiveUpIdle(time.Now())
+	return i.admin.Counts().Open() == 0
+}
+
 // longestLimit returns the longest time limit of a declared service.
 func (i *Instance) longestLimit() time.Duration {
 	longest := time.Duration(0)
@@ -47,12 +77,9 @@
 	return longest
 }
 
-// openRequests returns the requests that are being sent to upstreams.
-func (i *Instance) openRequests() slog.LogValuer { return server.Counts{Serving: i.pool.InFlight()} }
-
 // publish sends this instance's state to the platform and to peers, and waits for both.
 func (i *Instance) publish(ctx context.Context, state roster.State) error {
-	ctx, cancel := context.WithTimeout(ctx, stopStepTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var group errgroup.Group
 	group.Go(func() error { return i.registry.Write(ctx, withState(i.roster.Self(), state)) })
--- a/restart/serve_test.go
+++ b/restart/serve_test.go
@@ -349,7 +349,8 @@
 	for i := range r.callers {
 		c := &caller{
 			name: fmt.Sprint(i), address: d.address(callerPort), path: "/orders/", method: r.method, fresh: r.fresh, header: r.header,
-			wait: func(random *rand.Rand, n int) { timing.wait(random, n, stop) }, body: "body",
+			wait:       func(random *rand.Rand, n int) { timing.wait(random, n, stop) },
+			waitToOpen: func(int) {}, body: "body",
 		}
 		defer startGroup(func() { c.run(j, seed*1000+uint64(i), end) })()
 	}
@@ -435,5 +436,5 @@
 	if a.status != http.StatusOK || d.runsOf("next") > 0 {
 		t.Errorf("status %d of a whole response, and %d runs of the next request; want 200 and 0", a.status, d.runsOf("next"))
 	}
-	t.Logf("stop took %v", d.awaitExit(signalled).Round(time.Millisecond))
+	t.Logf("stop took %v\n%s", d.awaitExit(signalled).Round(time.Millisecond), d.linesOf(`"event":`))
 }
