dispatch: do not reuse a connection whose context ended with the exchange

Run called the stop function of the context's AfterFunc and ignored its result. If the context was cancelled as the response ended, by a caller that left, by a deadline or by the other attempt of a hedged request, the connection was put back while a goroutine was closing it, and the next request on it was cut off.

Run now reports the connection as not reusable if the function has begun. Who may close a connection is again known to exactly one exchange.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -212,11 +212,16 @@
 
 // Run sends the request, checks the response and forwards it to the sink. It reports whether
 // the connection can be reused. An error is a *fault.Error that states whether the upstream
-// executed the request. When ctx is done, the connection is closed.
+// executed the request. When ctx is done before Run returns, the connection is closed and cannot
+// be reused.
 func (x *Exchange) Run(ctx context.Context, body io.ReadCloser, sink Sink) (reusable bool, err error) {
 	x.conn.progress = &x.progress
 	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
-	defer stop()
+	defer func() {
+		if !stop() {
+			reusable = false // ctx is done, and the connection is closed or about to be
+		}
+	}()
 	if err := x.conn.SetDeadline(x.deadline); err != nil {
 		return false, x.newError(fault.Unavailable, "the connection to the upstream was lost", err)
 	}
