command: a log that nobody reads any more does not end an instance

A write to a standard output or error whose reader has gone raises SIGPIPE, which ended serve and host at once: no planned stop, and all requests in flight cut off.

--- a/command/command.go
+++ b/command/command.go
@@ -113,6 +113,7 @@
 		usage: "serve [settings]", settings: setting.Serve(),
 	}
 	b.run = func(ctx context.Context, _ []string) error {
+		ignoreBrokenPipes()
 		i, err := instance.New(b.settings, b.settings.Logger())
 		if err != nil {
 			return err
--- a/command/host.go
+++ b/command/host.go
@@ -21,6 +21,7 @@
 		usage: "host [settings]", settings: setting.Host(),
 	}
 	b.run = func(ctx context.Context, _ []string) error {
+		ignoreBrokenPipes()
 		lines := event.NewWriter(os.Stdout)
 		defer func() { _ = lines.Close() }()
 		i, err := hosted.New(b.settings.Value("node-file"), b.settings.LoggerTo(lines))
