event: Close of a Writer ends at a deadline

At the end of a planned stop host closed its log and waited for the destination without end: with a pipe that nobody reads the process went on until it was killed.

TestWriterCloseInTime guards it.

--- a/command/host.go
+++ b/command/host.go
@@ -23,7 +23,7 @@
 	b.run = func(ctx context.Context, _ []string) error {
 		ignoreBrokenPipes()
 		lines := event.NewWriter(os.Stdout)
-		defer func() { _ = lines.Close() }()
+		defer flush(lines)
 		i, err := hosted.New(b.settings.Value("node-file"), b.settings.LoggerTo(lines))
 		if err != nil {
 			return err
--- a/event/writer.go
+++ b/event/writer.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -20,6 +22,7 @@
 	out     io.Writer
 	lines   chan []byte
 	group   errgroup.Group
+	done    chan struct{} // closed when the queued lines have been written
 	dropped atomic.Int64
 
 	mu     sync.RWMutex
@@ -28,7 +31,7 @@
 
 // NewWriter returns a Writer to out and starts its goroutine, which Close ends.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, maxQueuedLines)}
+	w := &Writer{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
 	w.group.Go(w.writeLoop)
 	return w
 }
@@ -57,6 +60,7 @@
 // queue is closed. A batch also reports, as an event LinesOmitted, how many lines
 // were dropped since the last such report.
 func (w *Writer) writeLoop() error {
+	defer close(w.done)
 	var batch []byte
 	reported := int64(0)
 	for line := range w.lines {
@@ -75,14 +79,27 @@
 	return nil
 }
 
-// Close writes the queued lines and stops the goroutine. It may be called more
-// than once.
-func (w *Writer) Close() error {
+// Close writes the queued lines and stops the goroutine. If the destination does not take
+// them by the deadline, Close returns an error that wraps os.ErrDeadlineExceeded, and the
+// goroutine ends once the destination has taken them. It may be called more than once.
+func (w *Writer) Close(deadline time.Time) error {
+	w.closeQueue()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-w.done:
+		return w.group.Wait()
+	case <-timer.C:
+		return fmt.Errorf("lines of the log could not be written: %w", os.ErrDeadlineExceeded)
+	}
+}
+
+// closeQueue makes Write discard lines from now on, and ends the queue.
+func (w *Writer) closeQueue() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if !w.closed {
 		w.closed = true
 		close(w.lines)
 	}
-	w.mu.Unlock()
-	return w.group.Wait()
 }
--- a/event/writer_test.go
+++ b/event/writer_test.go
@@ -6,8 +6,12 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 )
 
+// closeTimeout is how long Close may take if the destination accepts writes.
+const closeTimeout = 5 * time.Second
+
 // gate is a destination whose writes block until it is opened.
 type gate struct {
 	open chan struct{}
@@ -36,7 +40,7 @@
 		t.Errorf("%d of %d lines were dropped", dropped, lines)
 	}
 	close(g.open)
-	if err := w.Close(); err != nil {
+	if err := w.Close(time.Now().Add(closeTimeout)); err != nil {
 		t.Fatal(err)
 	}
 	if reported := countReported(t, g.got.String()); reported != dropped {
@@ -55,7 +59,7 @@
 			t.Fatal(err)
 		}
 	}
-	if err := w.Close(); err != nil {
+	if err := w.Close(time.Now().Add(closeTimeout)); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := io.WriteString(w, "after the end\n"); err != nil {
@@ -66,6 +70,30 @@
 	}
 }
 
+// TestWriterCloseInTime guards against a log destination that nobody reads: Close waited for it
+// without end.
+func TestWriterCloseInTime(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	w := NewWriter(g)
+	if _, err := io.WriteString(w, "line\n"); err != nil {
+		t.Fatal(err)
+	}
+	begun := time.Now()
+	if err := w.Close(begun.Add(50 * time.Millisecond)); err == nil {
+		t.Error("Close returned no error, although the line isn't written")
+	}
+	if took := time.Since(begun); took > time.Second {
+		t.Errorf("Close took %s", took)
+	}
+	close(g.open)
+	if err := w.Close(time.Now().Add(closeTimeout)); err != nil {
+		t.Error(err)
+	}
+	if g.got.String() != "line\n" {
+		t.Errorf("written: %q", g.got.String())
+	}
+}
+
 // countReported returns the sum of the counts of dropped lines that the log reports.
 // There may be several reports, since a batch that is written before the
 // destination blocks can hold one.
