command: the signals of host hold from before its listeners until it has exited

host took its signals after its listeners were open and gave SIGHUP back before its log was written: a SIGTERM or SIGHUP at the start and a SIGHUP at the end of a planned stop ended the process at once. notifySignals comes first now and isn't undone.

--- a/command/host.go
+++ b/command/host.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
 
@@ -22,17 +20,13 @@
 	}
 	b.run = func(ctx context.Context, _ []string) error {
 		ignoreBrokenPipes()
+		stop, hangUps := notifySignals(ctx)
 		lines := event.NewWriter(os.Stdout)
 		defer flush(lines)
 		i, err := hosted.New(b.settings.Value("node-file"), b.settings.LoggerTo(lines))
 		if err != nil {
 			return err
 		}
-		stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-		defer cancel()
-		hangUps := make(chan os.Signal, 1)
-		signal.Notify(hangUps, syscall.SIGHUP)
-		defer signal.Stop(hangUps)
 		return i.Run(stop, hangUps)
 	}
 	return b
--- a/command/signal.go
+++ b/command/signal.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"context"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -15,6 +17,16 @@
 // Without it such a write ends the process.
 func ignoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
 
+// notifySignals returns a context that is done after SIGTERM or SIGINT, and the channel of SIGHUPs.
+// It is called before the first listener opens and holds until the process ends, so that no signal
+// ends the process in any other way than by a planned stop.
+func notifySignals(ctx context.Context) (stop context.Context, hangUps <-chan os.Signal) {
+	stop, _ = signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP)
+	return stop, received
+}
+
 // flush writes the queued lines of a log, as far as its destination takes them in time.
 func flush(lines *event.Writer) {
 	_ = lines.Close(time.Now().Add(flushTimeout)) // there is nowhere else to report lines that were not written
