command: a SIGHUP does not end serve

serve left SIGHUP to its default, which ends the process at once, with all requests in flight. It takes its signals as host does now; a SIGHUP has no effect, since the keys are read again whenever they change.

--- a/command/command.go
+++ b/command/command.go
@@ -10,9 +10,7 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
 	"os/user"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -114,12 +112,11 @@
 	}
 	b.run = func(ctx context.Context, _ []string) error {
 		ignoreBrokenPipes()
+		stop, _ := notifySignals(ctx) // a SIGHUP has no effect: the keys are read again whenever they change
 		i, err := instance.New(b.settings, b.settings.Logger())
 		if err != nil {
 			return err
 		}
-		stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-		defer cancel()
 		return i.Run(stop)
 	}
 	return b
