command, setting: serve logs in the background

serve wrote its log to standard error within the requests and the steps of its stop. While nobody read it, requests and the stop waited without end; with a pipe that was full from the start it served no callers. It logs through an event.Writer now, as host does, and one Logger serves both.

--- a/command/command.go
+++ b/command/command.go
@@ -16,6 +16,7 @@
 	"github.com/google/subcommands"
 
 	"hickorydrum/declaration"
+	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/instance"
 	"hickorydrum/platform"
@@ -113,7 +114,9 @@
 	b.run = func(ctx context.Context, _ []string) error {
 		ignoreBrokenPipes()
 		stop, _ := notifySignals(ctx) // a SIGHUP has no effect: the keys are read again whenever they change
-		i, err := instance.New(b.settings, b.settings.Logger())
+		lines := event.NewWriter(os.Stderr)
+		defer flush(lines)
+		i, err := instance.New(b.settings, b.settings.Logger(lines))
 		if err != nil {
 			return err
 		}
--- a/command/host.go
+++ b/command/host.go
@@ -23,7 +23,7 @@
 		stop, hangUps := notifySignals(ctx)
 		lines := event.NewWriter(os.Stdout)
 		defer flush(lines)
-		i, err := hosted.New(b.settings.Value("node-file"), b.settings.LoggerTo(lines))
+		i, err := hosted.New(b.settings.Value("node-file"), b.settings.Logger(lines))
 		if err != nil {
 			return err
 		}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -246,9 +246,14 @@
 	}
 }
 
-// LoggerTo returns a logger that writes JSON lines to w, at the level in the table.
-func (t *Table) LoggerTo(w io.Writer) *slog.Logger {
-	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: t.level()}))
+// Logger returns a logger that writes to w at the level in the table, as text if the table
+// has the format text and otherwise as JSON lines.
+func (t *Table) Logger(w io.Writer) *slog.Logger {
+	opts := &slog.HandlerOptions{Level: t.level()}
+	if t.Value("log") == "text" {
+		return slog.New(slog.NewTextHandler(w, opts))
+	}
+	return slog.New(slog.NewJSONHandler(w, opts))
 }
 
 func (t *Table) level() slog.Level {
@@ -256,13 +261,3 @@
 	_ = level.UnmarshalText([]byte(t.Value("log-level"))) // Check has found it to be a level
 	return level
 }
-
-// Logger returns a logger that writes to standard error, in the format and at the
-// level in the table.
-func (t *Table) Logger() *slog.Logger {
-	opts := &slog.HandlerOptions{Level: t.level()}
-	if t.Value("log") == "json" {
-		return slog.New(slog.NewJSONHandler(os.Stderr, opts))
-	}
-	return slog.New(slog.NewTextHandler(os.Stderr, opts))
-}
