--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -317,6 +317,17 @@
 
 func (nowhere) WriteTo(p []byte, _ net.Addr) (int, error) { return len(p), nil }
 
+// TestNoEmptyDatagram guards against a message that cannot be encoded and is sent as an empty
+// datagram, which every receiver counts as unreadable.
+func TestNoEmptyDatagram(t *testing.T) {
+	m := &Mesh{conn: nowhere{}}
+	before := sent.Get()
+	m.send([]datagram{{to: addressOf(2)}, {to: addressOf(2), data: []byte("x")}})
+	if n := sent.Get() - before; n != 1 {
+		t.Errorf("%d datagrams were sent, want 1", n)
+	}
+}
+
 // TestStrangers checks that datagrams that are invalid, of another deployment or with a
 // wrong sender are rejected.
 func TestStrangers(t *testing.T) {
--- a/idempotency/idempotency_test.go
+++ b/idempotency/idempotency_test.go
@@ -249,6 +249,28 @@
 	}
 }
 
+// TestReleaseAtStop guards against a key that stays blocked because the instance that was to
+// release its claim stopped: no instance has executed the request.
+func TestReleaseAtStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFixture(ctx, t)
+		f.store.Fail(standin.StoreLateWrite, 1)
+		_, r := f.begin(testKey, testRequest)
+		if diff := cmp.Diff(unavailableResult, r); diff != "" {
+			t.Error(diff)
+		}
+		synctest.Wait() // the first attempt to release finds no claim
+		f.store.ApplyLateWrites()
+		cancel()
+		f.claimer.Wait()
+		_, got := f.other(t.Context()).begin(testKey, testRequest)
+		if diff := cmp.Diff(result{Claimed: true}, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // TestClean checks that a claim is deleted after the retention and not before.
 func TestClean(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -357,6 +357,27 @@
 	tr.End(&Result{Upstream: u}, start)
 }
 
+// TestRestartedUpstream guards against a request to an upstream's earlier run that counts for the
+// new run, as ended and as a failed connection.
+func TestRestartedUpstream(t *testing.T) {
+	tr, v := trackerOf(upstream("one", "a-1", nil))
+	earlier, _ := v.Upstream("one")
+	if _, ok := tr.Begin(earlier, ColdShare{}, start); !ok {
+		t.Fatal("the upstream gets no request")
+	}
+	v = fleet.NewView([]fleet.Upstream{upstream("one", "a-1", func(u *fleet.Upstream) { u.StartMillis = 2 })}, nil, regions)
+	tr.ApplyView(v, false, noCold, start)
+	u, _ := v.Upstream("one")
+	if _, ok := tr.Begin(u, ColdShare{}, start); !ok {
+		t.Fatal("the restarted upstream gets no request")
+	}
+	tr.End(&Result{Upstream: earlier, Outcome: Unreachable}, start)
+	candidates, _ := tr.Candidates(request(1), v.Service("list"), start)
+	if len(candidates) != 1 || candidates[0].Outstanding != 1 || tr.states["one"].failures != 0 {
+		t.Errorf("candidates %+v, %d failures; want one upstream with one request and no failure", candidates, tr.states["one"].failures)
+	}
+}
+
 // TestTimesOfSlowServices checks that times are measured that are far from the assumed
 // ones, in services that are slow or very fast. Otherwise a region takes slow requests for
 // fast ones and computes that its few upstreams suffice.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -276,6 +276,39 @@
 	}
 }
 
+// silentAsker is a peer that has a higher revision and does not answer when asked for it.
+type silentAsker struct{ from roster.Member }
+
+func (a silentAsker) Ask(ctx context.Context, _ peer.Target, call peer.Call, _, resp any) error {
+	if hello, ok := resp.(*helloMessage); ok {
+		*hello = helloMessage{From: a.from, Revision: 1}
+		return nil
+	}
+	<-ctx.Done()
+	return fault.New(fault.Unavailable, "silent", "")
+}
+
+// TestStopWhileFetching guards against a stop that waits for an update that a peer does not send.
+func TestStopWhileFetching(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{nodes: make(map[string]*testNode)}
+		node := n.add(t, standin.NewStore(), "a", "one", "a")
+		other := roster.Member{Name: "b", Run: "r", Region: "one", Domain: "b", Peer: "b", State: roster.Live}
+		node.roster.Merge([]roster.Member{other})
+		node.follower.asker = silentAsker{from: other}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return node.follower.Run(ctx) })
+		time.Sleep(helloInterval + time.Second)
+		stopped := time.Now()
+		cancel()
+		_ = group.Wait() // the follower ends with its context
+		if took := time.Since(stopped); took > time.Second {
+			t.Errorf("the follower ended %s after its context", took)
+		}
+	})
+}
+
 // TestRelaysOnly counts the calls to the platform while nothing changes or fails.
 // There must be no more than those of the watches by the failure domain's relays.
 func TestRelaysOnly(t *testing.T) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// TestSelfOnlyGrows guards against an instance that names itself live again during its planned
+// stop, because its registration ended after the stop had begun.
+func TestSelfOnlyGrows(t *testing.T) {
+	r := New(testMember("self", Joining))
+	for _, state := range []State{Leaving, Live} {
+		r.SetSelf(state)
+		if m, _ := r.View().Member("self/1"); m.State != Leaving || r.Self().State != Leaving {
+			t.Errorf("after %s the instance is %s, in its view %s", state, r.Self().State, m.State)
+		}
+	}
+}
+
 // TestRankMovesLittle removes one of 10 members and checks that only its keys get
 // another owner, namely its successor. It also bounds the keys of each member.
 func TestRankMovesLittle(t *testing.T) {
