roster: SetSelf never goes back to an earlier state

join reads the instance's state and then sets it to live. If a planned stop began in between, the instance named itself live again: look-ups went on naming it until its process ended. SetSelf now keeps the rule that State states.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -255,9 +255,13 @@
 	return true
 }
 
-// SetSelf changes the state of this instance.
+// SetSelf changes the state of this instance, unless it is in that state or a later one already.
 func (r *Roster) SetSelf(state State) {
 	r.mu.Lock()
+	if state <= r.self.State {
+		r.mu.Unlock()
+		return
+	}
 	r.self.State = state
 	next := maps.Clone(r.view.byID)
 	next[r.self.ID()] = r.self
