idempotency: release a claim in doubt once more when the instance stops

When the write of a claim got no response, the instance told its caller to retry and released the claim in the background; its planned stop ended that at once. The key was then blocked until the claim expired, and after it the outcome counted as unknown, although no upstream ran the request.

--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -249,29 +249,35 @@
 	return err
 }
 
-// releaseUncertain releases a claim whose write may or may not have taken effect.
+// releaseUncertain releases a claim whose write may or may not have taken effect. It makes
+// attempts for releaseTimeout or until the claimer's context is done, and then a last one.
 func (c *Claim) releaseUncertain() {
 	event.ClaimUncertain.Log(c.claimer.ctx, c.claimer.log, slog.String("object", c.object))
-	ctx, cancel := context.WithTimeout(c.claimer.ctx, releaseTimeout)
+	repeat, cancel := context.WithTimeout(c.claimer.ctx, releaseTimeout)
 	defer cancel()
-	for failures := 0; ; failures++ {
-		found, err := c.claimer.store.Get(ctx, c.object)
-		if err == nil {
-			var rec record
-			if json.Unmarshal(found.Value, &rec) != nil || rec.Nonce != c.rec.Nonce || rec.State == stateReleased {
-				return
-			}
-			c.rec.State = stateReleased
-			if err = c.put(ctx, found.Version); err == nil || fault.KindOf(err) == fault.Conflict {
-				return
-			}
-		}
-		// If the object is missing, the platform may still process the delayed write, so
-		// the loop reads again until releaseTimeout has passed.
-		if !interval.Sleep(ctx, platform.Backoff(failures)) {
-			return
-		}
+	last := false
+	for failures := 0; !c.release() && !last; failures++ {
+		last = !interval.Sleep(repeat, platform.Backoff(failures))
+	}
+}
+
+// release reads the claim and releases it if it is this one. It reports whether no further
+// attempt is needed. If the object is missing, one is: the platform may still process the
+// delayed write.
+func (c *Claim) release() bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.claimer.ctx), storeTimeout)
+	defer cancel()
+	found, err := c.claimer.store.Get(ctx, c.object)
+	if err != nil {
+		return false
+	}
+	var rec record
+	if json.Unmarshal(found.Value, &rec) != nil || rec.Nonce != c.rec.Nonce || rec.State == stateReleased {
+		return true
 	}
+	c.rec.State = stateReleased
+	err = c.put(ctx, found.Version)
+	return err == nil || fault.KindOf(err) == fault.Conflict
 }
 
 // Finish stores the response for repeated requests. A body of more than MaxStoredBody is
