rollout: an update from a peer ends with the context of the follower

fetch detached itself from the context of a hello to get a longer time limit, and with it from the end of the instance: a planned stop waited for the updates from peers that are silent, in the test 9 to 19 s of virtual time after the context. Each call now has its time limit alone, so that fetch can keep the context.

--- a/rollout/exchange.go
+++ b/rollout/exchange.go
@@ -67,16 +67,21 @@
 // helloOne exchanges hellos with a member. A failure is ignored, as a later hello
 // makes up for it.
 func (f *Follower) helloOne(ctx context.Context, m roster.Member) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	mine := f.ownHello()
-	var theirs helloMessage
-	if err := f.asker.Ask(ctx, target(m), CallHello, mine, &theirs); err != nil {
+	theirs, err := f.hello(ctx, target(m))
+	if err != nil {
 		return
 	}
 	f.reconcile(ctx, theirs)
 }
 
+// hello sends a hello and returns that of the peer.
+func (f *Follower) hello(ctx context.Context, to peer.Target) (theirs helloMessage, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = f.asker.Ask(ctx, to, CallHello, f.ownHello(), &theirs)
+	return theirs, err
+}
+
 // ownHello returns the hello of this instance in its present state.
 func (f *Follower) ownHello() helloMessage {
 	return helloMessage{
@@ -102,10 +107,10 @@
 }
 
 // fetch requests the changes since the revision in force from a peer and applies
-// them. The update has a time limit of its own, longer than that of a hello, since
-// a whole set may take several calls.
+// them. The update has a longer time limit than a hello, since a whole set may take
+// several calls.
 func (f *Follower) fetch(ctx context.Context, from roster.Member) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), updateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
 	update, err := f.fetchAll(ctx, from)
 	if err != nil || update.To <= f.state.Revision() {
@@ -149,6 +154,8 @@
 // syncRosters merges the rosters of this instance and a peer at both sides. Only
 // members of failure domains whose digests differ are sent.
 func (f *Follower) syncRosters(ctx context.Context, with roster.Member) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	var theirs rosterMessage
 	mine := rosterMessage{Digests: f.roster.View().Digests()}
 	if err := f.asker.Ask(ctx, target(with), CallRoster, mine, &theirs); err != nil {
@@ -213,12 +220,8 @@
 // answer.
 func (f *Follower) Bootstrap(ctx context.Context, seeds []peer.Target) {
 	for _, to := range seeds {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		var theirs helloMessage
-		err := f.asker.Ask(ctx, to, CallHello, f.ownHello(), &theirs)
-		if err == nil {
+		if theirs, err := f.hello(ctx, to); err == nil {
 			f.reconcile(ctx, theirs)
 		}
-		cancel()
 	}
 }
