load: the requests of an upstream's earlier run do not count for the new one

When an upstream ended and started again at the same address, the requests that its end cut off counted for the new run: it was avoided and marked as cold as an upstream that cannot be reached, its idle connections were closed, and it seemed to have fewer requests in flight than it had.

--- a/load/load.go
+++ b/load/load.go
@@ -312,15 +312,15 @@
 }
 
 // End records the result of a request that Begin counted. It does nothing if the upstream
-// has been removed. If the upstream has restarted, the result counts for the new start.
+// has been removed or has restarted since.
 func (tr *Tracker) End(r *Result, now time.Time) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	s, ok := tr.states[r.Upstream.ID]
-	if !ok {
+	if !ok || s.startMillis != r.Upstream.StartMillis {
 		return
 	}
-	s.inFlight = max(0, s.inFlight-1)
+	s.inFlight = max(0, s.inFlight-1) // the upstream may have left the view and come back
 	switch r.Outcome {
 	case Answered:
 		tr.answered(s, r, now)
