--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -180,6 +180,9 @@
 
 func (m *Mesh) send(datagrams []datagram) {
 	for _, d := range datagrams {
+		if len(d.data) == 0 {
+			continue // the message could not be encoded
+		}
 		// A datagram that cannot be sent counts as lost.
 		to := net.UDPAddrFromAddrPort(netip.AddrPortFrom(d.to, m.port))
 		if _, err := m.conn.WriteTo(d.data, to); err == nil {
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -176,8 +176,8 @@
 }
 
 // encode completes a message with the state of this instance and returns it encoded, or nil,
-// which is sent as an empty datagram, if it cannot be encoded. It counts such a message with
-// the unreadable datagrams.
+// which is not sent, if it cannot be encoded. It counts such a message with the unreadable
+// datagrams.
 func (v *view) encode(m *message, members []*memberState, summaries []*Summary, now time.Time) []byte {
 	m.Domain, m.Newest = v.domain, v.newest
 	data, err := encode(m, &v.self, members, summaries, now)
