trial: a stand-in finishes the requests under way when it stops

SIGTERM to a stand-in closed all its connections at once, so that the requests which it ran got no response and a trial counted them against the instances. It serves by package server now: a connection is given up while no request is on it, and the requests under way get up to 5 s.

--- a/trial/command.go
+++ b/trial/command.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -21,9 +20,15 @@
 	"github.com/google/subcommands"
 	"golang.org/x/sync/errgroup"
 
+	"hickorydrum/server"
 	"hickorydrum/standin"
 )
 
+const (
+	finishTimeout  = 5 * time.Second
+	finishInterval = 5 * time.Millisecond // between two checks whether requests are under way
+)
+
 // Run executes the standin command line and returns the exit code of the process.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
@@ -75,19 +80,28 @@
 	return subcommands.ExitSuccess
 }
 
-// serveHTTP serves HTTP on the address until ctx is done, and then returns nil.
+// serveHTTP serves HTTP on the address until ctx is done. It then finishes the requests under way,
+// for at most finishTimeout, and returns nil.
 func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	s, err := server.Listen(address, handler, httpTimeout, discardLogger)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: httpTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	var group errgroup.Group
+	group.Go(func() error {
+		s.Serve()
+		return nil
+	})
+	<-ctx.Done()
+	ticker := time.NewTicker(finishInterval)
+	defer ticker.Stop()
+	for deadline := time.Now().Add(finishTimeout); time.Now().Before(deadline); <-ticker.C {
+		_ = s.StopAccepting() // fails from the second call on, since the listener is closed
+		if s.Counts().Open() == 0 {
+			break
+		}
 	}
-	return nil
+	return errors.Join(s.Close(), group.Wait())
 }
 
 func platformCommand() *command {
