--- a/command/command.go
+++ b/command/command.go
@@ -10,14 +10,13 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
 	"os/user"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
 
 	"hickorydrum/declaration"
+	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/instance"
 	"hickorydrum/platform"
@@ -113,12 +112,14 @@
 		usage: "serve [settings]", settings: setting.Serve(),
 	}
 	b.run = func(ctx context.Context, _ []string) error {
-		i, err := instance.New(b.settings, b.settings.Logger())
+		ignoreBrokenPipes()
+		stop, _ := notifySignals(ctx) // a SIGHUP has no effect: the keys are read again whenever they change
+		lines := event.NewWriter(os.Stderr)
+		defer flush(lines)
+		i, err := instance.New(b.settings, b.settings.Logger(lines))
 		if err != nil {
 			return err
 		}
-		stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-		defer cancel()
 		return i.Run(stop)
 	}
 	return b
