--- a/server/server.go
+++ b/server/server.go
@@ -27,6 +27,8 @@
 	defaultIdle    = 30 * time.Second
 	drainTime      = 100 * time.Millisecond
 	drainPoll      = time.Millisecond
+	// maxLostLines limits the log lines about lost requests in a second.
+	maxLostLines = 100
 )
 
 // Server serves HTTP/1.1 on one listener.
@@ -35,7 +37,8 @@
 	listener net.Listener
 	handler  http.Handler
 	log      *slog.Logger
-	closing  atomic.Bool // StopAccepting was called
+	lines    *event.Limiter // of the lines about lost requests
+	closing  atomic.Bool    // StopAccepting was called
 	// lingering has the goroutines of connections that are closed for writing only.
 	lingering errgroup.Group
 
@@ -61,6 +64,7 @@
 // New returns a server on a listener, which it closes.
 func New(listener net.Listener, handler http.Handler, log *slog.Logger) *Server {
 	s := &Server{listener: listener, handler: handler, log: log, conns: make(map[*conn]struct{}), idle: defaultIdle}
+	s.lines = event.NewLimiter(event.LinesPerSecond(maxLostLines))
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveRequest), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ConnState: setState, ConnContext: withConn,
