hosted: a planned stop keeps the grace period that the settings file has now

What callers saw: after a change of the settings file that shortens the grace period, the platform kills the process in the midst of its stop. Cause: the grace period was read once, at the start; only the retry bounds and the seeds followed the file.

The bounds follow the file like the rest, and the file is read once more when a stop begins, since it may change without a signal.

TestStopKeepsNewGrace (12 s at the start, then 3 s, one request of 8 s in flight): before, the stop took 8.0 s; now at most 3 s, and the caller gets a whole 502. Tests of stops, look-ups and reloads pass.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -58,6 +59,7 @@
 	ingress  *ingress.Ingress
 	servers  servers
 	group    errgroup.Group
+	bounds   atomic.Pointer[platform.Bounds] // as last read from the settings file
 
 	mu                sync.Mutex                 // held while objects from the store are applied; guards the fields below
 	evacuated         map[string]bool            // failure domains under evacuation in the last view
@@ -83,6 +85,7 @@
 		file: file, settings: settings, log: log, store: platform.New("http://" + settings.Store),
 		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream),
 	}
+	i.bounds.Store(&settings.Bounds)
 	control, err := netip.ParseAddrPort(settings.Control)
 	if err != nil {
 		return nil, fault.New(fault.Invalid, "the control address is not usable", "write it such as 10.1.0.4:8544",
@@ -283,8 +286,8 @@
 )
 
 // reload reads the settings file again on each signal and at an interval, since the platform
-// may change the file without sending a signal. It applies the retry bounds and the seeds; the
-// other settings take effect at the next start.
+// may change the file without sending a signal. It applies the bounds and the seeds; the other
+// settings take effect at the next start.
 func (i *Instance) reload(ctx context.Context, signals <-chan os.Signal) error {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
@@ -297,19 +300,26 @@
 			signalled = true
 		case <-ticker.C:
 		}
-		settings, err := platform.LoadSettings(i.file)
-		if err != nil {
-			event.SettingsRefused.Log(ctx, i.log, slog.String("error", err.Error()))
-			continue
-		}
-		i.planner.SetBounds(retryBounds(settings.Bounds))
-		i.mesh.SetSeeds(seedAddresses(settings.Seeds))
-		if signalled {
+		if i.readSettings(ctx) && signalled {
 			event.SettingsReloaded.Log(ctx, i.log)
 		}
 	}
 }
 
+// readSettings reads the settings file and applies the bounds and the seeds. It reports false, and
+// logs why, if the file is not usable.
+func (i *Instance) readSettings(ctx context.Context) bool {
+	settings, err := platform.LoadSettings(i.file)
+	if err != nil {
+		event.SettingsRefused.Log(ctx, i.log, slog.String("error", err.Error()))
+		return false
+	}
+	i.bounds.Store(&settings.Bounds)
+	i.planner.SetBounds(retryBounds(settings.Bounds))
+	i.mesh.SetSeeds(seedAddresses(settings.Seeds))
+	return true
+}
+
 // closeIdle closes callers' connections that have been idle for too long, every
 // idleCheckInterval until the context is done.
 func (i *Instance) closeIdle(ctx context.Context) error {
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -408,6 +408,36 @@
 	}
 }
 
+// TestStopKeepsNewGrace guards against a planned stop that outlasts a grace period that was shortened
+// while the process ran: the platform kills the process then, with what it has in flight.
+func TestStopKeepsNewGrace(t *testing.T) {
+	c := newCluster(t)
+	c.grace = 12
+	c.configure(testRoute{prefix: "/order/", kind: "unsafe", service: "list", timeout: 8000})
+	w := c.worker("list", "one-a", func(w *standin.WorkerConfig) { w.Cold = 8 * time.Second })
+	m := c.start("a", "one-a")
+	c.ready(m, 1)
+	c.grace = 3
+	writeFile(t, m.file, c.settings("a", "one-a", m.ip, strings.TrimPrefix(c.api.URL, "http://"), nil))
+	got := make(chan reply, 1)
+	m.group.Go(func() error {
+		got <- c.send(m, callerRequest{method: http.MethodPost, path: "/order/x", id: "long", body: "b", remaining: 8000})
+		return nil
+	})
+	c.await("the request at the worker", func() bool { return w.Runs("long") == 1 })
+	begun := time.Now()
+	m.stop()
+	if answer := <-got; answer.Status != http.StatusBadGateway {
+		t.Errorf("the request that the stop cut got %d, want a whole 502", answer.Status)
+	}
+	if err := m.group.Wait(); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(begun); took > 3*time.Second {
+		t.Errorf("the stop took %v, the grace period is 3 s", took)
+	}
+}
+
 // TestLookup checks that look-ups return the instances nearest to the caller, and none that has
 // stopped.
 func TestLookup(t *testing.T) {
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -21,9 +21,9 @@
 	// acceptedTimeout is the TCP user timeout of the connections that all servers accept: one
 	// whose sent bytes are not acknowledged for so long is closed.
 	acceptedTimeout = 5 * time.Second
-	// lookupTTL is the longest time for which callers may cache the response to a look-up. It is
+	// maxLookupTTL is the longest time for which callers may cache the response to a look-up. It is
 	// short, so that few of them still connect to an instance when its planned stop ends.
-	lookupTTL = 1500 * time.Millisecond
+	maxLookupTTL = 1500 * time.Millisecond
 	// maxAddresses is the largest number of addresses in the response to a look-up.
 	maxAddresses = 64
 )
@@ -132,8 +132,7 @@
 		if len(addresses) == 0 {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
-		ttl := min(lookupTTL, i.settings.Bounds.LookupTTL)
-		return c.JSON(http.StatusOK, platform.NewLookupResponse(addresses, ttl))
+		return c.JSON(http.StatusOK, platform.NewLookupResponse(addresses, i.lookupTTL()))
 	})
 	return e
 }
--- a/hosted/stop.go
+++ b/hosted/stop.go
@@ -32,14 +32,16 @@
 // depend on its times: a connection is given up only while no request is on it, and a request whose
 // deadline is after the end of the stop is rejected.
 func (i *Instance) stop() {
-	shutdown.Stop(context.Background(), i.log, i.openConnections, i.stopSteps(time.Now())...)
+	begun := time.Now()
+	i.readSettings(context.Background()) // the grace period may have changed; the last one holds otherwise
+	shutdown.Stop(context.Background(), i.log, i.openConnections, i.stopSteps(begun)...)
 }
 
 func (i *Instance) openConnections() slog.LogValuer { return i.servers.front.Counts() }
 
 // stopSteps returns the steps of a planned stop that begins now.
 func (i *Instance) stopSteps(begun time.Time) []shutdown.Step {
-	end := begun.Add(i.settings.Bounds.Grace - stopMargin)
+	end := begun.Add(i.bounds.Load().Grace - stopMargin)
 	lastAnswer := end.Add(-answerMargin)
 	expired, lastAccept := i.acceptTimes(begun, lastAnswer)
 	front := i.servers.front
@@ -72,7 +74,7 @@
 // connection is accepted: when those of callers who use them for too long have expired as well, but no
 // later than a request with the longest timeout can be answered.
 func (i *Instance) acceptTimes(begun, lastAnswer time.Time) (expired, last time.Time) {
-	ttl := min(lookupTTL, i.settings.Bounds.LookupTTL)
+	ttl := i.lookupTTL()
 	longest := defaultTimeout
 	if t := i.planner.Table(); t != nil {
 		longest = cmp.Or(t.LongestTimeout(), longest)
@@ -82,6 +84,9 @@
 	return expired, last
 }
 
+// lookupTTL returns how long callers may cache the response to a look-up.
+func (i *Instance) lookupTTL() time.Duration { return min(maxLookupTTL, i.bounds.Load().LookupTTL) }
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
