standin: responses with a large, slow or endless body

The body of a worker's responses and the time to send it are configured, and the fault endless sends a body without an end.

--- a/standin/worker.go
+++ b/standin/worker.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -33,6 +35,7 @@
 	WorkerFail     WorkerFault = "fail"     // respond with status 500
 	WorkerBusy     WorkerFault = "busy"     // respond with status 503 and without Hickorydrum-Not-Executed
 	WorkerSilent   WorkerFault = "silent"   // run the request, never respond
+	WorkerEndless  WorkerFault = "endless"  // respond with a body that has no end
 )
 
 // WorkerConfig describes a worker.
@@ -46,6 +49,10 @@
 	Warm, Cold time.Duration
 	// Address is where the worker listens; a free port of 127.0.0.1 if empty.
 	Address string
+	// Body is the body of responses; defaultBody if empty.
+	Body string
+	// BodyTime is how long it takes to send the body of a response.
+	BodyTime time.Duration
 }
 
 // Worker is a stand-in upstream that speaks the protocol between instances and upstreams. It
@@ -330,6 +337,9 @@
 		return w.reply(c, req, 500, sealHeader, "failed")
 	case w.takeFault(WorkerBusy):
 		return w.reply(c, req, 503, sealHeader, "busy")
+	case w.takeFault(WorkerEndless):
+		w.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nHickorydrum-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n", id, sealHeader, int64(math.MaxInt64)))
+		return w.writeEndless(c)
 	case w.takeFault(WorkerStale):
 		w.write(c, "HTTP/1.1 200 OK\r\nHickorydrum-Attempt-Id: another\r\n"+sealHeader+"Content-Length: 5\r\n\r\nextra")
 	case w.takeFault(WorkerTail):
@@ -337,7 +347,7 @@
 		w.write(c, "HTTP/1.1 200 OK\r\nHickorydrum-Attempt-Id: another\r\nContent-Length: 4\r\n\r\ntail")
 		return ok
 	}
-	return w.reply(c, req, 200, sealHeader, defaultBody)
+	return w.reply(c, req, 200, sealHeader, cmp.Or(w.config.Body, defaultBody))
 }
 
 // reply sends one complete response and reports whether it could be written. header holds
@@ -354,8 +364,45 @@
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	fmt.Fprintf(&b, "Hickorydrum-Attempt-Id: %s\r\n", req.Header.Get("Hickorydrum-Attempt-Id"))
 	fmt.Fprintf(&b, "Hickorydrum-Server-Load: %s\r\n%s", load, header)
-	b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
-	return w.write(c, b.String())
+	b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+	return w.write(c, b.String()) && w.writeBody(c, body)
+}
+
+// bodyParts is the number of parts in which a body is sent that takes BodyTime.
+const bodyParts = 20
+
+// writeBody sends the body of a response, over the time that is configured.
+func (w *Worker) writeBody(c net.Conn, body string) bool {
+	if w.config.BodyTime == 0 {
+		return w.write(c, body)
+	}
+	size := len(body)/bodyParts + 1
+	for len(body) > 0 {
+		time.Sleep(w.config.BodyTime / bodyParts)
+		part := body[:min(size, len(body))]
+		if !w.write(c, part) {
+			return false
+		}
+		body = body[len(part):]
+	}
+	return true
+}
+
+// endlessPart and endlessPause are the size in bytes of each part of an endless body, and the
+// pause before it.
+const (
+	endlessPart  = 64 << 10
+	endlessPause = 10 * time.Millisecond
+)
+
+// writeEndless sends a body until the connection ends. It returns false, since no request can
+// follow.
+func (w *Worker) writeEndless(c net.Conn) bool {
+	part := strings.Repeat("x", endlessPart)
+	for w.write(c, part) {
+		time.Sleep(endlessPause)
+	}
+	return false
 }
 
 func (w *Worker) write(c net.Conn, text string) bool {
