--- a/restart/deployment_test.go
+++ b/restart/deployment_test.go
@@ -1,10 +1,10 @@
 package restart
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -27,6 +27,11 @@
 	// stopSlack is how long after the grace period a process may be reported as gone.
 	stopSlack = 500 * time.Millisecond
 
+	// workerSlots is how many requests an upstream runs at a time, and how many wait.
+	workerSlots = 512
+	// defaultIdle is how long callers may leave a connection idle.
+	defaultIdle = 15 * time.Second
+
 	frontPort, readyPort, directoryPort, controlPort, gossipPort = 18100, 18101, 18102, 18103, 18110
 )
 
@@ -57,12 +62,13 @@
 	api     *httptest.Server
 	workers []*standin.Worker
 	grace   time.Duration
+	begun   time.Time // when upstreams started
 	version int
 }
 
 func newDeployment(t *testing.T, grace time.Duration) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: standin.NewStore(), grace: grace, version: 2}
+	d := &deployment{t: t, store: standin.NewStore(), grace: grace, begun: time.Now().Add(-time.Minute), version: 2}
 	d.api = httptest.NewServer(standin.PlatformHandler(d.store))
 	t.Cleanup(func() {
 		d.api.CloseClientConnections()
@@ -71,22 +77,44 @@
 	return d
 }
 
-// worker starts an upstream whose requests take the given time, and registers it.
-func (d *deployment) worker(work time.Duration) *standin.Worker {
+// worker starts an upstream and registers it.
+func (d *deployment) worker(config standin.WorkerConfig, faults ...standin.WorkerFault) *standin.Worker {
 	d.t.Helper()
-	w, err := standin.NewWorker(standin.WorkerConfig{
-		ID: fmt.Sprintf("i-%d", len(d.workers)), Slots: 512, Queue: 512, Warm: work, Cold: work,
-	})
+	config.ID, config.Slots, config.Queue = fmt.Sprintf("i-%d", len(d.workers)), workerSlots, workerSlots
+	w, err := standin.NewWorker(config)
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	d.t.Cleanup(func() { _ = w.Close() })
+	for _, f := range faults {
+		w.Fail(f, -1)
+	}
 	d.workers = append(d.workers, w)
-	started := time.Now().Add(-time.Minute)
-	d.put(platform.KindUpstreams+"/"+w.ID(), w.Entry("list", "one-a", "ready", started, 0))
+	d.register(w, "ready")
 	return w
 }
 
+func upstreamKey(w *standin.Worker) string { return platform.KindUpstreams + "/" + w.ID() }
+
+// register writes the entry of an upstream with a state.
+func (d *deployment) register(w *standin.Worker, state string) {
+	d.t.Helper()
+	d.put(upstreamKey(w), w.Entry("list", "one-a", state, d.begun, 0))
+}
+
+// unregister deletes the entry of an upstream.
+func (d *deployment) unregister(w *standin.Worker) {
+	d.t.Helper()
+	ctx := context.Background()
+	o, err := d.store.Get(ctx, upstreamKey(w))
+	if err == nil {
+		err = d.store.Delete(ctx, o.Key, o.Version)
+	}
+	if err != nil {
+		d.t.Error(err)
+	}
+}
+
 // put writes an object, whether it exists or not.
 func (d *deployment) put(key string, value []byte) {
 	d.t.Helper()
@@ -100,27 +128,39 @@
 	}
 }
 
+// configuration is what varies between the versions of the configuration.
+type configuration struct {
+	timeout time.Duration // of routes
+	idle    time.Duration // of callers' connections, defaultIdle if 0
+	// unrouted is set if the configuration has no route for safe requests.
+	unrouted bool
+}
+
 // configure writes the next version of the configuration: a route /read/ for safe requests and
-// a route /order/ for unsafe ones, with the given timeout.
-func (d *deployment) configure(timeout, idle time.Duration) {
+// a route /order/ for unsafe ones.
+func (d *deployment) configure(c configuration) {
 	d.t.Helper()
 	rule := func(prefix, kind string) map[string]any {
 		return map[string]any{
 			"name": "r" + prefix, "kind": kind, "targetLatencyMs": 200, "priority": 1, "stickySessions": true,
 			"match": map[string]any{"pathPrefix": prefix},
 			"action": map[string]any{
-				"service": "list", "timeoutMs": timeout.Milliseconds(), "maxAttempts": 2, "homeRegions": []string{},
+				"service": "list", "timeoutMs": c.timeout.Milliseconds(), "maxAttempts": 2, "homeRegions": []string{},
 			},
 		}
 	}
+	rules := []any{rule(unsafe.path, "unsafe")}
+	if !c.unrouted {
+		rules = append(rules, rule(safe.path, "safe"))
+	}
 	d.version++
 	text, err := json.Marshal(map[string]any{
 		"version": fmt.Sprintf("r%d", d.version),
 		"limits": map[string]any{
 			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000,
-			"idleTimeoutMs": cmp.Or(idle, 15*time.Second).Milliseconds(),
+			"idleTimeoutMs": cmp.Or(c.idle, defaultIdle).Milliseconds(),
 		},
-		"listeners": []any{map[string]any{"host": "h.example", "rules": []any{rule("/read/", "safe"), rule("/order/", "unsafe")}}},
+		"listeners": []any{map[string]any{"host": "h.example", "rules": rules}},
 		"clusters": []any{map[string]any{
 			"name": "list", "healthPath": "/health", "coldStartS": 0.2, "coldPerS": 14, "maxConnections": 1024,
 		}},
@@ -157,54 +197,119 @@
 type process struct {
 	deployment *deployment
 	name, ip   string
+	seeds      []*process
+	unread     bool // nobody reads what it writes to its standard output
+	dir        string
 	command    *exec.Cmd
-	logs       string // path of the file with its log
+	output     *os.File // the writing end of a pipe that nobody reads, if unread is set
+	stop       *stopTime
 	exited     chan struct{}
+	exitedAt   time.Time // set when exited is closed
 }
 
-// start starts an instance, with those given as its seeds, and waits until it is ready.
-func (d *deployment) start(name string, seeds ...*process) *process {
+// start starts an instance, with those given as its seeds, and waits until it is ready. If unread
+// is set, its standard output is a pipe that nobody reads.
+func (d *deployment) start(name string, unread bool, seeds ...*process) *process {
 	d.t.Helper()
-	p := &process{deployment: d, name: name, ip: newAddress()}
-	p.launch(seeds)
+	p := &process{deployment: d, name: name, ip: newAddress(), seeds: seeds, unread: unread, dir: d.t.TempDir(), stop: newStopTime()}
+	p.writeSettings()
+	p.launch()
 	return p
 }
 
-// launch starts the process of an instance and waits until it is ready.
-func (p *process) launch(seeds []*process) {
+// settingsPath and logPath are the paths of the files of the process.
+func (p *process) settingsPath() string { return filepath.Join(p.dir, "local.toml") }
+func (p *process) logPath() string      { return filepath.Join(p.dir, "log") }
+
+// writeSettings writes the settings file, with the further lines at its end.
+func (p *process) writeSettings(lines ...string) {
 	t := p.deployment.t
 	t.Helper()
-	dir := t.TempDir()
-	p.logs, p.exited = filepath.Join(dir, "log"), make(chan struct{})
-	file := filepath.Join(dir, "local.toml")
-	if err := os.WriteFile(file, []byte(p.settings(seeds)), 0o600); err != nil {
+	text := p.settings() + strings.Join(lines, "\n")
+	next := p.settingsPath() + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	out, err := os.Create(p.logs)
+	if err := os.Rename(next, p.settingsPath()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// launch starts the process of an instance and waits until it is ready.
+func (p *process) launch() {
+	t := p.deployment.t
+	t.Helper()
+	p.begin()
+	p.deployment.await("instance "+p.name+" ready", p.ready)
+	if p.unread {
+		p.fillOutput()
+	}
+}
+
+// begin starts the process of an instance.
+func (p *process) begin() {
+	t := p.deployment.t
+	t.Helper()
+	out, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.command = exec.Command(binary, "host", "-node-file", file)
+	p.command = exec.Command(binary, "host", "-node-file", p.settingsPath())
 	p.command.Stdout, p.command.Stderr = out, out
+	if p.unread {
+		p.command.Stdout = p.openPipe()
+	}
 	if err := p.command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	exited := p.exited
+	command, exited := p.command, make(chan struct{})
+	p.exited = exited
 	waited := startGroup(func() {
-		_ = p.command.Wait() // the exit code is checked by stop
+		_ = command.Wait() // the exit code is checked by awaitExit
 		_ = out.Close()
+		p.exitedAt = time.Now()
 		close(exited)
 	})
 	t.Cleanup(func() {
-		_ = p.command.Process.Kill() // it may have exited already
+		_ = command.Process.Kill() // it may have exited already
 		waited()
 	})
-	p.deployment.await("instance "+p.name+" ready", p.ready)
 }
 
-func (p *process) settings(seeds []*process) string {
+// openPipe returns the writing end of a pipe that nobody reads.
+func (p *process) openPipe() *os.File {
+	t := p.deployment.t
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = r.Close()
+		_ = w.Close()
+	})
+	p.output = w
+	return w
+}
+
+// fillOutput fills the pipe, through a descriptor of its own: that of the process must block.
+func (p *process) fillOutput() {
+	t := p.deployment.t
+	t.Helper()
+	fd, err := syscall.Open(fmt.Sprintf("/proc/self/fd/%d", p.output.Fd()), syscall.O_WRONLY|syscall.O_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = syscall.Close(fd) }()
+	for {
+		if _, err := syscall.Write(fd, []byte("x")); err != nil {
+			return // the pipe is full
+		}
+	}
+}
+
+func (p *process) settings() string {
 	var quoted []string
-	for _, s := range seeds {
+	for _, s := range p.seeds {
 		quoted = append(quoted, fmt.Sprintf("%q", s.address(controlPort)))
 	}
 	return fmt.Sprintf(`
@@ -249,51 +354,50 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// signal sends a signal to the process.
+// signal sends a signal to the process, unless it has exited.
 func (p *process) signal(s syscall.Signal) {
 	p.deployment.t.Helper()
-	if err := p.command.Process.Signal(s); err != nil {
+	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		p.deployment.t.Error(err)
 	}
 }
 
-// awaitExit waits until the process has exited after a SIGTERM that was sent at the given time. It
-// returns how long that took, and fails the test if it took longer than the grace period.
-func (p *process) awaitExit(signalled time.Time) time.Duration {
+// terminate sends the SIGTERM that begins the stop.
+func (p *process) terminate() {
+	p.deployment.t.Helper()
+	p.stop.set(time.Now())
+	p.signal(syscall.SIGTERM)
+}
+
+// awaitExit waits until the process has exited after its SIGTERM. It returns how long that took,
+// and fails the test if it took longer than the grace period.
+func (p *process) awaitExit() time.Duration {
 	t := p.deployment.t
 	t.Helper()
+	signalled := p.stop.time()
 	select {
 	case <-p.exited:
 	case <-time.After(time.Until(signalled.Add(p.deployment.grace + stopSlack))):
 		t.Errorf("instance %s still runs after the grace period", p.name)
-		return p.deployment.grace
+		_ = p.command.Process.Kill() // as the platform does
+		<-p.exited
+		return p.exitedAt.Sub(signalled)
 	}
 	if code := p.command.ProcessState.ExitCode(); code != 0 {
 		t.Errorf("instance %s exited with code %d", p.name, code)
 	}
-	return time.Since(signalled)
+	return p.exitedAt.Sub(signalled)
 }
 
 // log returns the log of the process so far.
 func (p *process) log() string {
-	text, err := os.ReadFile(p.logs)
+	text, err := os.ReadFile(p.logPath())
 	if err != nil {
 		p.deployment.t.Error(err)
 	}
 	return string(text)
 }
 
-// linesOf returns the lines of the log that contain the text.
-func (p *process) linesOf(text string) []string {
-	var out []string
-	for _, line := range bytes.Split([]byte(p.log()), []byte("\n")) {
-		if strings.Contains(string(line), text) {
-			out = append(out, string(line))
-		}
-	}
-	return out
-}
-
 // await waits until the condition holds, and fails the test after waitTimeout.
 func (d *deployment) await(what string, condition func() bool) {
 	d.t.Helper()
--- /dev/null
+++ b/restart/journal_test.go
@@ -0,0 +1,95 @@
+package restart
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// attempt is one request of a caller, as the caller saw it.
+type attempt struct {
+	id         string
+	idempotent bool
+	started    time.Time // before its first byte was sent
+	sent       time.Time // when its last byte was sent
+	ended      time.Time
+	begun      bool // the head of a response was received
+	status     int  // of a whole response, 0 if there was none
+	mixed      bool // the response was to another request
+	complete   bool // all bytes of the request were sent
+}
+
+// counts is what became of the requests of a run.
+type counts struct {
+	sent, served, rejected, expired, failed, closedUnread, lost int
+	untrue                                                      int // rejected as not run, but run
+	repeated                                                    int // run more than once, though not idempotent
+	mixed                                                       int // answered with the response to another request
+	refused                                                     int // dials
+}
+
+func (c counts) String() string {
+	return fmt.Sprintf("sent %d, served %d, rejected %d, expired %d, failed %d, closed unread %d, lost %d, untrue %d, repeated %d, mixed %d, dials refused %d",
+		c.sent, c.served, c.rejected, c.expired, c.failed, c.closedUnread, c.lost, c.untrue, c.repeated, c.mixed, c.refused)
+}
+
+// journal collects the attempts of all callers. It is safe for concurrent use.
+type journal struct {
+	mu       sync.Mutex
+	attempts []attempt
+	refused  int
+}
+
+func (j *journal) add(attempts []attempt) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempts = append(j.attempts, attempts...)
+}
+
+// refuse counts a refused dial.
+func (j *journal) refuse() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.refused++
+}
+
+// count returns what became of the attempts. A lost request was run by an upstream, by runs, and
+// its caller got no whole response. lost has its attempts. If bodies have no end, a response that
+// ended by the timeout is no whole one and counts as expired.
+func (j *journal) count(runs func(id string) int, endless bool, timeout time.Duration) (c counts, lost []attempt) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c.refused = j.refused
+	for _, a := range j.attempts {
+		c.sent++
+		n := runs(a.id)
+		if n > 1 && !a.idempotent {
+			c.repeated++
+		}
+		if a.mixed {
+			c.mixed++
+		}
+		switch {
+		case a.status == http.StatusServiceUnavailable, a.status == http.StatusNotFound:
+			c.rejected++
+			if n > 0 {
+				c.untrue++
+			}
+		case a.status == http.StatusOK:
+			c.served++
+		case a.status == http.StatusGatewayTimeout:
+			c.expired++
+		case a.status != 0:
+			c.failed++
+		case endless && a.begun && a.ended.Sub(a.started) >= timeout:
+			c.expired++
+		case n > 0:
+			c.lost++
+			lost = append(lost, a)
+		default:
+			c.closedUnread++
+		}
+	}
+	return c, lost
+}
--- a/restart/stop_test.go
+++ b/restart/stop_test.go
@@ -1,107 +1,273 @@
 package restart
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"syscall"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"hickorydrum/standin"
+)
+
+const (
+	// defaultLoad is how long callers send before the first SIGTERM.
+	defaultLoad = 2 * time.Second
+	// afterStop is how long callers go on after the last process has exited.
+	afterStop = 300 * time.Millisecond
+	// maxSeeds is how many others an instance has as seeds.
+	maxSeeds = 2
+	// maxShown is how many lost requests are printed.
+	maxShown = 5
 )
 
+// stopTime tells callers when SIGTERM was sent for the first time.
+type stopTime struct {
+	once sync.Once
+	sent chan struct{} // closed once first is set
+
+	mu          sync.Mutex
+	first, last time.Time
+}
+
+func newStopTime() *stopTime { return &stopTime{sent: make(chan struct{})} }
+
+func (s *stopTime) set(at time.Time) {
+	s.mu.Lock()
+	s.last = at
+	s.mu.Unlock()
+	s.once.Do(func() {
+		s.first = at
+		close(s.sent)
+	})
+}
+
+// time returns when SIGTERM was sent last.
+func (s *stopTime) time() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
+// crowd is a number of callers of the same kind.
+type crowd struct {
+	callers int // for each instance
+	kind    kind
+	habit   habit
+	// shortest and longest bound the pause of a caller before a request.
+	shortest, longest time.Duration
+	// moments, if set, are the times after SIGTERM at which each caller sends one request, give or
+	// take spread. The first request, or all requests if quiet is set, are those of the moments.
+	moments []time.Duration
+	spread  time.Duration
+	quiet   bool
+}
+
+// wait waits until a caller of the crowd is to send its request number n.
+func (c crowd) wait(random *rand.Rand, n int, stop *stopTime, over <-chan struct{}) {
+	pause := c.shortest + time.Duration(random.Int64N(int64(c.longest-c.shortest)))
+	moment := n
+	if !c.quiet {
+		moment-- // the first request is not that of a moment
+	}
+	if c.habit.depth > 1 {
+		moment /= c.habit.depth
+	}
+	if moment >= 0 && moment < len(c.moments) {
+		select {
+		case <-stop.sent:
+		case <-over:
+			return
+		}
+		pause = time.Until(stop.first.Add(c.moments[moment] + time.Duration(random.Int64N(int64(2*c.spread))) - c.spread))
+	}
+	select {
+	case <-time.After(pause):
+	case <-over:
+	}
+}
+
+// upstreams is how the upstreams of a row respond.
+type upstreams struct {
+	number   int // 1 if 0
+	work     time.Duration
+	body     int           // bytes of a response, a few if 0
+	bodyTime time.Duration // time to send it
+	fault    standin.WorkerFault
+}
+
 // row is one planned stop under load.
 type row struct {
-	grace, work, timeout time.Duration
-	callers              int
-	fresh                bool
-	path, method         string
-	pause                time.Duration // longest pause of a caller between two requests
-	// moment, if set, is when after SIGTERM each caller sends its second request, give or take spread.
-	moment, spread time.Duration
+	grace, timeout time.Duration
+	upstreams      upstreams
+	crowds         []crowd
+	load           time.Duration // before the first SIGTERM, defaultLoad if 0
+	idle           time.Duration // how long connections may be idle, defaultIdle if 0
+	instances      int           // 1 if 0
+	// stagger is the time between the SIGTERMs of two instances. If series is set, the next one is
+	// sent once the last instance runs again.
+	stagger time.Duration
+	series  bool
+	restart bool // start the instances again
+	unread  bool // nobody reads their standard output
+	busy    int  // other processes that keep a core busy
+	steps   []step
 }
 
-// stopTime tells callers when SIGTERM was sent.
-type stopTime struct {
-	sent chan struct{} // closed once at is set
-	at   time.Time
+// play is a row that is being played.
+type play struct {
+	row
+	deployment *deployment
+	processes  []*process
 }
 
-// wait waits until a caller of the row is to send its request number n.
-func (r row) wait(random *rand.Rand, n int, stop *stopTime) {
-	if r.moment == 0 || n != 1 {
-		time.Sleep(time.Duration(random.Int64N(int64(r.pause))))
-		return
+// check plays the row with a seed, and fails the test if a request is lost.
+func (r row) check(t *testing.T, seed uint64) {
+	t.Helper()
+	p := r.set(t)
+	j, over := &journal{}, make(chan struct{})
+	wait := p.startCallers(j, seed, over)
+	took := p.stopAll()
+	time.Sleep(afterStop)
+	close(over)
+	wait()
+	c, lost := j.count(p.deployment.runs, r.upstreams.fault == standin.WorkerEndless, r.timeout)
+	t.Logf("seed %d: stop took %v; %v", seed, took.Round(time.Millisecond), c)
+	p.report(lost)
+	if c.lost > 0 || c.untrue > 0 || c.repeated > 0 || c.mixed > 0 {
+		t.Errorf("%d requests were lost, %d rejected though they ran, %d repeated, %d answered with another's response, want 0",
+			c.lost, c.untrue, c.repeated, c.mixed)
+	}
+}
+
+// set starts the upstreams and the instances of the row.
+func (r row) set(t *testing.T) *play {
+	t.Helper()
+	d := newDeployment(t, r.grace)
+	d.configure(configuration{timeout: r.timeout, idle: r.idle})
+	var faults []standin.WorkerFault
+	if r.upstreams.fault != "" {
+		faults = append(faults, r.upstreams.fault)
+	}
+	for range max(1, r.upstreams.number) {
+		d.worker(standin.WorkerConfig{
+			Warm: r.upstreams.work, Cold: r.upstreams.work,
+			Body: strings.Repeat("r", r.upstreams.body), BodyTime: r.upstreams.bodyTime,
+		}, faults...)
+	}
+	for range r.busy {
+		startBusy(t)
+	}
+	p := &play{row: r, deployment: d}
+	for i := range max(1, r.instances) {
+		p.processes = append(p.processes, d.start(fmt.Sprintf("a%d", i), r.unread, p.processes[:min(i, maxSeeds)]...))
 	}
-	<-stop.sent
-	time.Sleep(time.Until(stop.at.Add(r.moment + time.Duration(random.Int64N(int64(2*r.spread))) - r.spread)))
+	return p
 }
 
-// TestStopLosesNothing stops an instance with SIGTERM while callers use their connections until it is
-// gone. It guards against requests that an upstream runs and whose caller gets no whole response.
-func TestStopLosesNothing(t *testing.T) {
-	for name, r := range map[string]row{
-		"upstreams as slow as the timeout": {
-			grace: 4 * time.Second, work: 1800 * time.Millisecond, timeout: 2 * time.Second, callers: 40,
-			path: "/order/", method: http.MethodPost, pause: 2 * time.Second,
-		},
-		"a new connection each, slow upstreams": {
-			grace: 4 * time.Second, work: 1800 * time.Millisecond, timeout: 2 * time.Second, callers: 40, fresh: true,
-			path: "/read/", method: http.MethodGet, pause: 2 * time.Second,
-		},
-		"a new connection each, fast upstreams": {
-			grace: 3 * time.Second, work: 5 * time.Millisecond, timeout: time.Second, callers: 100, fresh: true,
-			path: "/order/", method: http.MethodPost, pause: 20 * time.Millisecond,
-		},
-		"idle since before the signal": {
-			grace: 3 * time.Second, work: 5 * time.Millisecond, timeout: time.Second, callers: 200,
-			path: "/order/", method: http.MethodPost, pause: 8 * time.Second,
-		},
-		"idle connections used as they are closed": {
-			grace: 3 * time.Second, work: 5 * time.Millisecond, timeout: time.Second, callers: 400,
-			path: "/order/", method: http.MethodPost, pause: 200 * time.Millisecond,
-			moment: 1300 * time.Millisecond, spread: 4 * time.Millisecond,
-		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			r.check(t, 1)
-		})
+// startCallers starts the callers of all instances and returns a function that waits for their end.
+func (p *play) startCallers(j *journal, seed uint64, over <-chan struct{}) (wait func()) {
+	var waits []func()
+	for i, instance := range p.processes {
+		for k, crowd := range p.crowds {
+			for n := range crowd.callers {
+				c := &caller{
+					name: fmt.Sprintf("%d-%d-%d", i, k, n), address: instance.address(frontPort), kind: crowd.kind, habit: crowd.habit, over: over,
+					wait: func(random *rand.Rand, n int) { crowd.wait(random, n, instance.stop, over) },
+				}
+				callerSeed := seed<<32 + uint64(i)<<24 + uint64(k)<<16 + uint64(n)
+				waits = append(waits, startGroup(func() { c.run(j, callerSeed) }))
+			}
+		}
+	}
+	return func() {
+		for _, wait := range waits {
+			wait()
+		}
 	}
 }
 
-// check runs the row with a seed, and fails the test if a request is lost.
-func (r row) check(t *testing.T, seed uint64) {
+// stopAll plays the steps and stops the instances. It returns how long the longest stop took.
+func (p *play) stopAll() (longest time.Duration) {
+	begun := time.Now().Add(cmp.Or(p.load, defaultLoad))
+	p.playSteps(begun, func(s step) bool { return s.at < 0 })
+	time.Sleep(time.Until(begun))
+	for i, instance := range p.processes {
+		if i > 0 {
+			time.Sleep(p.stagger)
+		}
+		instance.terminate()
+		if p.series {
+			longest = max(longest, p.end(instance))
+		}
+	}
+	p.playSteps(begun, func(s step) bool { return s.at >= 0 })
+	if p.series {
+		return longest
+	}
+	for _, instance := range p.processes {
+		longest = max(longest, p.end(instance))
+	}
+	return longest
+}
+
+// end waits until the instance has exited, and starts it again if the row says so.
+func (p *play) end(instance *process) (took time.Duration) {
+	took = instance.awaitExit()
+	if p.restart {
+		instance.launch()
+	}
+	return took
+}
+
+// playSteps plays the chosen steps, at their times after begun.
+func (p *play) playSteps(begun time.Time, chosen func(step) bool) {
+	steps := slices.Clone(p.steps)
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	for _, s := range steps {
+		if chosen(s) {
+			time.Sleep(time.Until(begun.Add(s.at)))
+			s.do(p)
+		}
+	}
+}
+
+var (
+	lostLine   = regexp.MustCompile(`"event":504,"id":"([^"]*)","reason":"([^"]*)"`)
+	stopEvents = regexp.MustCompile(`"event":10[234],`)
+)
+
+// report logs the lost requests with the reasons that the instances logged, and the lines of the
+// stops.
+func (p *play) report(lost []attempt) {
+	t := p.deployment.t
 	t.Helper()
-	d := newDeployment(t, r.grace)
-	d.configure(r.timeout, 0)
-	d.worker(r.work)
-	p := d.start("a")
-	j, stop := &journal{}, &stopTime{sent: make(chan struct{})}
-	end := time.Now().Add(time.Minute)
-	for i := range r.callers {
-		c := &caller{
-			name: fmt.Sprint(i), address: p.address(frontPort), path: r.path, method: r.method, fresh: r.fresh,
-			wait: func(random *rand.Rand, n int) { r.wait(random, n, stop) },
+	logged := make(map[string]string)
+	for _, instance := range p.processes {
+		for _, m := range lostLine.FindAllStringSubmatch(instance.log(), -1) {
+			logged[m[1]] = m[2]
 		}
-		if r.method == http.MethodPost {
-			c.body = "body"
+	}
+	reasons := make(map[string]int)
+	for i, a := range lost {
+		reason := cmp.Or(logged[a.id], "none logged")
+		reasons[reason]++
+		if i < maxShown {
+			at := p.processes[0].stop.first
+			t.Logf("lost: %s, %s, sent %v and ended %v after SIGTERM", a.id, reason, a.sent.Sub(at), a.ended.Sub(at))
 		}
-		defer startGroup(func() { c.run(j, seed*1000+uint64(i), end) })()
-	}
-	time.Sleep(2 * time.Second)
-	signalled := time.Now()
-	p.signal(syscall.SIGTERM)
-	stop.at = signalled
-	close(stop.sent)
-	took := p.awaitExit(signalled)
-	time.Sleep(100 * time.Millisecond) // callers see the end of their connections
-	c, lost := j.count(d.runs)
-	t.Logf("stop took %v; %v", took.Round(time.Millisecond), c)
-	for _, a := range lost {
-		t.Logf("lost: %s, sent %v and ended %v after SIGTERM: %v", a.id, a.sent.Sub(signalled), a.ended.Sub(signalled), p.linesOf(`"`+a.id+`"`))
-	}
-	if c.lost > 0 || c.untrue > 0 {
-		t.Errorf("%d requests were lost and %d rejected though they ran, want 0", c.lost, c.untrue)
-	}
-	t.Log(p.linesOf(`"event":10`))
+	}
+	if len(lost) == 0 {
+		return
+	}
+	t.Logf("reasons of the lost requests: %v", reasons)
+	for _, line := range strings.Split(p.processes[0].log(), "\n") {
+		if stopEvents.MatchString(line) {
+			t.Log(line)
+		}
+	}
 }
