--- a/standin/worker.go
+++ b/standin/worker.go
@@ -140,6 +140,13 @@
 	return w.arrivals
 }
 
+// Running returns how many requests run or have been run and wait for their response to be sent.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running
+}
+
 // MostConnections returns how many connections were open at a time, at most.
 func (w *Worker) MostConnections() int {
 	w.mu.Lock()
