--- a/restart/caller_test.go
+++ b/restart/caller_test.go
@@ -86,6 +86,8 @@
 	over    <-chan struct{} // closed when the caller is to end
 	// wait returns when the caller is to send its request number n.
 	wait func(r *rand.Rand, n int)
+	// waitToOpen returns when the caller is to open the connection for that request.
+	waitToOpen func(n int)
 }
 
 // link is an open connection of a caller.
@@ -117,6 +119,7 @@
 	}()
 	var again []string // IDs of requests to be sent once more
 	for n := 0; !c.isOver() && len(links) > 0; {
+		c.waitToOpen(n)
 		if links = c.dialAll(links, j); len(links) == 0 {
 			return
 		}
@@ -238,12 +241,24 @@
 		open = a.receive(l.reader, c.readTime)
 		a.ended = time.Now()
 		if !open {
+			markBehindClose(attempts[i:])
 			return attempts, false
 		}
 	}
 	return attempts, err == nil
 }
 
+// markBehindClose marks the attempts behind the first one if its whole response closed the connection:
+// their requests are not to be read.
+func markBehindClose(attempts []attempt) {
+	if attempts[0].status == 0 {
+		return
+	}
+	for i := range attempts[1:] {
+		attempts[1+i].behindClose = true
+	}
+}
+
 // write writes the requests, all at once or, if the caller is slow, in parts.
 func (c *caller) write(l *link, ids []string) error {
 	var all strings.Builder
--- a/restart/deployment_test.go
+++ b/restart/deployment_test.go
@@ -255,6 +255,7 @@
 		t.Fatal(err)
 	}
 	p.command = exec.Command(binary, "host", "-node-file", p.settingsPath())
+	p.command.Env = append(os.Environ(), "GOMAXPROCS=1")
 	p.command.Stdout, p.command.Stderr = out, out
 	if p.unread {
 		p.command.Stdout = p.openPipe()
--- a/restart/rows_test.go
+++ b/restart/rows_test.go
@@ -17,8 +17,10 @@
 func fast(number int) upstreams { return upstreams{number: number, work: shortWork} }
 
 // TestStopLosesNothing stops an instance with SIGTERM while callers use their connections until it is
-// gone. It guards against requests that an upstream runs and whose caller gets no whole response.
+// gone. It guards against requests that an upstream runs and whose caller gets no whole response, and
+// against requests that the kernel has and nobody reads.
 func TestStopLosesNothing(t *testing.T) {
+	t.Parallel()
 	playAll(t, map[string]row{
 		"upstreams as slow as the timeout": {
 			grace: 4 * time.Second, timeout: 2 * time.Second, upstreams: upstreams{work: 1800 * ms},
@@ -42,6 +44,14 @@
 				callers: 400, kind: unsafe, longest: 200 * ms, moments: []time.Duration{1300 * ms}, spread: 4 * ms,
 			}},
 		},
+		"paused before the end, used meanwhile": {
+			grace: 3 * time.Second, timeout: time.Second, upstreams: fast(1),
+			crowds: []crowd{{
+				callers: 200, kind: unsafe, habit: habit{fresh: true}, longest: 200 * ms,
+				opened: 900 * ms, moments: []time.Duration{1050 * ms}, spread: 20 * ms,
+			}},
+			steps: []step{{time.Second, pause(400 * ms)}},
+		},
 		"pools that are mostly idle": {
 			grace: 3 * time.Second, timeout: time.Second, upstreams: fast(2),
 			crowds: []crowd{
@@ -114,6 +124,7 @@
 // TestChangesLoseNothing plays what else may end something: idle timeouts, configurations, settings,
 // upstreams and signals. It guards against requests that such a change cuts off.
 func TestChangesLoseNothing(t *testing.T) {
+	t.Parallel()
 	steady := []crowd{
 		{callers: 20, kind: unsafe, habit: habit{pool: 4}, longest: 40 * ms},
 		{callers: 20, kind: safe, habit: habit{fresh: true}, longest: 40 * ms},
@@ -191,6 +202,7 @@
 // TestRestartsLoseNothing stops and restarts several instances under load. It guards against requests
 // that are cut off as stops come in series, together or overlapping.
 func TestRestartsLoseNothing(t *testing.T) {
+	t.Parallel()
 	crowds := []crowd{
 		{callers: 15, kind: unsafe, habit: habit{pool: 3, redials: true}, longest: 100 * ms},
 		{callers: 15, kind: safe, habit: habit{fresh: true, redials: true, retries: true}, longest: 100 * ms},
--- a/restart/soak_test.go
+++ b/restart/soak_test.go
@@ -22,6 +22,7 @@
 // TestSoak plays rows that are drawn by seed. It guards against requests that a combination of callers,
 // upstreams and changes cuts off.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	for i := range uint64(*seeds) {
 		seed := *firstSeed + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -40,6 +41,7 @@
 // TestManyStops stops many instances beside each other, and starts them again. It guards against
 // requests that are cut off when the machine is short of time.
 func TestManyStops(t *testing.T) {
+	t.Parallel()
 	row{
 		grace: 6 * time.Second, timeout: 2 * time.Second, upstreams: upstreams{number: 4, work: 300 * ms}, load: 3 * time.Second,
 		instances: *instances, stagger: 3 * time.Second / time.Duration(*instances), restart: true,
--- a/restart/stop_test.go
+++ b/restart/stop_test.go
@@ -46,6 +46,16 @@
 	s.latest = at
 }
 
+// await waits for the first SIGTERM. It returns false if over is closed before.
+func (s *stopTime) await(over <-chan struct{}) bool {
+	select {
+	case <-s.sent:
+		return true
+	case <-over:
+		return false
+	}
+}
+
 // last returns when the SIGTERM of the last stop was sent, the zero time if there was none.
 func (s *stopTime) last() time.Time {
 	s.mu.Lock()
@@ -65,28 +75,40 @@
 	moments []time.Duration
 	spread  time.Duration
 	quiet   bool
+	// opened is when after SIGTERM a caller opens the connection for its first request of the moments.
+	opened time.Duration
 }
 
-// wait waits until a caller of the crowd is to send its request number n.
-func (c crowd) wait(random *rand.Rand, n int, stop *stopTime, over <-chan struct{}) {
-	pause := c.shortest + time.Duration(random.Int64N(int64(c.longest-c.shortest)))
-	moment := n
+// moment returns the number of the moment at which a caller sends its request number n, and false if
+// it sends it at none.
+func (c crowd) moment(n int) (moment int, ok bool) {
+	moment = n / max(1, c.habit.depth)
 	if !c.quiet {
 		moment-- // the first request is not that of a moment
 	}
-	if c.habit.depth > 1 {
-		moment /= c.habit.depth
-	}
-	if moment >= 0 && moment < len(c.moments) {
-		select {
-		case <-stop.sent:
-		case <-over:
-			return
-		}
+	return moment, moment >= 0 && moment < len(c.moments)
+}
+
+// wait waits until a caller of the crowd is to send its request number n.
+func (c crowd) wait(random *rand.Rand, n int, stop *stopTime, over <-chan struct{}) {
+	pause := c.shortest + time.Duration(random.Int64N(int64(c.longest-c.shortest)))
+	if moment, ok := c.moment(n); ok && stop.await(over) {
 		pause = time.Until(stop.first.Add(c.moments[moment] + time.Duration(random.Int64N(int64(2*c.spread))) - c.spread))
 	}
+	sleep(pause, over)
+}
+
+// waitToOpen waits until a caller of the crowd is to open the connection for its request number n.
+func (c crowd) waitToOpen(n int, stop *stopTime, over <-chan struct{}) {
+	if moment, ok := c.moment(n); c.opened > 0 && ok && moment == 0 && stop.await(over) {
+		sleep(time.Until(stop.first.Add(c.opened)), over)
+	}
+}
+
+// sleep waits for the given time, or until over is closed.
+func sleep(d time.Duration, over <-chan struct{}) {
 	select {
-	case <-time.After(pause):
+	case <-time.After(d):
 	case <-over:
 	}
 }
@@ -143,9 +165,9 @@
 	if c.cut > 0 && !r.cuts {
 		t.Errorf("%d responses were not complete at the timeout, want 0", c.cut)
 	}
-	if c.lost > 0 || c.untrue > 0 || c.repeated > 0 || c.mixed > 0 {
-		t.Errorf("%d requests were lost, %d rejected though they ran, %d repeated, %d answered with another's response, want 0",
-			c.lost, c.untrue, c.repeated, c.mixed)
+	if c.lost > 0 || c.untrue > 0 || c.late > 0 || c.repeated > 0 || c.mixed > 0 {
+		t.Errorf("%d requests were lost, %d rejected though they ran, %d kept waiting before their connection was closed, "+
+			"%d repeated, %d answered with another's response, want 0", c.lost, c.untrue, c.late, c.repeated, c.mixed)
 	}
 }
 
@@ -182,7 +204,8 @@
 			for n := range crowd.callers {
 				c := &caller{
 					name: fmt.Sprintf("%d-%d-%d", i, k, n), address: instance.address(frontPort), kind: crowd.kind, habit: crowd.habit, over: over,
-					wait: func(random *rand.Rand, n int) { crowd.wait(random, n, instance.stop, over) },
+					wait:       func(random *rand.Rand, n int) { crowd.wait(random, n, instance.stop, over) },
+					waitToOpen: func(n int) { crowd.waitToOpen(n, instance.stop, over) },
 				}
 				callerSeed := seed<<32 + uint64(i)<<24 + uint64(k)<<16 + uint64(n)
 				waits = append(waits, startGroup(func() { c.run(j, callerSeed) }))
