--- a/server/server.go
+++ b/server/server.go
@@ -11,8 +11,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/socket"
@@ -22,6 +25,8 @@
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	defaultIdle    = 30 * time.Second
+	drainTime      = 100 * time.Millisecond
+	drainPoll      = time.Millisecond
 )
 
 // Server serves HTTP/1.1 on one listener.
@@ -30,10 +35,15 @@
 	listener net.Listener
 	handler  http.Handler
 	log      *slog.Logger
+	closing  atomic.Bool // StopAccepting was called
+	// lingering has the goroutines of connections that are closed for writing only.
+	lingering errgroup.Group
 
 	mu    sync.Mutex
 	conns map[*conn]struct{} // the connections that are open
 	idle  time.Duration      // how long clients may leave a connection idle
+
+	lastAccepted time.Time
 }
 
 // Listen opens a listener and returns a server that isn't serving yet. Bytes that a client does
@@ -86,7 +96,8 @@
 	c := &conn{Conn: raw, server: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.setIdle(time.Now(), s.idle)
+	s.lastAccepted = time.Now()
+	c.setIdle(s.lastAccepted, s.idle)
 	s.conns[c] = struct{}{}
 	return c
 }
@@ -113,10 +124,17 @@
 	Idle    int // no byte of a request has been read since the last response
 	Reading int // a part of a request's head has been read
 	Serving int // a request is handled, or its response is being written
+	Closing int // closed for writing, until the client has acknowledged the response
 }
 
 // Open returns the number of open connections.
-func (c Counts) Open() int { return c.Idle + c.Reading + c.Serving }
+func (c Counts) Open() int { return c.Idle + c.Reading + c.Serving + c.Closing }
+
+// LogValue returns the counts as a group of attributes.
+func (c Counts) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int("idle", c.Idle), slog.Int("reading", c.Reading), slog.Int("serving", c.Serving),
+		slog.Int("closing", c.Closing))
+}
 
 // Counts returns the number of open connections by state.
 func (s *Server) Counts() Counts {
@@ -129,6 +147,8 @@
 			out.Reading++
 		case serving:
 			out.Serving++
+		case closed:
+			out.Closing++
 		}
 	}
 	return out
@@ -140,6 +160,9 @@
 	if !c.begin() {
 		panic(http.ErrAbortHandler) // the caller sees its connection end, and the request is not run
 	}
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.handler.ServeHTTP(w, r)
 	c.handled.Store(true)
 }
@@ -168,23 +191,45 @@
 	}
 }
 
-// StopAccepting closes the listener and the idle connections.
+// StopAccepting closes the listener once all connections that the kernel has accepted are accepted
+// from it, at the latest after drainTime: the others are reset. Each further response closes its
+// connection.
 func (s *Server) StopAccepting() error {
-	err := s.listener.Close()
+	s.closing.Store(true)
+	for deadline := time.Now().Add(drainTime); socket.Backlog(s.listener) > 0 && time.Now().Before(deadline); {
+		time.Sleep(drainPoll)
+	}
+	return s.listener.Close()
+}
+
+// GiveUpIdle closes the connections that have been idle since before the given time.
+func (s *Server) GiveUpIdle(before time.Time) {
 	for _, c := range s.all() {
-		c.giveUp()
+		if since, _ := c.idleTimes(); since.Before(before) {
+			c.giveUp()
+		}
 	}
-	return err
 }
 
-// Close closes the listener and all connections. It is no error if the listener was closed
-// before.
+// LastAccepted returns when the last connection was accepted, zero if none was.
+func (s *Server) LastAccepted() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastAccepted
+}
+
+// Close closes the listener and all connections, and waits for the connections that were closed
+// before. It is no error if the listener was closed before.
 func (s *Server) Close() error {
 	for _, c := range s.all() {
-		c.setReason(closedAtEnd)
+		c.setReason(stopped)
 	}
-	if err := s.http.Close(); !errors.Is(err, net.ErrClosed) {
-		return err
+	err := s.http.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	for _, c := range s.all() {
+		_ = c.Conn.Close() // the error of a connection that ends without delivering its response is no other
 	}
-	return nil
+	return errors.Join(err, s.lingering.Wait())
 }
