--- /dev/null
+++ b/restart/journal_test.go
@@ -0,0 +1,115 @@
+package restart
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// attempt is one request of a caller, as the caller saw it.
+type attempt struct {
+	id          string
+	idempotent  bool
+	started     time.Time // before its first byte was sent
+	sent        time.Time // when its last byte was sent
+	ended       time.Time
+	begun       bool // the head of a response was received
+	status      int  // of a whole response, 0 if there was none
+	mixed       bool // the response was to another request
+	stale       bool // it was sent on a connection whose end had been received
+	behindClose bool // pipelined behind a request whose response closed the connection
+	complete    bool // all bytes of the request were sent
+}
+
+// lossSlack is how long after its last byte was sent a request may be closed unread at the latest: it
+// crossed the close then.
+const lossSlack = 200 * time.Millisecond
+
+// closedLate reports whether the connection of a request without a response was closed later than the
+// request can have crossed the close.
+func (a *attempt) closedLate() bool {
+	return a.complete && !a.behindClose && a.ended.Sub(a.sent) > lossSlack
+}
+
+// counts is what became of the requests of a run.
+type counts struct {
+	sent, served, rejected, expired, failed, closedUnread, lost int
+	untrue                                                      int // rejected as not run, but run
+	repeated                                                    int // run more than once, though not idempotent
+	mixed                                                       int // answered with the response to another request
+	cut                                                         int // responses that had begun and were not complete at the timeout
+	stale                                                       int // closed unread, sent after the connection had ended
+	late                                                        int // closed unread, later than lossSlack after the last byte was sent
+	refused                                                     int // dials
+}
+
+func (c counts) String() string {
+	return fmt.Sprintf("sent %d, served %d, rejected %d, expired %d, cut %d, failed %d, closed unread %d (stale %d, late %d), lost %d, untrue %d, repeated %d, mixed %d, dials refused %d",
+		c.sent, c.served, c.rejected, c.expired, c.cut, c.failed, c.closedUnread, c.stale, c.late, c.lost, c.untrue, c.repeated, c.mixed, c.refused)
+}
+
+// journal collects the attempts of all callers. It is safe for concurrent use.
+type journal struct {
+	mu       sync.Mutex
+	attempts []attempt
+	refused  int
+}
+
+func (j *journal) add(attempts []attempt) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempts = append(j.attempts, attempts...)
+}
+
+// refuse counts a refused dial.
+func (j *journal) refuse() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.refused++
+}
+
+// count returns what became of the attempts. A lost request was run by an upstream, by runs, and
+// its caller got no whole response, though its timeout had not passed. lost has its attempts.
+func (j *journal) count(runs func(id string) int, timeout time.Duration) (c counts, lost []attempt) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c.refused = j.refused
+	for _, a := range j.attempts {
+		c.sent++
+		n := runs(a.id)
+		if n > 1 && !a.idempotent {
+			c.repeated++
+		}
+		if a.mixed {
+			c.mixed++
+		}
+		switch {
+		case a.status == http.StatusServiceUnavailable, a.status == http.StatusNotFound:
+			c.rejected++
+			if n > 0 {
+				c.untrue++
+			}
+		case a.status == http.StatusOK:
+			c.served++
+		case a.status == http.StatusGatewayTimeout:
+			c.expired++
+		case a.status != 0:
+			c.failed++
+		case a.begun && a.ended.Sub(a.started) >= timeout:
+			c.cut++
+		case n > 0:
+			c.lost++
+			lost = append(lost, a)
+		default:
+			c.closedUnread++
+			if a.stale {
+				c.stale++
+			}
+			if a.closedLate() {
+				c.late++
+			}
+		}
+	}
+	return c, lost
+}
