--- a/server/server_test.go
+++ b/server/server_test.go
@@ -1,10 +1,15 @@
 package server
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // hookedConn is a connection whose Read calls a function after bytes were read.
@@ -77,3 +82,36 @@
 		t.Error("given up with unread bytes")
 	}
 }
+
+// TestOversizedHead guards against a refusal by the HTTP server itself that a reset overtakes, since the
+// client is still sending.
+func TestOversizedHead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(listener, http.NotFoundHandler(), slog.New(slog.DiscardHandler))
+	var group errgroup.Group
+	group.Go(func() error {
+		s.Serve()
+		return nil
+	})
+	t.Cleanup(func() {
+		_ = s.Close()
+		_ = group.Wait()
+	})
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	head := "GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 2*maxHeaderBytes)
+	if _, err := io.WriteString(client, head); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second) // the client reads late
+	got, err := io.ReadAll(client)
+	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 431 ") {
+		t.Errorf("read %q, %v, want a response with status 431 and no error", got, err)
+	}
+}
