server: a refusal by the HTTP server is followed by an end of file

Cause: the connections that the server tracks hid CloseWrite of the socket. The HTTP server closes for writing after its own responses, such as 431, and waits before it closes; without that the close of a socket with unread bytes reset it. A connection whose request is only read now lingers in the same way as one whose request is served.

--- a/server/conn.go
+++ b/server/conn.go
@@ -139,7 +139,7 @@
 	if last == serving {
 		c.reportLost()
 	}
-	if w, ok := c.Conn.(closeWriter); ok && last == serving && (socket.Unread(c.Conn) || socket.Unsent(c.Conn)) {
+	if w, ok := c.Conn.(closeWriter); ok && last != idle && (socket.Unread(c.Conn) || socket.Unsent(c.Conn)) {
 		c.server.lingering.Go(func() error { return c.linger(w) })
 		return nil
 	}
@@ -147,6 +147,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the connection for writing, if it can be. The HTTP server does so after its own
+// responses to requests that it refuses to read.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(closeWriter); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // closeWriter is a connection that can be closed for writing only.
 type closeWriter interface {
 	CloseWrite() error
