--- a/restart/serve_test.go
+++ b/restart/serve_test.go
@@ -1,12 +1,10 @@
 package restart
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -30,9 +28,8 @@
 	serveSlots    = 2000
 	responseSize  = 8 << 10
 	// A response of slowResponseSize fits the send buffer of the instance, and not the receive buffer of
-	// a caller, slowReadBuffer.
+	// a caller, callerBuffer.
 	slowResponseSize = 1 << 20
-	slowReadBuffer   = 16 << 10
 	// serveStopTimeout is how long an instance of the own interface may take to stop.
 	serveStopTimeout = 40 * time.Second
 	// responseMargin is how long after its limit a request may get its response, and after the end of
@@ -111,6 +108,7 @@
 		case <-time.After(row.work):
 		case <-r.Context().Done():
 		}
+		w.Header().Set(attemptHeader, id)
 		if row.unframed {
 			w = unframedWriter{w}
 		}
@@ -205,14 +203,23 @@
 }
 
 // connect opens a connection to the instance, which is closed when the test ends.
-func (d *ownDeployment) connect() net.Conn {
+func (d *ownDeployment) connect() *link {
 	d.t.Helper()
-	conn, err := net.Dial("tcp", d.address(callerPort))
+	l, err := dial(d.address(callerPort))
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	d.t.Cleanup(func() { _ = conn.Close() }) // the instance may have closed it
-	return conn
+	d.t.Cleanup(l.end)
+	return l
+}
+
+// terminate sends SIGTERM to the instance and returns when.
+func (d *ownDeployment) terminate() time.Time {
+	d.t.Helper()
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		d.t.Fatal(err)
+	}
+	return time.Now()
 }
 
 // ready reports whether the instance passes its readiness check.
@@ -269,95 +276,90 @@
 	return time.Since(signalled)
 }
 
+// order is a kind of request that is not idempotent, with a response of the given size in bytes.
+func order(size int) kind {
+	header := fmt.Sprintf("%s: %d\r\n", standin.HeaderSize, size)
+	return kind{method: http.MethodPost, path: "/orders/", body: 4, header: header}
+}
+
 // ownRow is one planned stop under load.
 type ownRow struct {
+	crowd
 	work, limit time.Duration
 	shortened   time.Duration // if set, the limit that is declared after the first requests are sent
-	callers     int
-	fresh       bool
-	keyed       bool // each request has an idempotency key of its own
-	unframed    bool // responses of the upstream have no Content-Length
-	storeAway   bool // the platform's store is away from SIGTERM on
-	unused      int  // open connections that carry no request
-	method      string
-	pause       time.Duration // longest pause of a caller between two requests
-	// moment, if set, is when after SIGTERM each caller sends its second request, give or take spread.
-	moment, spread time.Duration
+	keyed       bool          // each request has an idempotency key of its own
+	unframed    bool          // responses of the upstream have no Content-Length
+	storeAway   bool          // the platform's store is away from SIGTERM on
+	unused      int           // open connections that carry no request
 }
 
 // TestServeStopLosesNothing stops an instance of the own interface with SIGTERM while callers use their
 // connections until it is gone. It guards against requests that an upstream runs and whose caller gets
 // no whole response.
 func TestServeStopLosesNothing(t *testing.T) {
+	atShutdown := crowd{
+		callers: 400, longest: 200 * time.Millisecond, moments: []time.Duration{shutdownDelay}, spread: 8 * time.Millisecond,
+	}
+	fewAtShutdown := atShutdown
+	fewAtShutdown.callers = 150 // the platform's store bounds the claims a second
 	for name, r := range map[string]ownRow{
 		"idle connections used as they are closed": {
-			work: 5 * time.Millisecond, limit: time.Second, callers: 400, method: http.MethodPost,
-			pause: 200 * time.Millisecond, moment: shutdownDelay, spread: 8 * time.Millisecond,
+			work: 5 * time.Millisecond, limit: time.Second, crowd: atShutdown,
 		},
 		"idle connections used as they are closed, with keys": {
-			work: 5 * time.Millisecond, limit: time.Second, callers: 150, keyed: true, method: http.MethodPost,
-			pause: 200 * time.Millisecond, moment: shutdownDelay, spread: 8 * time.Millisecond,
+			work: 5 * time.Millisecond, limit: time.Second, keyed: true, crowd: fewAtShutdown,
 		},
 		"upstreams as slow as the limit": {
-			work: 1500 * time.Millisecond, limit: 2 * time.Second, callers: 40, method: http.MethodPost, pause: time.Second,
+			work: 1500 * time.Millisecond, limit: 2 * time.Second, crowd: crowd{callers: 40, longest: time.Second},
 		},
 		"a new connection each": {
-			work: 5 * time.Millisecond, limit: time.Second, callers: 100, fresh: true, method: http.MethodPost,
-			pause: 20 * time.Millisecond,
+			work: 5 * time.Millisecond, limit: time.Second,
+			crowd: crowd{callers: 100, habit: habit{fresh: true}, longest: 20 * time.Millisecond},
 		},
 		"open connections that carry no request": {
-			work: 5 * time.Millisecond, limit: time.Second, callers: 10, unused: 50, method: http.MethodPost,
-			pause: 20 * time.Millisecond,
+			work: 5 * time.Millisecond, limit: time.Second, unused: 50, crowd: crowd{callers: 10, longest: 20 * time.Millisecond},
 		},
 		"the limit is shortened with requests in flight": {
-			work: 18 * time.Second, limit: 30 * time.Second, shortened: time.Second, callers: 10, method: http.MethodPost,
-			pause: time.Second,
+			work: 18 * time.Second, limit: 30 * time.Second, shortened: time.Second,
+			crowd: crowd{callers: 10, longest: time.Second},
 		},
 		"the store away, responses without a length": {
-			work: 1500 * time.Millisecond, limit: 3 * time.Second, callers: 20, keyed: true, unframed: true, storeAway: true,
-			method: http.MethodPost, pause: 500 * time.Millisecond,
+			work: 1500 * time.Millisecond, limit: 3 * time.Second, keyed: true, unframed: true, storeAway: true,
+			crowd: crowd{callers: 20, longest: 500 * time.Millisecond},
 		},
 		"the store away, upstreams slower than the limit": {
-			work: 5 * time.Second, limit: 3 * time.Second, callers: 20, keyed: true, storeAway: true,
-			method: http.MethodPost, pause: 500 * time.Millisecond,
+			work: 5 * time.Second, limit: 3 * time.Second, keyed: true, storeAway: true,
+			crowd: crowd{callers: 20, longest: 500 * time.Millisecond},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			r.kind = order(responseSize)
+			if r.keyed {
+				r.kind.header += "Idempotency-Key: %ID%\r\n"
+			}
 			r.check(t, 1)
 		})
 	}
 }
 
-// header returns the further lines of the head of the request with the ID.
-func (r ownRow) header(id string) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s: %d\r\n", standin.HeaderSize, responseSize)
-	if r.keyed {
-		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", id)
-	}
-	return b.String()
-}
-
 // check runs the row with a seed, and fails the test if a request is lost.
 func (r ownRow) check(t *testing.T, seed uint64) {
 	t.Helper()
 	d := newOwnDeployment(t, r)
-	j, stop := &journal{}, &stopTime{sent: make(chan struct{})}
-	timing := row{pause: r.pause, moment: r.moment, spread: r.spread}
-	end := time.Now().Add(time.Minute)
+	j, stop, over := &journal{}, newStopTime(), make(chan struct{})
 	for i := range r.callers {
 		c := &caller{
-			name: fmt.Sprint(i), address: d.address(callerPort), path: "/orders/", method: r.method, fresh: r.fresh, header: r.header,
-			wait:       func(random *rand.Rand, n int) { timing.wait(random, n, stop) },
-			waitToOpen: func(int) {}, body: "body",
+			name: fmt.Sprint(i), address: d.address(callerPort), kind: r.kind, habit: r.habit, over: over,
+			wait:       func(random *rand.Rand, n int) { r.wait(random, n, stop, over) },
+			waitToOpen: func(int) {},
 		}
-		defer startGroup(func() { c.run(j, seed*1000+uint64(i), end) })()
+		defer startGroup(func() { c.run(j, seed*1000+uint64(i)) })()
 	}
 	for range r.unused {
 		d.connect()
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(defaultLoad)
 	if r.shortened > 0 {
 		d.declare(r.shortened)
 		time.Sleep(time.Second)
@@ -365,21 +367,18 @@
 	if r.storeAway {
 		d.store.Fail(standin.StoreDown, -1)
 	}
-	signalled := time.Now()
-	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	stop.at = signalled
-	close(stop.sent)
+	signalled := d.terminate()
+	stop.set(signalled)
 	took := d.awaitExit(signalled)
-	time.Sleep(100 * time.Millisecond) // callers see the end of their connections
-	c, lost := j.count(d.runsOf)
+	time.Sleep(afterStop)
+	close(over)
+	c, lost := j.count(d.runsOf, r.limit)
 	t.Logf("stop took %v; %v", took.Round(time.Millisecond), c)
 	for _, a := range lost {
 		t.Logf("lost: %s, sent %v and ended %v after SIGTERM", a.id, a.sent.Sub(signalled), a.ended.Sub(signalled))
 	}
-	if c.lost > 0 || c.untrue > 0 {
-		t.Errorf("%d requests were lost and %d rejected though they ran, want 0", c.lost, c.untrue)
+	if c.lost > 0 || c.untrue > 0 || c.late > 0 || c.repeated > 0 || c.mixed > 0 || c.cut > 0 {
+		t.Errorf("want no request lost, rejected though it ran, kept waiting, repeated, mixed or cut: %v", c)
 	}
 	r.checkTimes(t, took, j)
 	t.Log(d.linesOf(`"event":10`))
@@ -413,26 +412,19 @@
 func TestServeStopSlowReader(t *testing.T) {
 	t.Parallel()
 	d := newOwnDeployment(t, ownRow{work: 100 * time.Millisecond, limit: 5 * time.Second})
-	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	signalled := time.Now()
+	signalled := d.terminate()
 	time.Sleep(50 * time.Millisecond) // the instance announces that it leaves
-	c := &caller{path: "/orders/", method: http.MethodPost, body: "body", header: func(string) string {
-		return fmt.Sprintf("%s: %d\r\n", standin.HeaderSize, slowResponseSize)
-	}}
-	conn := d.connect()
-	if err := conn.(*net.TCPConn).SetReadBuffer(slowReadBuffer); err != nil {
-		t.Fatal(err)
-	}
+	k := order(slowResponseSize)
+	l := d.connect()
 	for _, id := range []string{"first", "next"} {
-		if _, err := io.WriteString(conn, c.request(id)); err != nil {
+		head, body := k.request(id)
+		if _, err := io.WriteString(l, head+body); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
 	var a attempt
-	a.receive(bufio.NewReader(conn))
+	a.receive(l.reader, 0)
 	if a.status != http.StatusOK || d.runsOf("next") > 0 {
 		t.Errorf("status %d of a whole response, and %d runs of the next request; want 200 and 0", a.status, d.runsOf("next"))
 	}
