--- a/restart/serve_test.go
+++ b/restart/serve_test.go
@@ -1,6 +1,7 @@
 package restart
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -276,10 +277,10 @@
 	return time.Since(signalled)
 }
 
-// order is a kind of request that is not idempotent, with a response of the given size in bytes.
-func order(size int) kind {
-	header := fmt.Sprintf("%s: %d\r\n", standin.HeaderSize, size)
-	return kind{method: http.MethodPost, path: "/orders/", body: 4, header: header}
+// order is a kind of request that is not idempotent, with bodies of the given sizes in bytes.
+func order(body, response int) kind {
+	header := fmt.Sprintf("%s: %d\r\n", standin.HeaderSize, response)
+	return kind{method: http.MethodPost, path: "/orders/", body: body, header: header}
 }
 
 // ownRow is one planned stop under load.
@@ -291,6 +292,9 @@
 	unframed    bool          // responses of the upstream have no Content-Length
 	storeAway   bool          // the platform's store is away from SIGTERM on
 	unused      int           // open connections that carry no request
+	body        int           // bytes of a request's body, a few if 0
+	response    int           // bytes of a response's body, responseSize if 0
+	busy        int           // other processes that keep a core busy
 }
 
 // TestServeStopLosesNothing stops an instance of the own interface with SIGTERM while callers use their
@@ -319,6 +323,22 @@
 		"open connections that carry no request": {
 			work: 5 * time.Millisecond, limit: time.Second, unused: 50, crowd: crowd{callers: 10, longest: 20 * time.Millisecond},
 		},
+		"requests written at once": {
+			work: 5 * time.Millisecond, limit: time.Second,
+			crowd: crowd{callers: 100, habit: habit{depth: 3}, longest: 200 * time.Millisecond},
+		},
+		"pools of connections, most of them idle": {
+			work: 5 * time.Millisecond, limit: time.Second, busy: 2,
+			crowd: crowd{callers: 50, habit: habit{pool: 8}, longest: 100 * time.Millisecond},
+		},
+		"bodies that are slow to come": {
+			work: 100 * time.Millisecond, limit: 2 * time.Second, body: 512 << 10,
+			crowd: crowd{callers: 20, habit: habit{sendTime: time.Second}, longest: time.Second},
+		},
+		"callers that read slowly, beside busy processes": {
+			work: 100 * time.Millisecond, limit: 2 * time.Second, response: 4 << 20, busy: 2,
+			crowd: crowd{callers: 10, habit: habit{readTime: time.Second}, longest: time.Second},
+		},
 		"the limit is shortened with requests in flight": {
 			work: 18 * time.Second, limit: 30 * time.Second, shortened: time.Second,
 			crowd: crowd{callers: 10, longest: time.Second},
@@ -334,7 +354,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r.kind = order(responseSize)
+			r.kind = order(cmp.Or(r.body, 4), cmp.Or(r.response, responseSize))
 			if r.keyed {
 				r.kind.header += "Idempotency-Key: %ID%\r\n"
 			}
@@ -356,6 +376,9 @@
 		}
 		defer startGroup(func() { c.run(j, seed*1000+uint64(i)) })()
 	}
+	for range r.busy {
+		startBusy(t)
+	}
 	for range r.unused {
 		d.connect()
 	}
@@ -414,7 +437,7 @@
 	d := newOwnDeployment(t, ownRow{work: 100 * time.Millisecond, limit: 5 * time.Second})
 	signalled := d.terminate()
 	time.Sleep(50 * time.Millisecond) // the instance announces that it leaves
-	k := order(slowResponseSize)
+	k := order(4, slowResponseSize)
 	l := d.connect()
 	for _, id := range []string{"first", "next"} {
 		head, body := k.request(id)
