server: a connection that is given up delivers its last response first

Cause: an idle connection was closed at once, though the kernel may still deliver the response before; when the caller then sends its next request, the kernel resets the connection and the rest of the response is lost. The close after a response with Connection: close waited for that already, but for the caller's own close, for up to 2 s, where the caller's acknowledgement is enough.

Both now close for writing and wait until the caller has acknowledged all bytes or closed the connection.

--- a/server/conn.go
+++ b/server/conn.go
@@ -37,8 +37,11 @@
 	aborted    reason = "aborted"     // the handler gave up, such as when an upstream broke off
 )
 
-// lingerTime is how long a connection is kept at the longest for its last response to be read.
-const lingerTime = 2 * time.Second
+const (
+	// lingerTime is how long a connection is kept at the longest for its last response to be delivered.
+	lingerTime = 2 * time.Second
+	lingerPoll = 10 * time.Millisecond
+)
 
 // conn is one connection of a client.
 type conn struct {
@@ -100,8 +103,7 @@
 	if socket.Unread(c.Conn) || !c.state.CompareAndSwap(int32(idle), int32(closed)) {
 		return
 	}
-	c.server.remove(c)
-	_ = c.Conn.Close() // nothing is left to be sent
+	_ = c.shut() // the response before was written, and there is no request
 }
 
 // setID sets the ID of the request under way.
@@ -128,9 +130,7 @@
 	return c.idleSince, c.idleUntil
 }
 
-// Close closes the connection. If the kernel still has bytes to deliver or to be read, it closes the
-// connection for writing and goes on reading in the background: the arrival of bytes at a closed socket
-// would reset it, and the response could be lost.
+// Close closes the connection.
 func (c *conn) Close() error {
 	last := state(c.state.Swap(int32(closed)))
 	if last == closed {
@@ -139,7 +139,14 @@
 	if last == serving {
 		c.reportLost()
 	}
-	if w, ok := c.Conn.(closeWriter); ok && last != idle && (socket.Unread(c.Conn) || socket.Unsent(c.Conn)) {
+	return c.shut()
+}
+
+// shut closes the socket. While the client has not acknowledged all bytes, it closes the connection for
+// writing only and goes on reading in the background: a socket that is closed with unread bytes, or gets
+// some afterwards, is reset, and the response could be lost.
+func (c *conn) shut() error {
+	if w, ok := c.Conn.(closeWriter); ok && socket.Unsent(c.Conn) {
 		c.server.lingering.Go(func() error { return c.linger(w) })
 		return nil
 	}
@@ -161,15 +168,24 @@
 	CloseWrite() error
 }
 
-// linger closes the connection for writing, and closes it once the client has closed it, at the latest
-// after lingerTime.
+// linger closes the connection for writing, and closes it once the client has acknowledged all bytes or has
+// closed it, at the latest after lingerTime.
 func (c *conn) linger(w closeWriter) error {
 	defer c.server.remove(c)
 	defer func() { _ = c.Conn.Close() }() // the response is delivered, or can't be
-	if w.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	deadline := time.Now().Add(lingerTime)
+	if w.CloseWrite() != nil {
 		return nil // the client has closed the connection
 	}
-	_, _ = io.Copy(io.Discard, c.Conn) // it ends with the client's close, or an error that means the same
+	for time.Now().Before(deadline) && socket.Unsent(c.Conn) {
+		if c.Conn.SetReadDeadline(time.Now().Add(lingerPoll)) != nil {
+			return nil // the server was closed
+		}
+		_, err := io.Copy(io.Discard, c.Conn)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil // the client has closed the connection
+		}
+	}
 	return nil
 }
 
--- a/server/linger_test.go
+++ b/server/linger_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -12,18 +13,18 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// TestResponseBeforePipelinedRequest guards against a response that is cut because its connection is
-// closed while bytes of the caller's next request are unread: the kernel resets such a connection, and
-// what it had not delivered is lost.
-func TestResponseBeforePipelinedRequest(t *testing.T) {
-	const size = 8 << 20 // more than the kernel buffers
+// serveText starts a server that responds with the text, and with the values of the Connection header, and
+// returns it with a connection of a client.
+func serveText(t *testing.T, text string, connection ...string) (*Server, net.Conn) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := New(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Connection", "close")
-		_, _ = io.WriteString(w, strings.Repeat("x", size))
+		w.Header()["Connection"] = connection
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		_, _ = io.WriteString(w, text) // the client checks what it gets
 	}), slog.New(slog.DiscardHandler))
 	var group errgroup.Group
 	group.Go(func() error {
@@ -39,6 +40,15 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = client.Close() })
+	return s, client
+}
+
+// TestResponseBeforePipelinedRequest guards against a response that is cut because its connection is
+// closed while bytes of the caller's next request are unread: the kernel resets such a connection, and
+// what it had not delivered is lost.
+func TestResponseBeforePipelinedRequest(t *testing.T) {
+	const size = 8 << 20 // more than the kernel buffers
+	_, client := serveText(t, strings.Repeat("x", size), "close")
 	request := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	if _, err := io.WriteString(client, strings.Repeat(request, 1000)); err != nil {
 		t.Fatal(err)
@@ -49,3 +59,31 @@
 		t.Errorf("the response ended after %d bytes with %v, want %d bytes and no error", len(got), err, size)
 	}
 }
+
+// TestGiveUpAfterLargeResponse guards against a response that is cut because its connection is given up as an
+// idle one while the kernel still delivers it, and the caller sends its next request.
+func TestGiveUpAfterLargeResponse(t *testing.T) {
+	const size = 1 << 20 // fits the send buffer, and not the client's receive buffer
+	s, client := serveText(t, strings.Repeat("x", size))
+	if err := client.(*net.TCPConn).SetReadBuffer(size / 8); err != nil {
+		t.Fatal(err)
+	}
+	request := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	if _, err := io.WriteString(client, request); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); s.Counts().Open() > 0 && time.Now().Before(deadline); {
+		s.GiveUpIdle(time.Now())
+		if s.Counts().Closing > 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := io.WriteString(client, request); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(client)
+	if err != nil || len(got) < size {
+		t.Errorf("the response ended after %d bytes with %v, want %d bytes and no error", len(got), err, size)
+	}
+}
