server, hosted: name the server in what it counts and logs

Calls of peers and look-ups that end early counted as requests of callers. The counter hickorydrum_requests_lost_total and event 504 have the server's name now: callers, readiness, look-ups or instances.

--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -37,16 +37,17 @@
 func (i *Instance) listen() error {
 	s := &i.servers
 	for _, l := range []struct {
+		name    string
 		address string
 		handler http.Handler
 		into    **server.Server
 	}{
-		{i.settings.Front, i.ingress, &s.front},
-		{i.settings.Ready, i.readyHandler(), &s.ready},
-		{i.settings.Directory, i.directoryHandler(), &s.directory},
-		{i.settings.Control, i.controlHandler(), &s.control},
+		{"callers", i.settings.Front, i.ingress, &s.front},
+		{"readiness", i.settings.Ready, i.readyHandler(), &s.ready},
+		{"look-ups", i.settings.Directory, i.directoryHandler(), &s.directory},
+		{"instances", i.settings.Control, i.controlHandler(), &s.control},
 	} {
-		opened, err := server.Listen(l.address, l.handler, acceptedTimeout, i.log)
+		opened, err := server.Listen(l.address, l.handler, acceptedTimeout, i.log, server.WithName(l.name))
 		if err != nil {
 			return errors.Join(err, s.close())
 		}
--- a/server/conn.go
+++ b/server/conn.go
@@ -195,11 +195,12 @@
 	if !lost {
 		return
 	}
-	metrics.GetOrCreateCounter(`hickorydrum_requests_lost_total{reason="` + string(why) + `"}`).Inc()
+	metrics.GetOrCreateCounter(`hickorydrum_requests_lost_total{server="` + c.server.name + `",reason="` + string(why) + `"}`).Inc()
 	if !c.server.lines.Allow(time.Now()) {
 		return
 	}
-	event.RequestLost.Log(context.Background(), c.server.log, slog.String("id", c.id), slog.String("reason", string(why)),
+	event.RequestLost.Log(context.Background(), c.server.log, slog.String("server", c.server.name), slog.String("id", c.id),
+		slog.String("reason", string(why)),
 		slog.Int64("took_ms", time.Since(c.begun).Milliseconds()))
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -33,6 +33,7 @@
 
 // Server serves HTTP/1.1 on one listener.
 type Server struct {
+	name     string // in metrics and log lines
 	http     *http.Server
 	listener net.Listener
 	handler  http.Handler
@@ -49,21 +50,32 @@
 	lastAccepted time.Time
 }
 
+// Option configures a Server.
+type Option func(*Server)
+
+// WithName sets the name of the server in metrics and log lines; it is callers if it is not set.
+func WithName(name string) Option { return func(s *Server) { s.name = name } }
+
 // Listen opens a listener and returns a server that isn't serving yet. Bytes that a client does
 // not acknowledge for userTimeout end its connection. The error is of kind fault.Unavailable.
-func Listen(address string, handler http.Handler, userTimeout time.Duration, log *slog.Logger) (*Server, error) {
+func Listen(address string, handler http.Handler, userTimeout time.Duration, log *slog.Logger, opts ...Option) (*Server, error) {
 	config := net.ListenConfig{Control: socket.UserTimeout(userTimeout)}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "the address "+address+" cannot be listened on", "free the address",
 			fault.WithCause(err))
 	}
-	return New(listener, handler, log), nil
+	return New(listener, handler, log, opts...), nil
 }
 
 // New returns a server on a listener, which it closes.
-func New(listener net.Listener, handler http.Handler, log *slog.Logger) *Server {
-	s := &Server{listener: listener, handler: handler, log: log, conns: make(map[*conn]struct{}), idle: defaultIdle}
+func New(listener net.Listener, handler http.Handler, log *slog.Logger, opts ...Option) *Server {
+	s := &Server{
+		name: "callers", listener: listener, handler: handler, log: log, conns: make(map[*conn]struct{}), idle: defaultIdle,
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
 	s.lines = event.NewLimiter(event.LinesPerSecond(maxLostLines))
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveRequest), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
@@ -171,8 +183,8 @@
 	c.handled.Store(true)
 }
 
-// SetIdle sets how long clients may leave a connection idle, defaultIdle if it is 0. Connections that are idle already
-// are kept for the longer of the old and the new time.
+// SetIdle sets how long clients may leave a connection idle, defaultIdle if it is 0. Connections that are
+// idle already are kept for the longer of the old and the new time.
 func (s *Server) SetIdle(longest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
