ingress, placement: a reason for requests that a planned stop rejects

The 503 of a stop was counted with an empty reason, or with that of an earlier choice, so it could not be told from other rejections. hickorydrum_requests_total and the line now have the reason stopping, with a text for explain.

TestOperations, with a row for it, and TestStop pass.

--- a/hosted/operations_test.go
+++ b/hosted/operations_test.go
@@ -49,6 +49,22 @@
 				return id
 			},
 		},
+		"rejected by a planned stop": {
+			documentedCause: "the instance stops before the request's deadline",
+			want: []string{
+				"refused, status 503", "cause: the instance stops before the request's deadline", "last choice: stopping",
+				"planned stop begun",
+			},
+			cause: func(c *cluster, m *member, _ *standin.Worker) string {
+				m.stop()
+				id := ""
+				c.await("a rejection", func() bool {
+					id += "x"
+					return c.send(m, callerRequest{path: "/read/x", id: id}).Status == http.StatusServiceUnavailable
+				})
+				return id
+			},
+		},
 		"502 after a lost answer": {
 			documentedCause: "the connection to the upstream ended without an answer",
 			want:            []string{"lost, status 502", "cause: the connection to the upstream ended without an answer", "last upstream: i-", "sent to 1 in all"},
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -124,6 +124,7 @@
 	if !x.ingress.endsBefore(x.planReq.Deadline) {
 		return false
 	}
+	x.choice = placement.Choice{Reason: placement.ReasonStopping}
 	x.refuse("the instance stops before the request's deadline")
 	return true
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -123,17 +123,20 @@
 	ReasonBusy   Reason = "busy"    // the mean wait at all upstreams is too long, and so is the wait at the best one
 	// ReasonLimited is set by package planner: the limits that upstreams name have no room.
 	ReasonLimited Reason = "limited"
+	// ReasonStopping is set by package ingress: a planned stop leaves no time for the request.
+	ReasonStopping Reason = "stopping"
 )
 
 var reasonTexts = map[Reason]string{
-	ReasonHome:    "the object's home among the upstreams",
-	ReasonKnown:   "not the home, but an upstream that recently answered this instance for the object",
-	ReasonSpill:   "an upstream that did not recently answer this instance for the object: the home was busy, slow or failing",
-	ReasonFree:    "the upstream with the least cost; the request names no object",
-	ReasonNone:    "no upstream may be used: none is ready in the allowed regions, or all were tried",
-	ReasonNoTime:  "no upstream was expected to answer in the time left",
-	ReasonLimited: "no upstream may be used: those left name a limit of requests a second, which has no room",
-	ReasonBusy:    "requests arrive faster than they are served: the mean wait at all upstreams is too long, and so is the wait at the best one",
+	ReasonHome:     "the object's home among the upstreams",
+	ReasonKnown:    "not the home, but an upstream that recently answered this instance for the object",
+	ReasonSpill:    "an upstream that did not recently answer this instance for the object: the home was busy, slow or failing",
+	ReasonFree:     "the upstream with the least cost; the request names no object",
+	ReasonNone:     "no upstream may be used: none is ready in the allowed regions, or all were tried",
+	ReasonNoTime:   "no upstream was expected to answer in the time left",
+	ReasonLimited:  "no upstream may be used: those left name a limit of requests a second, which has no room",
+	ReasonStopping: "the instance stops before the request's deadline, and sends it to no upstream any more",
+	ReasonBusy:     "requests arrive faster than they are served: the mean wait at all upstreams is too long, and so is the wait at the best one",
 }
 
 // Text explains the reason to an operator; it is empty for an unknown one.
