hosted: a metric of callers' connections by state

What a planned stop waits for was in its log lines only. hickorydrum_connections{state} has the open connections that are idle, reading, serving and closing, at the interval at which idle ones are checked, also during a stop.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -310,8 +310,11 @@
 	}
 }
 
-// closeIdle closes callers' connections that have been idle for too long, every
-// idleCheckInterval until the context is done.
+// closeIdle closes callers' connections that have been idle for too long, and sets the metrics of those
+// that are open, every idleCheckInterval until the context is done.
 func (i *Instance) closeIdle(ctx context.Context) error {
-	return interval.Each(ctx, idleCheckInterval, i.servers.front.CloseIdle)
+	return interval.Each(ctx, idleCheckInterval, func(now time.Time) {
+		i.servers.front.CloseIdle(now)
+		showConnections(i.servers.front.Counts())
+	})
 }
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -55,6 +55,22 @@
 	return nil
 }
 
+// Callers' connections that are open, by state.
+var (
+	connectionsIdle    = metrics.GetOrCreateGauge(`hickorydrum_connections{state="idle"}`, nil)
+	connectionsReading = metrics.GetOrCreateGauge(`hickorydrum_connections{state="reading"}`, nil)
+	connectionsServing = metrics.GetOrCreateGauge(`hickorydrum_connections{state="serving"}`, nil)
+	connectionsClosing = metrics.GetOrCreateGauge(`hickorydrum_connections{state="closing"}`, nil)
+)
+
+// showConnections sets the metrics of callers' connections.
+func showConnections(open server.Counts) {
+	connectionsIdle.Set(float64(open.Idle))
+	connectionsReading.Set(float64(open.Reading))
+	connectionsServing.Set(float64(open.Serving))
+	connectionsClosing.Set(float64(open.Closing))
+}
+
 // all returns the servers. Those that are not open yet are nil.
 func (s *servers) all() []*server.Server {
 	return []*server.Server{s.front, s.ready, s.directory, s.control}
