requestlog: order lines by their times

Lines were ordered by the text of their times. A logger leaves out zeros at the end of a fraction, and the whole fraction at a full second, so a line could stand before earlier ones, and events after a request beside it.

TestOrder: before, the line of a full second came last of three; now the order is that of the times.

--- a/requestlog/requestlog.go
+++ b/requestlog/requestlog.go
@@ -9,6 +9,7 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"hickorydrum/event"
 	"hickorydrum/placement"
@@ -19,7 +20,7 @@
 
 // line has the fields of a log line that a History uses.
 type line struct {
-	Time     string           `json:"time"`
+	Time     string           `json:"time"` // as logged
 	Event    int              `json:"event"`
 	Text     string           `json:"msg"`
 	ID       string           `json:"id"`
@@ -38,7 +39,8 @@
 	Detail   string           `json:"detail"`
 	Count    int              `json:"count"`
 
-	source string // the text before the JSON object, such as the name of the instance
+	source string    // the text before the JSON object, such as the name of the instance
+	at     time.Time // Time, zero if it is missing or not in the format of RFC 3339
 }
 
 // readLine parses a log line: any text, then a JSON object. It reports false for a line
@@ -53,6 +55,7 @@
 		return line{}, false
 	}
 	l.source = strings.TrimSpace(source)
+	l.at, _ = time.Parse(time.RFC3339Nano, l.Time) // lines about dropped lines have none
 	return l, true
 }
 
@@ -84,11 +87,13 @@
 			s.context = append(s.context, l)
 		}
 	}
-	slices.SortStableFunc(s.lines, func(a, b line) int { return strings.Compare(a.Time, b.Time) })
-	slices.SortStableFunc(s.context, func(a, b line) int { return strings.Compare(a.Time, b.Time) })
+	slices.SortStableFunc(s.lines, compareTimes)
+	slices.SortStableFunc(s.context, compareTimes)
 	return s, scanner.Err()
 }
 
+func compareTimes(a, b line) int { return a.at.Compare(b.at) }
+
 // maxContextLines is how many lines of context are written for each line of the request.
 const maxContextLines = 5
 
@@ -134,7 +139,7 @@
 func (s *History) precedingEvents(l line) []line {
 	var out []line
 	for _, a := range s.context {
-		if a.source == l.source && a.Time <= l.Time {
+		if a.source == l.source && !a.at.After(l.at) {
 			out = append(out, a)
 		}
 	}
