requestlog: the story of a request whose caller got no whole response

explain knew events 501 and 502 only. Event 504 stood in the story as a request without an outcome, and a stop as the last lines of its steps. Where the process ended before the request's line, nothing said whether an upstream may have run the request.

The lines of one arrival at an instance, 501 or 502 and 504, are now one part of the story: why the caller got no whole response, whether an upstream ran the request, when the request arrived in the planned stop, and what the steps found and left that were under way meanwhile. A line that takes the end of a stop for the caller's close is named as that. Lines that are missing are named, and never taken as a proof that nothing ran.

TestExplain wants other words for the lines left out: this request's may be among them.

--- a/command/explain.go
+++ b/command/explain.go
@@ -33,7 +33,7 @@
 	}
 	if history.Empty() {
 		return fault.New(fault.Missing, "no line is about the request "+args[0],
-			"give it the logs of all instances; lines about answered requests are sampled")
+			"give it the logs of all instances; lines above a limit are left out (event 503), and a killed process writes none")
 	}
 	return history.Write(p.out)
 }
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -26,7 +26,7 @@
 	}
 	for _, want := range []string{
 		"refused, status 503 after 2 ms of 800", "cause: no upstream can serve it: no-time", "configuration version 7",
-		"last upstream: i-1 in a-1; sent to 1", "platform watch failed", "answered, status 200", "12 lines about other requests",
+		"last upstream: i-1 in a-1; sent to 1", "platform watch failed", "answered, status 200", "12 lines about requests were left out",
 	} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in:\n%s", want, out.String())
--- a/hosted/operations_test.go
+++ b/hosted/operations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -53,7 +54,7 @@
 			documentedCause: "the instance stops before the request's deadline",
 			want: []string{
 				"refused, status 503", "cause: the instance stops before the request's deadline", "last choice: stopping",
-				"planned stop begun",
+				"whether it ran: no upstream ran it; another instance can serve it at once", "planned stop of the instance from",
 			},
 			cause: func(c *cluster, m *member, _ *standin.Worker) string {
 				m.stop()
@@ -74,6 +75,22 @@
 				return "lost"
 			},
 		},
+		"no whole response": {
+			documentedCause: "| `caller-left` |",
+			want:            []string{"its caller got no whole response: the caller closed the connection", "whether it ran: an upstream"},
+			cause: func(c *cluster, m *member, w *standin.Worker) string {
+				w.Fail(standin.WorkerSilent, -1)
+				conn, _ := c.raw(m)
+				_, err := io.WriteString(conn, "POST /order/x HTTP/1.1\r\nHost: h.example\r\nHickorydrum-Attempt-Id: left\r\nContent-Length: 1\r\n\r\nb")
+				if err != nil {
+					c.t.Fatal(err)
+				}
+				c.await("the request at the worker", func() bool { return w.Runs("left") == 1 })
+				_ = conn.Close()
+				c.await("the line about the response", func() bool { return strings.Contains(m.logs.String(), `"event":504`) })
+				return "left"
+			},
+		},
 		"served late by a spill": {
 			documentedCause: "last choice: spill",
 			want:            []string{"answered, status 200", "last choice: spill", "last upstream: i-"},
--- a/requestlog/requestlog.go
+++ b/requestlog/requestlog.go
@@ -37,12 +37,39 @@
 	Upstream string           `json:"upstream"`
 	Domain   string           `json:"domain"`
 	Detail   string           `json:"detail"`
+	Error    string           `json:"error"`
 	Count    int              `json:"count"`
 
+	// Fields of the lines about a planned stop.
+	Step     string        `json:"step"`
+	StepTook time.Duration `json:"took"`
+	Found    connections   `json:"found"`
+	Left     connections   `json:"left"`
+	Open     connections   `json:"open"`
+
 	source string    // the text before the JSON object, such as the name of the instance
 	at     time.Time // Time, zero if it is missing or not in the format of RFC 3339
 }
 
+// connections are the open connections of a log line, by state.
+type connections struct {
+	Idle    int `json:"idle"`
+	Reading int `json:"reading"`
+	Serving int `json:"serving"`
+	Closing int `json:"closing"`
+}
+
+// String returns the numbers in a few words.
+func (c connections) String() string {
+	return fmt.Sprintf("%d idle, %d reading, %d serving, %d closing", c.Idle, c.Reading, c.Serving, c.Closing)
+}
+
+// is reports whether the line is about the event.
+func (l *line) is(e event.Event) bool { return l.Event == e.Number() }
+
+// begun returns when the request of the line arrived.
+func (l *line) begun() time.Time { return l.at.Add(-time.Duration(l.Took) * time.Millisecond) }
+
 // readLine parses a log line: any text, then a JSON object. It reports false for a line
 // without a JSON object.
 func readLine(text string) (line, bool) {
@@ -81,7 +108,7 @@
 		case !ok:
 		case l.ID == id:
 			s.lines = append(s.lines, l)
-		case l.Event == event.LinesOmitted.Number():
+		case l.is(event.LinesOmitted):
 			s.omitted += l.Count
 		case l.ID == "":
 			s.context = append(s.context, l)
@@ -94,54 +121,5 @@
 
 func compareTimes(a, b line) int { return a.at.Compare(b.at) }
 
-// maxContextLines is how many lines of context are written for each line of the request.
-const maxContextLines = 5
-
 // Empty reports whether the logs have no line about the request.
 func (s *History) Empty() bool { return len(s.lines) == 0 }
-
-// Write writes the history for people: how the request ended, the route, upstream and
-// placement behind it, and what the same instance logged shortly before.
-func (s *History) Write(out io.Writer) error {
-	w := bufio.NewWriter(out)
-	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) } // Flush returns the error
-	for _, l := range s.lines {
-		p("%s %s\n", l.Time, l.source)
-		p("  request %s: %s", s.id, l.Outcome)
-		if l.Status > 0 {
-			p(", status %d", l.Status)
-		}
-		p(" after %d ms of %d\n", l.Took, l.Limit)
-		if l.Detail != "" {
-			p("  cause: %s\n", l.Detail)
-		}
-		if l.Route != "" {
-			p("  route %s of configuration version %d, service %s\n", l.Route, l.Version, l.Service)
-		}
-		if l.Upstream != "" {
-			p("  last upstream: %s in %s; sent to %d in all\n", l.Upstream, l.Domain, l.Sends)
-		}
-		if text := l.Reason.Text(); text != "" {
-			p("  last choice: %s (%s), expected after %d ms\n", l.Reason, text, l.Expected)
-		}
-		for _, a := range s.precedingEvents(l) {
-			p("  before it, %s: %s (event %d)\n", a.Time, a.Text, a.Event)
-		}
-	}
-	if s.omitted > 0 {
-		p("%d lines about other requests were left out of this log\n", s.omitted)
-	}
-	return w.Flush()
-}
-
-// precedingEvents returns the last lines of context, up to maxContextLines, that the
-// instance of l logged no later than l.
-func (s *History) precedingEvents(l line) []line {
-	var out []line
-	for _, a := range s.context {
-		if a.source == l.source && !a.at.After(l.at) {
-			out = append(out, a)
-		}
-	}
-	return out[max(0, len(out)-maxContextLines):]
-}
