--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/fault"
 )
@@ -266,6 +267,49 @@
 	}
 }
 
+// TestCallEnds guards against calls that go on when their end is certain: the peer that works on
+// the call closes its node, or the context of the call is cancelled. Either way the call may have
+// been executed.
+func TestCallEnds(t *testing.T) {
+	tests := map[string]func(server *Node, cancel context.CancelFunc) error{
+		"the peer closes":  func(server *Node, _ context.CancelFunc) error { return server.Close() },
+		"the call is over": func(_ *Node, cancel context.CancelFunc) error { cancel(); return nil },
+	}
+	authority := newAuthority(t)
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			began := make(chan struct{})
+			server := newNode(t, newKeys(t, authority, "server"), func(n *Node) {
+				n.Handle("long", Unary(func(ctx context.Context, _ string, req echoMessage) (echoMessage, error) {
+					close(began)
+					<-ctx.Done()
+					time.Sleep(100 * time.Millisecond) // the end comes before the response
+					return req, nil
+				}))
+			})
+			client := newNode(t, newKeys(t, authority, "client"))
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			var group errgroup.Group
+			var ended time.Time
+			group.Go(func() error {
+				<-began
+				ended = time.Now()
+				return end(server, cancel)
+			})
+			var resp echoMessage
+			err := client.Ask(ctx, NewTarget("server", server.Addr().String()), "long", echoMessage{Text: "x"}, &resp)
+			returned := time.Now()
+			if kind := fault.KindOf(err); kind != fault.Unavailable || fault.From(err).Execution() != fault.MaybeExecuted {
+				t.Errorf("the call ended with: %v", err)
+			}
+			if err := group.Wait(); err != nil || returned.Sub(ended) > time.Second {
+				t.Errorf("the call ended %s late, error of the end: %v", returned.Sub(ended), err)
+			}
+		})
+	}
+}
+
 func TestListenFaults(t *testing.T) {
 	keys := newKeys(t, newAuthority(t), "a")
 	taken, err := net.ListenPacket("udp", "127.0.0.1:0")
