peer: a call ends with its context

Ask took only the deadline of its context, so that a planned stop waited for calls to peers that did not answer, up to the 10 s of an update.

--- a/peer/node.go
+++ b/peer/node.go
@@ -242,16 +242,16 @@
 // opened, so that the peer received nothing of it.
 func IsUnreachable(err error) bool { return errors.Is(err, errUnreachable) }
 
-// Ask makes a unary call: it sends the request and receives the response.
+// Ask makes a unary call: it sends the request and receives the response. It fails when ctx is
+// done.
 func (n *Node) Ask(ctx context.Context, to Target, call Call, req, resp any) error {
 	s, err := n.open(ctx, to, call, 0)
 	if err != nil {
 		return err
 	}
 	defer s.Abort()
-	if deadline, ok := ctx.Deadline(); ok {
-		s.SetDeadline(deadline)
-	}
+	stop := context.AfterFunc(ctx, func() { s.SetDeadline(time.Now()) })
+	defer stop()
 	if err := s.Send(FrameMessage, req); err != nil {
 		return err
 	}
