peer: Close tells the peers

Close of a node ended its socket without a word, so that a peer whose call was under way waited for it until the idle timeout, 3 s. It closes the connections now: those that it has dialed, and those that it serves, as each ends.

--- a/peer/connection.go
+++ b/peer/connection.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"hickorydrum/interval"
@@ -99,6 +101,18 @@
 	})
 }
 
+// closeDialed closes all connections that this side has dialed. The context of the node must be
+// done, which ends the dials under way.
+func (n *Node) closeDialed() {
+	n.mu.Lock()
+	all := slices.Concat(slices.Collect(maps.Values(n.conns)), n.retired)
+	n.mu.Unlock()
+	for _, p := range all {
+		<-p.ready
+		p.close()
+	}
+}
+
 // inUse returns the connections that must not run into the idle timeout. A service
 // may work on a request for longer than that without sending a byte.
 func (n *Node) inUse(now time.Time) []*pooledConn {
--- a/peer/node.go
+++ b/peer/node.go
@@ -146,8 +146,10 @@
 	n.group.Go(n.maintainConns)
 }
 
-// serveConn serves the streams of a connection that a peer dialed.
+// serveConn serves the streams of a connection that a peer dialed. When the node closes, it
+// closes the connection.
 func (n *Node) serveConn(conn *quic.Conn) error {
+	defer func() { _ = conn.CloseWithError(closeCode, "stopped") }() // no effect if the peer closed it
 	name := peerName(conn.ConnectionState().TLS)
 	for {
 		raw, err := conn.AcceptStream(n.ctx)
@@ -275,12 +277,14 @@
 	}
 }
 
-// Close closes every connection, cancels the handlers' contexts and waits for the
-// handlers.
+// Close cancels the handlers' contexts, closes every connection, so that no peer waits for a
+// response, and waits for the handlers.
 func (n *Node) Close() error {
 	n.cancel()
 	_ = n.listener.Close()
-	err := n.transport.Close()
+	n.closeDialed()
+	err := n.group.Wait()
+	err = errors.Join(err, n.transport.Close())
 	_ = n.transport.Conn.Close()
-	return errors.Join(err, n.group.Wait())
+	return err
 }
