--- a/command/signal_test.go
+++ b/command/signal_test.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -150,6 +152,25 @@
 	}
 }
 
+// TestFailWithoutReader guards against a process that cannot start and does not exit, because
+// nobody reads why.
+func TestFailWithoutReader(t *testing.T) {
+	for state, stderr := range map[string]func(t *testing.T) *os.File{"broken": brokenPipe, "full": fullPipe} {
+		t.Run(state, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
+			defer cancel()
+			c := exec.CommandContext(ctx, os.Args[0], "host", "-node-file", filepath.Join(t.TempDir(), "none"))
+			c.Env = append(os.Environ(), asProgram+"=1")
+			c.Stderr = stderr(t)
+			err := c.Run()
+			var exit *exec.ExitError
+			if !errors.As(err, &exit) || !exit.Exited() || ctx.Err() != nil {
+				t.Errorf("the process ended with: %v, want an exit code", err)
+			}
+		})
+	}
+}
+
 // checkStop waits until the instance responds to callers, sends SIGTERM and then SIGHUP again and
 // again, and checks that the process exits in time and with code 0.
 func checkStop(t *testing.T, c *exec.Cmd, url string) {
