command: a process that fails exits even if nobody reads why

fail wrote to standard error without a limit: with a full pipe the process stayed, without serving, until it was killed. It waits 200 ms at most now, as for the log.

--- a/command/command.go
+++ b/command/command.go
@@ -56,9 +56,12 @@
 
 func (p printer) printf(format string, args ...any) { _, _ = fmt.Fprintf(p.out, format, args...) }
 
-// fail prints a fault and returns the exit code for it.
+// fail prints a fault, as far as the error output takes it in time, and returns the exit code
+// for it.
 func (p printer) fail(err error) subcommands.ExitStatus {
-	_, _ = fmt.Fprintln(p.err, err)
+	lines := event.NewWriter(p.err)
+	_, _ = fmt.Fprintln(lines, err) // an event.Writer never fails
+	flush(lines)
 	var problems declaration.Problems
 	if errors.As(err, &problems) || fault.KindOf(err) == fault.Invalid {
 		return subcommands.ExitUsageError
