--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -35,16 +36,6 @@
 	// dialSlack.
 	dialRoundTrips = 3
 	dialSlack      = 120 * time.Millisecond
-	// During a planned stop, no more connections are accepted from acceptMargin before the end
-	// of the grace period. From then on the stop ends as soon as no request is in flight, at
-	// the latest stopMargin before the end of the grace period.
-	stopMargin = 300 * time.Millisecond
-	// answerMargin is the time from the latest deadline of a request that is still sent to an
-	// upstream to the end of the stop, for its response to be written.
-	answerMargin = 200 * time.Millisecond
-	acceptMargin = 1700 * time.Millisecond
-	// stopPoll is how often a planned stop checks whether requests are still in flight.
-	stopPoll = 50 * time.Millisecond
 )
 
 var (
@@ -68,6 +59,7 @@
 	ingress  *ingress.Ingress
 	servers  servers
 	group    errgroup.Group
+	bounds   atomic.Pointer[platform.Bounds] // as last read from the settings file
 
 	mu                sync.Mutex                 // held while objects from the store are applied; guards the fields below
 	evacuated         map[string]bool            // failure domains under evacuation in the last view
@@ -93,6 +85,7 @@
 		file: file, settings: settings, log: log, store: platform.New("http://" + settings.Store),
 		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream),
 	}
+	i.bounds.Store(&settings.Bounds)
 	control, err := netip.ParseAddrPort(settings.Control)
 	if err != nil {
 		return nil, fault.New(fault.Invalid, "the control address is not usable", "write it such as 10.1.0.4:8544",
@@ -133,8 +126,7 @@
 		dispatch.WithDialTimes(func(took time.Duration) { i.tracker.ObserveDial(u.Domain, took) }))
 }
 
-// Run serves until the context stop is done, then stops without cutting off a request earlier
-// than stopMargin before the end of the grace period. Each value received from reload makes it
+// Run serves until the context stop is done, then performs a planned stop. Each value received from reload makes it
 // read the settings file again.
 func (i *Instance) Run(stop context.Context, reload <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -156,23 +148,6 @@
 	return errors.Join(err, i.group.Wait())
 }
 
-// stop performs a planned stop. It directs callers to other instances and goes on serving until
-// acceptMargin before the end of the grace period. From then on it accepts no connections, and
-// returns when no request is in flight, at the latest stopMargin before the end.
-func (i *Instance) stop() {
-	started := time.Now()
-	grace := i.settings.Bounds.Grace
-	event.StopBegun.Log(context.Background(), i.log, slog.Int64("in_flight", i.ingress.InFlight()))
-	i.ingress.Leave(started.Add(grace - stopMargin - answerMargin))
-	i.mesh.Leave()
-	time.Sleep(time.Until(started.Add(grace - acceptMargin)))
-	i.servers.stopAccepting()
-	for time.Until(started.Add(grace-stopMargin)) > 0 && i.ingress.InFlight() > 0 {
-		time.Sleep(stopPoll)
-	}
-	event.Stopped.Log(context.Background(), i.log, slog.Int64("in_flight", i.ingress.InFlight()))
-}
-
 // apply puts the current objects of a kind in the platform's store into force. It is called
 // after each change of them.
 func (i *Instance) apply(kind string) {
@@ -311,8 +286,8 @@
 )
 
 // reload reads the settings file again on each signal and at an interval, since the platform
-// may change the file without sending a signal. It applies the retry bounds and the seeds; the
-// other settings take effect at the next start.
+// may change the file without sending a signal. It applies the bounds and the seeds; the other
+// settings take effect at the next start.
 func (i *Instance) reload(ctx context.Context, signals <-chan os.Signal) error {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
@@ -325,19 +300,26 @@
 			signalled = true
 		case <-ticker.C:
 		}
-		settings, err := platform.LoadSettings(i.file)
-		if err != nil {
-			event.SettingsRefused.Log(ctx, i.log, slog.String("error", err.Error()))
-			continue
-		}
-		i.planner.SetBounds(retryBounds(settings.Bounds))
-		i.mesh.SetSeeds(seedAddresses(settings.Seeds))
-		if signalled {
+		if i.readSettings(ctx) && signalled {
 			event.SettingsReloaded.Log(ctx, i.log)
 		}
 	}
 }
 
+// readSettings reads the settings file and applies the bounds and the seeds. It reports false, and
+// logs why, if the file is not usable.
+func (i *Instance) readSettings(ctx context.Context) bool {
+	settings, err := platform.LoadSettings(i.file)
+	if err != nil {
+		event.SettingsRefused.Log(ctx, i.log, slog.String("error", err.Error()))
+		return false
+	}
+	i.bounds.Store(&settings.Bounds)
+	i.planner.SetBounds(retryBounds(settings.Bounds))
+	i.mesh.SetSeeds(seedAddresses(settings.Seeds))
+	return true
+}
+
 // closeIdle closes callers' connections that have been idle for too long, every
 // idleCheckInterval until the context is done.
 func (i *Instance) closeIdle(ctx context.Context) error {
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -21,9 +21,9 @@
 	// acceptedTimeout is the TCP user timeout of the connections that all servers accept: one
 	// whose sent bytes are not acknowledged for so long is closed.
 	acceptedTimeout = 5 * time.Second
-	// lookupTTL is the longest time for which callers may cache the response to a look-up. It is
+	// maxLookupTTL is the longest time for which callers may cache the response to a look-up. It is
 	// short, so that few of them still connect to an instance when its planned stop ends.
-	lookupTTL = 1500 * time.Millisecond
+	maxLookupTTL = 1500 * time.Millisecond
 	// maxAddresses is the largest number of addresses in the response to a look-up.
 	maxAddresses = 64
 )
@@ -70,8 +70,29 @@
 	}
 }
 
-// stopAccepting closes the callers' listener and their idle connections.
-func (s *servers) stopAccepting() { _ = s.front.StopAccepting() }
+// others returns the servers that are not for callers' requests.
+func (s *servers) others() []*server.Server {
+	return []*server.Server{s.ready, s.directory, s.control}
+}
+
+// stopAcceptingOthers closes the listeners of the other servers.
+func (s *servers) stopAcceptingOthers() error {
+	var errs []error
+	for _, one := range s.others() {
+		errs = append(errs, one.StopAccepting())
+	}
+	return errors.Join(errs...)
+}
+
+// othersClosed gives up the idle connections of the other servers and reports whether none is open.
+func (s *servers) othersClosed() bool {
+	open := 0
+	for _, one := range s.others() {
+		one.GiveUpIdle(time.Now())
+		open += one.Counts().Open()
+	}
+	return open == 0
+}
 
 // close closes all servers and their connections.
 func (s *servers) close() error {
@@ -111,8 +132,7 @@
 		if len(addresses) == 0 {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
-		ttl := min(lookupTTL, i.settings.Bounds.LookupTTL)
-		return c.JSON(http.StatusOK, platform.NewLookupResponse(addresses, ttl))
+		return c.JSON(http.StatusOK, platform.NewLookupResponse(addresses, i.lookupTTL()))
 	})
 	return e
 }
--- a/server/conn.go
+++ b/server/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -31,11 +32,14 @@
 type reason string
 
 const (
-	closedAtEnd reason = "stopped"     // the server was closed
-	callerLeft  reason = "caller-left" // the caller closed its connection before, or doesn't read
-	aborted     reason = "aborted"     // the handler gave up, such as when an upstream broke off
+	stopped    reason = "stopped"     // the server was closed
+	callerLeft reason = "caller-left" // the caller closed its connection before
+	aborted    reason = "aborted"     // the handler gave up, such as when an upstream broke off
 )
 
+// lingerTime is how long a connection is kept at the longest for its last response to be read.
+const lingerTime = 2 * time.Second
+
 // conn is one connection of a client.
 type conn struct {
 	net.Conn
@@ -124,19 +128,51 @@
 	return c.idleSince, c.idleUntil
 }
 
-// Close closes the connection.
+// Close closes the connection. If the kernel still has bytes to deliver or to be read, it closes the
+// connection for writing and goes on reading in the background: the arrival of bytes at a closed socket
+// would reset it, and the response could be lost.
 func (c *conn) Close() error {
 	last := state(c.state.Swap(int32(closed)))
 	if last == closed {
 		return net.ErrClosed
 	}
-	c.server.remove(c)
 	if last == serving {
 		c.reportLost()
 	}
+	if w, ok := c.Conn.(closeWriter); ok && last != idle && (socket.Unread(c.Conn) || socket.Unsent(c.Conn)) {
+		c.server.lingering.Go(func() error { return c.linger(w) })
+		return nil
+	}
+	c.server.remove(c)
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the connection for writing, if it can be. The HTTP server does so after its own
+// responses to requests that it refuses to read.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(closeWriter); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// closeWriter is a connection that can be closed for writing only.
+type closeWriter interface {
+	CloseWrite() error
+}
+
+// linger closes the connection for writing, and closes it once the client has closed it, at the latest
+// after lingerTime.
+func (c *conn) linger(w closeWriter) error {
+	defer c.server.remove(c)
+	defer func() { _ = c.Conn.Close() }() // the response is delivered, or can't be
+	if w.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return nil // the client has closed the connection
+	}
+	_, _ = io.Copy(io.Discard, c.Conn) // it ends with the client's close, or an error that means the same
+	return nil
+}
+
 // reportLost logs and counts the request under way, unless its response was written whole.
 func (c *conn) reportLost() {
 	why, lost := c.lostReason()
@@ -144,6 +180,9 @@
 		return
 	}
 	metrics.GetOrCreateCounter(`hickorydrum_requests_lost_total{reason="` + string(why) + `"}`).Inc()
+	if !c.server.lines.Allow(time.Now()) {
+		return
+	}
 	event.RequestLost.Log(context.Background(), c.server.log, slog.String("id", c.id), slog.String("reason", string(why)),
 		slog.Int64("took_ms", time.Since(c.begun).Milliseconds()))
 }
