simulation: the shares of a right add up to 1

Each simulated instance claimed an equal part of the right to a cold upstream whatever region it was in, so that with several regions the shares added up to their number. Instances outside the upstream's region hold nothing now.

--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -198,3 +199,22 @@
 		}
 	}
 }
+
+// TestRightShares guards against instances that together hold more than the whole right to a
+// cold upstream.
+func TestRightShares(t *testing.T) {
+	for _, p := range Patterns() {
+		t.Run(p.Name, func(t *testing.T) {
+			for _, upstream := range p.Domains {
+				sum := 0.0
+				for i := range p.Domains {
+					m := membership{p, &p.Domains[i]}
+					sum += float64(p.Domains[i].Instances) * m.RightShare(upstream.Name, 1)
+				}
+				if math.Abs(sum-1) > 1e-9 {
+					t.Errorf("the shares in an upstream of %s add up to %g, want 1", upstream.Name, sum)
+				}
+			}
+		})
+	}
+}
--- a/simulation/simulator.go
+++ b/simulation/simulator.go
@@ -35,9 +35,12 @@
 	demand  []planner.Demand
 }
 
-// membership implements planner.Instances for every simulated instance. All instances of the
+// membership implements planner.Instances for one simulated instance. All instances of the
 // pattern count as running.
-type membership struct{ pattern *Pattern }
+type membership struct {
+	pattern *Pattern
+	domain  *Domain // of the instance
+}
 
 // Count returns the number of instances in a region and in all regions.
 func (m membership) Count(region string) (inRegion, all int) {
@@ -51,15 +54,15 @@
 }
 
 // RightShare returns the share of a right, such as the request rate of a cold upstream in the
-// failure domain, that an instance holds: equal parts for the instances of the domain's region.
+// failure domain, that the instance holds: equal parts for the instances of the domain's region,
+// nothing for the others.
 func (m membership) RightShare(domain string, _ uint64) float64 {
-	for _, d := range m.pattern.Domains {
-		if d.Name == domain {
-			inRegion, _ := m.Count(d.Region)
-			return 1 / float64(inRegion)
-		}
+	inOwnRegion := func(d Domain) bool { return d.Name == domain && d.Region == m.domain.Region }
+	if !slices.ContainsFunc(m.pattern.Domains, inOwnRegion) {
+		return 0
 	}
-	return 0
+	inRegion, _ := m.Count(m.domain.Region)
+	return 1 / float64(inRegion)
 }
 
 // event is a function to run at a point in virtual time. Events at the same time run in the
@@ -205,7 +208,7 @@
 			}
 			location := planner.Location{Domain: d.Name, Region: d.Region, Regions: regions}
 			retryBounds := planner.RetryBounds{Ratio: s.pattern.RetryRatio, Slack: s.pattern.RetrySlack, Window: s.pattern.RetryWindow}
-			p := planner.New(location, tracker, membership{s.pattern}, retryBounds, s.options...)
+			p := planner.New(location, tracker, membership{s.pattern, d}, retryBounds, s.options...)
 			p.SetTable(s.table)
 			p.SetView(s.view)
 			s.instances = append(s.instances, &instance{domain: d, tracker: tracker, planner: p})
