upstream: choosing an upstream apart from taking its slot

Behaviour is unchanged: the same calls in the same order on each path; upstream and entry pass with the race detector.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -147,9 +147,21 @@
 // have a free slot as the load tracker estimates it, and room in the limit that they name. It
 // returns nil if there is none, with a fault if only limits were in the way. The lock is held.
 func (p *Pool) tryAcquire(req *Request, now time.Time) (*Slot, *fault.Error) {
+	u, heldBack := p.choose(req, now)
+	if u != nil {
+		return p.begin(u, now), nil
+	}
+	if heldBack != "" {
+		return nil, p.limited(req, heldBack, now)
+	}
+	return nil, nil
+}
+
+// choose returns the best upstream for a request whose limit has room, or nil. It also returns
+// the ID of the best one whose limit has none, or "". The lock is held.
+func (p *Pool) choose(req *Request, now time.Time) (u *fleet.Upstream, heldBack string) {
 	candidates, upstreams := p.candidates(req, now)
 	_, serviceTime := p.tracker.ServiceTimes(req.Service, route.Class{})
-	heldBack := "" // the best upstream whose limit has no room
 	for len(candidates) > 0 {
 		choice := placement.Choose(placement.Request{
 			TimeLeft: noLimit, Objective: serviceTime, WarmTime: serviceTime, ColdTime: serviceTime, Region: -1,
@@ -158,24 +170,25 @@
 			break
 		}
 		u := upstreams[choice.Index]
-		if !p.tracker.Offer(u, p.instances, now) {
-			heldBack = cmp.Or(heldBack, u.ID)
-			candidates = slices.Delete(candidates, choice.Index, choice.Index+1)
-			upstreams = slices.Delete(upstreams, choice.Index, choice.Index+1)
-			continue
+		if p.tracker.Offer(u, p.instances, now) {
+			return u, heldBack
 		}
-		dialer, ok := p.tracker.Begin(u, coldShare(u), now)
-		if !ok {
-			return nil, nil
-		}
-		p.inFlight[u.ID]++
-		p.lastUsed[u.ID] = now
-		return &Slot{pool: p, upstream: u, dialer: dialer}, nil
+		heldBack = cmp.Or(heldBack, u.ID)
+		candidates = slices.Delete(candidates, choice.Index, choice.Index+1)
+		upstreams = slices.Delete(upstreams, choice.Index, choice.Index+1)
 	}
-	if heldBack == "" {
-		return nil, nil
+	return nil, heldBack
+}
+
+// begin returns a slot at an upstream, or nil if the load tracker refuses it. The lock is held.
+func (p *Pool) begin(u *fleet.Upstream, now time.Time) *Slot {
+	dialer, ok := p.tracker.Begin(u, coldShare(u), now)
+	if !ok {
+		return nil
 	}
-	return nil, p.limited(req, heldBack, now)
+	p.inFlight[u.ID]++
+	p.lastUsed[u.ID] = now
+	return &Slot{pool: p, upstream: u, dialer: dialer}
 }
 
 // candidates returns the upstreams that may serve a request and have a free slot. The lock is
