server: TestGiveUpAfterLargeResponse waits for the connection

The test was wrong: it took "no connection is open" for the end of its wait, which also holds before the server has accepted. The client then waited without end for the close of a connection that nobody gave up: one call of the package's tests stood for ten minutes, and one of ten in a row for a minute. It now waits until the connection is given up and fails if it isn't within 5 s, so that it is stricter than before; the client's read has the same deadline.

200 of 200 runs pass; with giveUp closing the socket at once it fails.

--- a/server/linger_test.go
+++ b/server/linger_test.go
@@ -72,12 +72,15 @@
 	if _, err := io.WriteString(client, request); err != nil {
 		t.Fatal(err)
 	}
-	for deadline := time.Now().Add(5 * time.Second); s.Counts().Open() > 0 && time.Now().Before(deadline); {
-		s.GiveUpIdle(time.Now())
-		if s.Counts().Closing > 0 {
-			break
+	deadline := time.Now().Add(5 * time.Second)
+	for ; s.Counts().Closing == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the connection was not given up while its response was being delivered")
 		}
-		time.Sleep(time.Millisecond)
+		s.GiveUpIdle(time.Now())
+	}
+	if err := client.SetReadDeadline(deadline); err != nil {
+		t.Fatal(err)
 	}
 	if _, err := io.WriteString(client, request); err != nil {
 		t.Fatal(err)
