ingress: a body that does not arrive in time is answered with 408

What callers saw: a request whose body is still under way at its deadline ended with a closed connection, or with none: the HTTP server reads the rest of a body without a deadline before it closes. Cause: the read error at the deadline was taken for a caller that left.

The caller now gets 408, which says not run, and the response closes the connection.

TestLateBody: before, it got no response within 600 s (the limit of the test run). With the change it passes.

--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -145,6 +145,27 @@
 	}
 }
 
+// TestLateBody guards against a request whose body does not arrive in time and whose caller gets no
+// response, though it has not run.
+func TestLateBody(t *testing.T) {
+	c := newCluster(t)
+	c.configure(testRoute{prefix: "/order/", kind: "unsafe", service: "list", timeout: 300})
+	w := c.worker("list", "one-a", nil)
+	m := c.start("a", "one-a")
+	c.ready(m, 1)
+	conn, reader := c.raw(m)
+	fmt.Fprint(conn, "POST /order/x HTTP/1.1\r\nHost: h.example\r\nHickorydrum-Attempt-Id: late\r\n"+
+		"Hickorydrum-Deadline-Remaining: 900\r\nContent-Length: 2\r\n\r\na")
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := []any{resp.StatusCode, resp.Close, w.Runs("late")}
+	if diff := cmp.Diff([]any{http.StatusRequestTimeout, true, 0}, got); diff != "" {
+		t.Errorf("status, close and runs (-want +got):\n%s", diff)
+	}
+}
+
 // TestRefusals checks the status of requests that are refused before anything is sent to a
 // worker.
 func TestRefusals(t *testing.T) {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -158,7 +159,13 @@
 	if x.r.ContentLength > 0 {
 		buf.Grow(int(x.r.ContentLength))
 	}
-	if _, err := buf.ReadFrom(io.LimitReader(x.r.Body, maxBytes+1)); err != nil {
+	_, err := buf.ReadFrom(io.LimitReader(x.r.Body, maxBytes+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.w.Header().Set("Connection", "close") // the rest of the body may still come
+		x.fail(http.StatusRequestTimeout, "expired", "the body did not arrive in time")
+		return false
+	}
+	if err != nil {
 		x.result = result{outcome: "caller-gone", detail: "the body was cut short"}
 		panic(http.ErrAbortHandler)
 	}
