--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -269,6 +269,31 @@
 	}
 }
 
+// TestPutUnused guards against a connection that counts as recently used because a request took it
+// and put it back without use: a request that must not run twice would be sent on it.
+func TestPutUnused(t *testing.T) {
+	s := newScriptedUpstream(t, []string{okResponse, okResponse}, nil)
+	d := NewDialer(s.listener.Addr().String())
+	defer d.Close()
+	if _, err := send(d, Request{ID: "id-1", Method: http.MethodGet}, strings.NewReader(""), true); err != nil {
+		t.Fatal(err)
+	}
+	later := time.Now().Add(2 * recentResponse)
+	c, err := d.Get(t.Context(), later, false)
+	if err != nil || !c.Reused() {
+		t.Fatalf("the connection isn't reused, %v", err)
+	}
+	d.Put(c, later, 2)
+	again, err := d.Get(t.Context(), later, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = again.Close() }()
+	if again.Reused() {
+		t.Error("a request that must not run twice got a connection whose last response is old")
+	}
+}
+
 func TestStripHop(t *testing.T) {
 	h := http.Header{
 		"Connection": {"close, X-Private"}, "X-Private": {"1"}, "Transfer-Encoding": {"chunked"}, "Te": {"x"}, "X-Kept": {"1"},
