dispatch: a connection put back without use is as old as before

Put took the time of the call as that of the last response. A connection that a request took and put back without use, as when its upstream began to drain, then counted as recently used, and a request that must not run twice could be sent on it although it had been idle for up to 30 s. The exchange records the time of its response now.

--- a/dispatch/conn.go
+++ b/dispatch/conn.go
@@ -36,7 +36,7 @@
 	r            *bufio.Reader
 	w            *bufio.Writer
 	progress     *fault.Progress // of the current request
-	lastResponse time.Time       // end of the last complete response
+	lastResponse time.Time       // end of the last complete response, or when it was first put back
 	usableUntil  time.Time       // not reused after this time
 	reused       bool
 	limited      bool // at most readBudget more bytes may be read
@@ -210,11 +210,13 @@
 	return NewConn(raw), nil
 }
 
-// Put keeps a connection for reuse after a complete response. It closes the connection if
-// maxConns idle connections are kept already, if unread bytes remain, or if the dialer is
-// closed.
+// Put keeps a connection for reuse after a complete response, or unused. It closes the
+// connection if maxConns idle connections are kept already, if unread bytes remain, or if the
+// dialer is closed.
 func (d *Dialer) Put(c *Conn, now time.Time, maxConns int) {
-	c.lastResponse = now
+	if c.lastResponse.IsZero() {
+		c.lastResponse = now // it was dialed just now
+	}
 	if c.usableUntil.IsZero() {
 		c.usableUntil = now.Add(maxIdleTime)
 	}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -337,7 +337,7 @@
 		return false, &failure{kind: fault.Corrupt, text: "the answer was cut short", cause: err}
 	}
 	x.progress.MarkAnswered()
-	x.conn.usableUntil = usableUntil
+	x.conn.lastResponse, x.conn.usableUntil = time.Now(), usableUntil
 	return !resp.Close, nil
 }
 
