--- a/hosted/operations_test.go
+++ b/hosted/operations_test.go
@@ -87,10 +87,29 @@
 				}
 				c.await("the request at the worker", func() bool { return w.Runs("left") == 1 })
 				_ = conn.Close()
-				c.await("the line about the response", func() bool { return strings.Contains(m.logs.String(), `"event":504`) })
+				c.await("the line about the response", func() bool { return strings.Contains(m.logs.String(), `"event":504,"id":"left"`) })
 				return "left"
 			},
 		},
+		"cut off by a planned stop": {
+			documentedCause: "| `stopped` |",
+			want: []string{
+				"its caller got no whole response: the instance closed the connection at the end of its stop", "whether it ran: an upstream",
+				`step "last answers" done`, "left 0 idle, 0 reading, 1 serving", "stop done, open: 0 idle, 0 reading, 1 serving",
+			},
+			cause: func(c *cluster, m *member, w *standin.Worker) string {
+				w.Fail(standin.WorkerEndless, -1)
+				conn, _ := c.raw(m) // the response is not read
+				_, err := io.WriteString(conn, "GET /read/x HTTP/1.1\r\nHost: h.example\r\nHickorydrum-Attempt-Id: unread\r\n\r\n")
+				if err != nil {
+					c.t.Fatal(err)
+				}
+				c.await("the request at the worker", func() bool { return w.Runs("unread") == 1 })
+				m.stop()
+				c.await("the line about the response", func() bool { return strings.Contains(m.logs.String(), `"event":504,"id":"unread"`) })
+				return "unread"
+			},
+		},
 		"served late by a spill": {
 			documentedCause: "last choice: spill",
 			want:            []string{"answered, status 200", "last choice: spill", "last upstream: i-"},
