--- a/entry/request.go
+++ b/entry/request.go
@@ -21,6 +21,7 @@
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/idempotency"
+	"hickorydrum/server"
 	"hickorydrum/steering"
 	"hickorydrum/upstream"
 )
@@ -35,6 +36,7 @@
 	ctx, span := otel.Tracer("hickorydrum").Start(ctx, "entry")
 	defer span.End()
 	id := xid.New().String()
+	server.SetID(r.Context(), id)
 	span.SetAttributes(attribute.String("id", id))
 	s := e.snapshot.Load()
 	if s == nil {
@@ -49,8 +51,12 @@
 	if err != nil {
 		return e.fail(c, id, err)
 	}
+	deadline := start.Add(limit)
+	if err := e.admission.admit(deadline); err != nil {
+		return e.fail(c, id, err)
+	}
 	x := &exchange{
-		entry: e, snapshot: s, service: service, id: id, deadline: start.Add(limit),
+		entry: e, snapshot: s, service: service, id: id, deadline: deadline,
 		body: newCallerBody(c.Response().Writer, r),
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
@@ -102,8 +108,8 @@
 	w := c.Response().Writer
 	x.response = &callerResponse{
 		w: w, rc: http.NewResponseController(w), id: x.id,
-		bodyless:        r.Method == http.MethodHead,
-		closeConnection: x.entry.draining.Load(),
+		bodyless:      r.Method == http.MethodHead,
+		setConnection: x.entry.closeIfLeaving,
 	}
 	req, err := x.newRequest(r)
 	if err != nil {
@@ -126,17 +132,21 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
 	defer cancel()
 	err = x.forward(ctx, req)
-	// The caller gets its response before the claim ends. The claim ends before the handler
-	// returns, so that a planned stop waits for it.
-	if err == nil {
-		_ = x.response.rc.Flush()
-		claim.Finish(idempotency.NewResponse(x.response.status, x.response.header, x.response.stored))
-	} else {
-		claim.Fail(err)
-	}
+	x.endClaim(claim, err)
 	return x.finish(c, err)
 }
 
+// endClaim ends the claim of the request, which ended with err. It does not wait: the end of a
+// response is sent when its handler returns, and the platform may be slow.
+func (x *exchange) endClaim(claim *idempotency.Claim, err error) {
+	if err != nil {
+		x.entry.claimer.Go(func() { claim.Fail(err) })
+		return
+	}
+	response := idempotency.NewResponse(x.response.status, x.response.header, x.response.stored)
+	x.entry.claimer.Go(func() { claim.Finish(response) })
+}
+
 // replay answers a repeated request with the stored response.
 func (x *exchange) replay(stored *idempotency.Response) error {
 	head := dispatch.Head{Status: stored.Status(), Header: stored.Header(), Length: int64(len(stored.Body()))}
@@ -234,10 +244,10 @@
 		if err != nil && last != nil && len(req.Tried) == triedBefore {
 			return last // the last attempt found no further upstream
 		}
-		last = err
+		last = fault.After(last, err)
 		x.recordReachability(ctx, p, err)
 		if err == nil || !x.mayRetry(ctx, req, err) {
-			return err
+			return last
 		}
 		retries.Inc()
 	}
