requestlog: no lines about requests without an ID beside a request

Lines about a request of a caller that set no ID, and those of event 504 about look-ups and calls of instances, stood before other requests as if they were states of the instance. TestStory has such a line, and fails without the change.

--- a/hosted/operations_test.go
+++ b/hosted/operations_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -87,7 +88,7 @@
 				}
 				c.await("the request at the worker", func() bool { return w.Runs("left") == 1 })
 				_ = conn.Close()
-				c.await("the line about the response", func() bool { return strings.Contains(m.logs.String(), `"event":504,"id":"left"`) })
+				c.await("the line about the response", func() bool { return lineOf(m, "left", `"event":504`) != "" })
 				return "left"
 			},
 		},
@@ -106,7 +107,7 @@
 				}
 				c.await("the request at the worker", func() bool { return w.Runs("unread") == 1 })
 				m.stop()
-				c.await("the line about the response", func() bool { return strings.Contains(m.logs.String(), `"event":504,"id":"unread"`) })
+				c.await("the line about the response", func() bool { return lineOf(m, "unread", `"event":504`) != "" })
 				return "unread"
 			},
 		},
@@ -159,10 +160,11 @@
 	}
 }
 
-// lineOf returns the line that an instance logged about a request, or "" if there is none.
-func lineOf(m *member, id string) string {
+// lineOf returns the first line with the given parts that an instance logged about a request, or "" if there is none.
+func lineOf(m *member, id string, parts ...string) string {
+	parts = append(parts, `"id":"`+id+`"`)
 	for _, line := range strings.Split(m.logs.String(), "\n") {
-		if strings.Contains(line, `"id":"`+id+`"`) {
+		if !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) }) {
 			return line
 		}
 	}
--- a/requestlog/requestlog.go
+++ b/requestlog/requestlog.go
@@ -67,6 +67,11 @@
 // is reports whether the line is about the event.
 func (l *line) is(e event.Event) bool { return l.Event == e.Number() }
 
+// aboutRequest reports whether the line is about one request, which may have no ID.
+func (l *line) aboutRequest() bool {
+	return l.is(event.RequestAnswered) || l.is(event.RequestUnanswered) || l.is(event.RequestLost)
+}
+
 // begun returns when the request of the line arrived.
 func (l *line) begun() time.Time { return l.at.Add(-time.Duration(l.Took) * time.Millisecond) }
 
@@ -110,7 +115,7 @@
 			s.lines = append(s.lines, l)
 		case l.is(event.LinesOmitted):
 			s.omitted += l.Count
-		case l.ID == "":
+		case l.ID == "" && !l.aboutRequest():
 			s.context = append(s.context, l)
 		}
 	}
--- a/requestlog/story_test.go
+++ b/requestlog/story_test.go
@@ -92,7 +92,8 @@
 		},
 		"aborted after a restart": {
 			log: logStop + strings.ReplaceAll(logStarted, "00:00:00Z", "00:00:05Z") +
-				`front-1 {"time":"2026-01-01T00:00:06Z","event":504,"id":"abc","reason":"aborted","took_ms":20}
+				`front-1 {"time":"2026-01-01T00:00:05.9Z","msg":"the caller got no whole response","event":504,"server":"look-ups","id":"","reason":"aborted","took_ms":1}
+front-1 {"time":"2026-01-01T00:00:06Z","event":504,"id":"abc","reason":"aborted","took_ms":20}
 front-1 {"time":"2026-01-01T00:00:06Z","event":502,"id":"abc","outcome":"cut","status":200,"took_ms":20,"limit_ms":900,"sends":1}
 `,
 			want: `2026-01-01T00:00:06Z front-1
