--- a/instance/instance.go
+++ b/instance/instance.go
@@ -149,7 +149,7 @@
 		entry.WithFrozen(i.frozen), entry.WithLookupTTL(i.settings.Duration("lookup-life")))
 	i.follower = rollout.NewFollower(i.state, i.platform, i.roster, i.node, i.log, i.onInstanceList)
 	i.callers = server.New(l.callers, i.entry.Handler(), i.log)
-	i.admin = server.New(l.admin, i.adminHandler(), i.log)
+	i.admin = server.New(l.admin, i.adminHandler(), i.log, server.WithName("operators"))
 	i.callers.SetIdle(callerIdleTimeout)
 	i.roster.OnChange(i.onView)
 	i.onView(i.roster.View())
