--- a/server/server_test.go
+++ b/server/server_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bufio"
 	"io"
 	"log/slog"
 	"net"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -115,3 +117,35 @@
 		t.Errorf("read %q, %v, want a response with status 431 and no error", got, err)
 	}
 }
+
+// TestCloseAfterResponse guards against requests that count as lost since their callers close the
+// connections once they have the whole responses.
+func TestCloseAfterResponse(t *testing.T) {
+	const requests = 200
+	s, _ := serveText(t, "text", "close")
+	lost := metrics.GetOrCreateCounter(`hickorydrum_requests_lost_total{server="callers",reason="caller-left"}`)
+	before := lost.Get()
+	for range requests {
+		client, err := net.Dial("tcp", s.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "text" {
+			t.Fatalf("got %q, %v", body, err)
+		}
+		_ = client.Close() // all was read
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if n := lost.Get() - before; n > 0 {
+		t.Errorf("%d of %d requests count as lost", n, requests)
+	}
+}
