restart: sends at any time of the stop, pauses again and again, a pause longer than the timeout

The rows that send at fixed moments miss the steps that the stop has now. Requests closed late are printed with the time and the logged reason.

--- a/restart/caller_test.go
+++ b/restart/caller_test.go
@@ -241,24 +241,12 @@
 		open = a.receive(l.reader, c.readTime)
 		a.ended = time.Now()
 		if !open {
-			markBehindClose(attempts[i:])
-			return attempts, false
+			return attempts, false // those behind it are not to be answered
 		}
 	}
 	return attempts, err == nil
 }
 
-// markBehindClose marks the attempts behind the first one if its whole response closed the connection:
-// their requests are not to be read.
-func markBehindClose(attempts []attempt) {
-	if attempts[0].status == 0 {
-		return
-	}
-	for i := range attempts[1:] {
-		attempts[1+i].behindClose = true
-	}
-}
-
 // write writes the requests, all at once or, if the caller is slow, in parts.
 func (c *caller) write(l *link, ids []string) error {
 	var all strings.Builder
--- a/restart/journal_test.go
+++ b/restart/journal_test.go
@@ -9,17 +9,16 @@
 
 // attempt is one request of a caller, as the caller saw it.
 type attempt struct {
-	id          string
-	idempotent  bool
-	started     time.Time // before its first byte was sent
-	sent        time.Time // when its last byte was sent
-	ended       time.Time
-	begun       bool // the head of a response was received
-	status      int  // of a whole response, 0 if there was none
-	mixed       bool // the response was to another request
-	stale       bool // it was sent on a connection whose end had been received
-	behindClose bool // pipelined behind a request whose response closed the connection
-	complete    bool // all bytes of the request were sent
+	id         string
+	idempotent bool
+	started    time.Time // before its first byte was sent
+	sent       time.Time // when its last byte was sent
+	ended      time.Time
+	begun      bool // the head of a response was received
+	status     int  // of a whole response, 0 if there was none
+	mixed      bool // the response was to another request
+	stale      bool // it was sent on a connection whose end had been received
+	complete   bool // all bytes of the request were sent
 }
 
 // lossSlack is how long after its last byte was sent a request may be closed unread at the latest: it
@@ -29,7 +28,7 @@
 // closedLate reports whether the connection of a request without a response was closed later than the
 // request can have crossed the close.
 func (a *attempt) closedLate() bool {
-	return a.complete && !a.behindClose && a.ended.Sub(a.sent) > lossSlack
+	return a.complete && a.ended.Sub(a.sent) > lossSlack
 }
 
 // counts is what became of the requests of a run.
@@ -70,8 +69,8 @@
 }
 
 // count returns what became of the attempts. A lost request was run by an upstream, by runs, and
-// its caller got no whole response, though its timeout had not passed. lost has its attempts.
-func (j *journal) count(runs func(id string) int, timeout time.Duration) (c counts, lost []attempt) {
+// its caller got no whole response, though its timeout had not passed. bad has its attempts, and those closed late.
+func (j *journal) count(runs func(id string) int, timeout time.Duration) (c counts, bad []attempt) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	c.refused = j.refused
@@ -100,7 +99,7 @@
 			c.cut++
 		case n > 0:
 			c.lost++
-			lost = append(lost, a)
+			bad = append(bad, a)
 		default:
 			c.closedUnread++
 			if a.stale {
@@ -108,8 +107,9 @@
 			}
 			if a.closedLate() {
 				c.late++
+				bad = append(bad, a)
 			}
 		}
 	}
-	return c, lost
+	return c, bad
 }
--- a/restart/rows_test.go
+++ b/restart/rows_test.go
@@ -118,9 +118,26 @@
 				{callers: 50, kind: unsafe, longest: time.Second, spread: 500 * ms, moments: []time.Duration{time.Second, 3500 * ms}, quiet: true},
 			},
 		},
+		"idle connections used at any time of the stop": {
+			grace: 3 * time.Second, timeout: 500 * ms, upstreams: fast(1), crowds: spreadOverStop(3 * time.Second),
+		},
+		"slow upstreams and connections used at any time of the stop": {
+			grace: 4 * time.Second, timeout: 1500 * ms, upstreams: upstreams{work: 1200 * ms}, crowds: spreadOverStop(4 * time.Second),
+		},
 	})
 }
 
+// spreadOverStop returns callers that use each of their connections once during a stop of at most the
+// given length, most of them connections on which they sent nothing before.
+func spreadOverStop(longest time.Duration) []crowd {
+	middle := []time.Duration{longest / 2}
+	return []crowd{
+		{callers: 200, kind: unsafe, longest: time.Second, moments: middle, spread: longest / 2, quiet: true},
+		{callers: 100, kind: unsafe, longest: time.Second, moments: middle, spread: longest / 2},
+		{callers: 100, kind: safe, habit: habit{retries: true}, longest: time.Second, moments: middle, spread: longest / 2, quiet: true},
+	}
+}
+
 // TestChangesLoseNothing plays what else may end something: idle timeouts, configurations, settings,
 // upstreams and signals. It guards against requests that such a change cuts off.
 func TestChangesLoseNothing(t *testing.T) {
@@ -192,6 +209,18 @@
 			},
 			steps: []step{{2280 * ms, pause(1320 * ms)}},
 		},
+		"a process paused again and again": {
+			grace: 4 * time.Second, timeout: 800 * ms, upstreams: upstreams{work: 20 * ms}, crowds: spreadOverStop(4 * time.Second),
+			steps: repeat(200*ms, 4*time.Second, pause(150*ms)),
+		},
+		"a pause longer than the timeout as bodies come": {
+			grace: 4 * time.Second, timeout: 500 * ms, upstreams: fast(1),
+			crowds: []crowd{{
+				callers: 20, kind: unsafe, habit: habit{sendTime: 200 * ms}, longest: time.Second,
+				moments: []time.Duration{300 * ms}, spread: 10 * ms, quiet: true,
+			}},
+			steps: []step{{400 * ms, pause(700 * ms)}},
+		},
 		"busy processes beside it": {
 			grace: 4 * time.Second, timeout: 1500 * ms, upstreams: upstreams{work: 300 * ms}, busy: 2,
 			crowds: []crowd{{callers: 100, kind: unsafe, habit: habit{pool: 2}, longest: 500 * ms}},
--- a/restart/step_test.go
+++ b/restart/step_test.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// repeat returns steps that do the same at an interval, from the first SIGTERM until the given time.
+func repeat(every, until time.Duration, do func(*play)) (steps []step) {
+	for at := time.Duration(0); at < until; at += every {
+		steps = append(steps, step{at, do})
+	}
+	return steps
+}
+
 // configure writes a configuration with another idle timeout.
 func configure(idle time.Duration) func(*play) {
 	return func(p *play) { p.deployment.configure(configuration{timeout: p.timeout, idle: idle}) }
--- a/restart/stop_test.go
+++ b/restart/stop_test.go
@@ -159,9 +159,9 @@
 	time.Sleep(afterStop)
 	close(over)
 	wait()
-	c, lost := j.count(p.deployment.runs, r.timeout)
+	c, bad := j.count(p.deployment.runs, r.timeout)
 	t.Logf("seed %d: stop took %v; %v", seed, took.Round(time.Millisecond), c)
-	p.report(lost)
+	p.report(bad)
 	if c.cut > 0 && !r.cuts {
 		t.Errorf("%d responses were not complete at the timeout, want 0", c.cut)
 	}
@@ -269,9 +269,9 @@
 	stopEvents = regexp.MustCompile(`"event":10[234],`)
 )
 
-// report logs the lost requests with the reasons that the instances logged, and the lines of the
+// report logs the requests that were lost or closed late with the reasons that the instances logged, and the lines of the
 // stops.
-func (p *play) report(lost []attempt) {
+func (p *play) report(bad []attempt) {
 	t := p.deployment.t
 	t.Helper()
 	logged := make(map[string]string)
@@ -281,18 +281,18 @@
 		}
 	}
 	reasons := make(map[string]int)
-	for i, a := range lost {
+	for i, a := range bad {
 		reason := cmp.Or(logged[a.id], "none logged")
 		reasons[reason]++
 		if i < maxShown {
 			at := p.processes[0].stop.first
-			t.Logf("lost: %s, %s, sent %v and ended %v after SIGTERM", a.id, reason, a.sent.Sub(at), a.ended.Sub(at))
+			t.Logf("%s, %s: sent %v and ended %v after SIGTERM, response begun: %v", a.id, reason, a.sent.Sub(at), a.ended.Sub(at), a.begun)
 		}
 	}
-	if len(lost) == 0 {
+	if len(bad) == 0 {
 		return
 	}
-	t.Logf("reasons of the lost requests: %v", reasons)
+	t.Logf("reasons: %v", reasons)
 	for _, line := range strings.Split(p.processes[0].log(), "\n") {
 		if stopEvents.MatchString(line) {
 			t.Log(line)
