--- a/command/host.go
+++ b/command/host.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
 
@@ -21,17 +19,14 @@
 		usage: "host [settings]", settings: setting.Host(),
 	}
 	b.run = func(ctx context.Context, _ []string) error {
+		ignoreBrokenPipes()
+		stop, hangUps := notifySignals(ctx)
 		lines := event.NewWriter(os.Stdout)
-		defer func() { _ = lines.Close() }()
-		i, err := hosted.New(b.settings.Value("node-file"), b.settings.LoggerTo(lines))
+		defer flush(lines)
+		i, err := hosted.New(b.settings.Value("node-file"), b.settings.Logger(lines))
 		if err != nil {
 			return err
 		}
-		stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-		defer cancel()
-		hangUps := make(chan os.Signal, 1)
-		signal.Notify(hangUps, syscall.SIGHUP)
-		defer signal.Stop(hangUps)
 		return i.Run(stop, hangUps)
 	}
 	return b
