restart: requests sent to an upstream in vain during a stop fail a row, results follow the program

A request that is sent to a stopping instance and fails at an upstream was taken though the time left did not allow it; such requests are counted as dropped, target 0. The test binary imports the program that it builds: a cached result was used although the program had changed. The row with slow bodies and a pause sends its last byte during the pause: it failed by chance only.

--- a/restart/caller_test.go
+++ b/restart/caller_test.go
@@ -83,6 +83,7 @@
 	kind
 	name    string
 	address string
+	stop    <-chan struct{} // closed at the first SIGTERM of the instance
 	over    <-chan struct{} // closed when the caller is to end
 	// wait returns when the caller is to send its request number n.
 	wait func(r *rand.Rand, n int)
@@ -118,7 +119,7 @@
 		}
 	}()
 	var again []string // IDs of requests to be sent once more
-	for n := 0; !c.isOver() && len(links) > 0; {
+	for n := 0; !isClosed(c.over) && len(links) > 0; {
 		c.waitToOpen(n)
 		if links = c.dialAll(links, j); len(links) == 0 {
 			return
@@ -134,7 +135,7 @@
 			ids = c.newIDs(n)
 			n += len(ids)
 		}
-		if c.isOver() {
+		if isClosed(c.over) {
 			return
 		}
 		attempts, open := c.send(links[slot], ids)
@@ -149,9 +150,9 @@
 	}
 }
 
-func (c *caller) isOver() bool {
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-c.over:
+	case <-c:
 		return true
 	default:
 		return false
@@ -229,12 +230,11 @@
 func (c *caller) send(l *link, ids []string) (attempts []attempt, open bool) {
 	attempts = make([]attempt, len(ids))
 	_ = l.SetDeadline(time.Now().Add(callerPatience)) // an error shows when the connection is used
-	stale := l.ended()
-	started := time.Now()
+	stale, stopping, started := l.ended(), isClosed(c.stop), time.Now()
 	err := c.write(l, ids)
 	sent := time.Now()
 	for i, id := range ids {
-		attempts[i] = attempt{id: id, idempotent: c.idempotent(), started: started, sent: sent, stale: stale, complete: err == nil}
+		attempts[i] = attempt{id: id, idempotent: c.idempotent(), started: started, sent: sent, stale: stale, stopping: stopping, complete: err == nil}
 	}
 	for i := range attempts {
 		a := &attempts[i]
@@ -269,8 +269,9 @@
 		return err
 	}
 	size := len(body)/parts + 1
+	pause := c.sendTime * time.Duration(size) / time.Duration(max(1, len(body)))
 	for part := range slices.Chunk([]byte(body), size) {
-		time.Sleep(c.sendTime / parts)
+		time.Sleep(pause)
 		if _, err := l.Write(part); err != nil {
 			return err
 		}
--- a/restart/deployment_test.go
+++ b/restart/deployment_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	_ "hickorydrum/command" // the program that is built: a result is cached only while it is unchanged
 	"hickorydrum/platform"
 	"hickorydrum/standin"
 )
--- a/restart/journal_test.go
+++ b/restart/journal_test.go
@@ -14,6 +14,7 @@
 	started    time.Time // before its first byte was sent
 	sent       time.Time // when its last byte was sent
 	ended      time.Time
+	stopping   bool // it was sent after the first SIGTERM of the instance
 	begun      bool // the head of a response was received
 	status     int  // of a whole response, 0 if there was none
 	mixed      bool // the response was to another request
@@ -40,12 +41,13 @@
 	cut                                                         int // responses that had begun and were not complete at the timeout
 	stale                                                       int // closed unread, sent after the connection had ended
 	late                                                        int // closed unread, later than lossSlack after the last byte was sent
+	dropped                                                     int // failed, though sent to an instance that was stopping
 	refused                                                     int // dials
 }
 
 func (c counts) String() string {
-	return fmt.Sprintf("sent %d, served %d, rejected %d, expired %d, cut %d, failed %d, closed unread %d (stale %d, late %d), lost %d, untrue %d, repeated %d, mixed %d, dials refused %d",
-		c.sent, c.served, c.rejected, c.expired, c.cut, c.failed, c.closedUnread, c.stale, c.late, c.lost, c.untrue, c.repeated, c.mixed, c.refused)
+	return fmt.Sprintf("sent %d, served %d, rejected %d, expired %d, cut %d, failed %d, closed unread %d (stale %d, late %d), lost %d, untrue %d, repeated %d, mixed %d, dropped %d, dials refused %d",
+		c.sent, c.served, c.rejected, c.expired, c.cut, c.failed, c.closedUnread, c.stale, c.late, c.lost, c.untrue, c.repeated, c.mixed, c.dropped, c.refused)
 }
 
 // journal collects the attempts of all callers. It is safe for concurrent use.
@@ -69,7 +71,7 @@
 }
 
 // count returns what became of the attempts. A lost request was run by an upstream, by runs, and
-// its caller got no whole response, though its timeout had not passed. bad has its attempts, and those closed late.
+// its caller got no whole response, though its timeout had not passed. bad has its attempts, and those closed late or dropped.
 func (j *journal) count(runs func(id string) int, timeout time.Duration) (c counts, bad []attempt) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -95,6 +97,10 @@
 			c.expired++
 		case a.status != 0:
 			c.failed++
+			if a.stopping {
+				c.dropped++
+				bad = append(bad, a)
+			}
 		case a.begun && a.ended.Sub(a.started) >= timeout:
 			c.cut++
 		case n > 0:
--- a/restart/rows_test.go
+++ b/restart/rows_test.go
@@ -216,7 +216,7 @@
 		"a pause longer than the timeout as bodies come": {
 			grace: 4 * time.Second, timeout: 500 * ms, upstreams: fast(1),
 			crowds: []crowd{{
-				callers: 20, kind: unsafe, habit: habit{sendTime: 200 * ms}, longest: time.Second,
+				callers: 20, kind: unsafe, habit: habit{sendTime: 400 * ms}, longest: time.Second,
 				moments: []time.Duration{300 * ms}, spread: 10 * ms, quiet: true,
 			}},
 			steps: []step{{400 * ms, pause(700 * ms)}},
--- a/restart/stop_test.go
+++ b/restart/stop_test.go
@@ -165,9 +165,10 @@
 	if c.cut > 0 && !r.cuts {
 		t.Errorf("%d responses were not complete at the timeout, want 0", c.cut)
 	}
-	if c.lost > 0 || c.untrue > 0 || c.late > 0 || c.repeated > 0 || c.mixed > 0 {
+	if c.lost > 0 || c.untrue > 0 || c.late > 0 || c.repeated > 0 || c.mixed > 0 || c.dropped > 0 {
 		t.Errorf("%d requests were lost, %d rejected though they ran, %d kept waiting before their connection was closed, "+
-			"%d repeated, %d answered with another's response, want 0", c.lost, c.untrue, c.late, c.repeated, c.mixed)
+			"%d repeated, %d answered with another's response, %d sent to an upstream in vain, want 0",
+			c.lost, c.untrue, c.late, c.repeated, c.mixed, c.dropped)
 	}
 }
 
@@ -203,7 +204,7 @@
 		for k, crowd := range p.crowds {
 			for n := range crowd.callers {
 				c := &caller{
-					name: fmt.Sprintf("%d-%d-%d", i, k, n), address: instance.address(frontPort), kind: crowd.kind, habit: crowd.habit, over: over,
+					name: fmt.Sprintf("%d-%d-%d", i, k, n), address: instance.address(frontPort), kind: crowd.kind, habit: crowd.habit, stop: instance.stop.sent, over: over,
 					wait:       func(random *rand.Rand, n int) { crowd.wait(random, n, instance.stop, over) },
 					waitToOpen: func(n int) { crowd.waitToOpen(n, instance.stop, over) },
 				}
