--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -37,16 +37,17 @@
 func (i *Instance) listen() error {
 	s := &i.servers
 	for _, l := range []struct {
+		name    string
 		address string
 		handler http.Handler
 		into    **server.Server
 	}{
-		{i.settings.Front, i.ingress, &s.front},
-		{i.settings.Ready, i.readyHandler(), &s.ready},
-		{i.settings.Directory, i.directoryHandler(), &s.directory},
-		{i.settings.Control, i.controlHandler(), &s.control},
+		{"callers", i.settings.Front, i.ingress, &s.front},
+		{"readiness", i.settings.Ready, i.readyHandler(), &s.ready},
+		{"look-ups", i.settings.Directory, i.directoryHandler(), &s.directory},
+		{"instances", i.settings.Control, i.controlHandler(), &s.control},
 	} {
-		opened, err := server.Listen(l.address, l.handler, acceptedTimeout, i.log)
+		opened, err := server.Listen(l.address, l.handler, acceptedTimeout, i.log, server.WithName(l.name))
 		if err != nil {
 			return errors.Join(err, s.close())
 		}
@@ -55,6 +56,22 @@
 	return nil
 }
 
+// Callers' connections that are open, by state.
+var (
+	connectionsIdle    = metrics.GetOrCreateGauge(`hickorydrum_connections{state="idle"}`, nil)
+	connectionsReading = metrics.GetOrCreateGauge(`hickorydrum_connections{state="reading"}`, nil)
+	connectionsServing = metrics.GetOrCreateGauge(`hickorydrum_connections{state="serving"}`, nil)
+	connectionsClosing = metrics.GetOrCreateGauge(`hickorydrum_connections{state="closing"}`, nil)
+)
+
+// showConnections sets the metrics of callers' connections.
+func showConnections(open server.Counts) {
+	connectionsIdle.Set(float64(open.Idle))
+	connectionsReading.Set(float64(open.Reading))
+	connectionsServing.Set(float64(open.Serving))
+	connectionsClosing.Set(float64(open.Closing))
+}
+
 // all returns the servers. Those that are not open yet are nil.
 func (s *servers) all() []*server.Server {
 	return []*server.Server{s.front, s.ready, s.directory, s.control}
--- a/restart/caller_test.go
+++ b/restart/caller_test.go
@@ -41,7 +41,8 @@
 // kind is a kind of request.
 type kind struct {
 	method, path string
-	body         int // bytes
+	body         int    // bytes
+	header       string // further lines of the head, with %ID% for the ID of the request
 }
 
 var (
@@ -61,7 +62,7 @@
 	if k.body > 0 {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", k.body)
 	}
-	b.WriteString("\r\n")
+	b.WriteString(strings.ReplaceAll(k.header, "%ID%", id) + "\r\n")
 	return b.String(), strings.Repeat("b", k.body)
 }
 
