--- a/restart/serve_test.go
+++ b/restart/serve_test.go
@@ -297,6 +297,7 @@
 // connections until it is gone. It guards against requests that an upstream runs and whose caller gets
 // no whole response.
 func TestServeStopLosesNothing(t *testing.T) {
+	t.Parallel()
 	atShutdown := crowd{
 		callers: 400, longest: 200 * time.Millisecond, moments: []time.Duration{shutdownDelay}, spread: 8 * time.Millisecond,
 	}
