--- a/restart/stop_test.go
+++ b/restart/stop_test.go
@@ -159,15 +159,16 @@
 	time.Sleep(afterStop)
 	close(over)
 	wait()
-	c, lost := j.count(p.deployment.runs, r.timeout)
+	c, bad := j.count(p.deployment.runs, r.timeout)
 	t.Logf("seed %d: stop took %v; %v", seed, took.Round(time.Millisecond), c)
-	p.report(lost)
+	p.report(bad)
 	if c.cut > 0 && !r.cuts {
 		t.Errorf("%d responses were not complete at the timeout, want 0", c.cut)
 	}
-	if c.lost > 0 || c.untrue > 0 || c.late > 0 || c.repeated > 0 || c.mixed > 0 {
+	if c.lost > 0 || c.untrue > 0 || c.late > 0 || c.repeated > 0 || c.mixed > 0 || c.dropped > 0 {
 		t.Errorf("%d requests were lost, %d rejected though they ran, %d kept waiting before their connection was closed, "+
-			"%d repeated, %d answered with another's response, want 0", c.lost, c.untrue, c.late, c.repeated, c.mixed)
+			"%d repeated, %d answered with another's response, %d sent to an upstream in vain, want 0",
+			c.lost, c.untrue, c.late, c.repeated, c.mixed, c.dropped)
 	}
 }
 
@@ -203,7 +204,7 @@
 		for k, crowd := range p.crowds {
 			for n := range crowd.callers {
 				c := &caller{
-					name: fmt.Sprintf("%d-%d-%d", i, k, n), address: instance.address(frontPort), kind: crowd.kind, habit: crowd.habit, over: over,
+					name: fmt.Sprintf("%d-%d-%d", i, k, n), address: instance.address(frontPort), kind: crowd.kind, habit: crowd.habit, stop: instance.stop.sent, over: over,
 					wait:       func(random *rand.Rand, n int) { crowd.wait(random, n, instance.stop, over) },
 					waitToOpen: func(n int) { crowd.waitToOpen(n, instance.stop, over) },
 				}
@@ -265,13 +266,13 @@
 }
 
 var (
-	lostLine   = regexp.MustCompile(`"event":504,"id":"([^"]*)","reason":"([^"]*)"`)
+	lostLine   = regexp.MustCompile(`"event":504,.*"id":"([^"]*)".*"reason":"([^"]*)"`)
 	stopEvents = regexp.MustCompile(`"event":10[234],`)
 )
 
-// report logs the lost requests with the reasons that the instances logged, and the lines of the
+// report logs the requests that were lost or closed late with the reasons that the instances logged, and the lines of the
 // stops.
-func (p *play) report(lost []attempt) {
+func (p *play) report(bad []attempt) {
 	t := p.deployment.t
 	t.Helper()
 	logged := make(map[string]string)
@@ -281,18 +282,18 @@
 		}
 	}
 	reasons := make(map[string]int)
-	for i, a := range lost {
+	for i, a := range bad {
 		reason := cmp.Or(logged[a.id], "none logged")
 		reasons[reason]++
 		if i < maxShown {
 			at := p.processes[0].stop.first
-			t.Logf("lost: %s, %s, sent %v and ended %v after SIGTERM", a.id, reason, a.sent.Sub(at), a.ended.Sub(at))
+			t.Logf("%s, %s: sent %v and ended %v after SIGTERM, response begun: %v", a.id, reason, a.sent.Sub(at), a.ended.Sub(at), a.begun)
 		}
 	}
-	if len(lost) == 0 {
+	if len(bad) == 0 {
 		return
 	}
-	t.Logf("reasons of the lost requests: %v", reasons)
+	t.Logf("reasons: %v", reasons)
 	for _, line := range strings.Split(p.processes[0].log(), "\n") {
 		if stopEvents.MatchString(line) {
 			t.Log(line)
