--- a/restart/caller_test.go
+++ b/restart/caller_test.go
@@ -84,6 +84,7 @@
 	kind
 	name    string
 	address string
+	stop    <-chan struct{} // closed at the first SIGTERM of the instance
 	over    <-chan struct{} // closed when the caller is to end
 	// wait returns when the caller is to send its request number n.
 	wait func(r *rand.Rand, n int)
@@ -119,7 +120,7 @@
 		}
 	}()
 	var again []string // IDs of requests to be sent once more
-	for n := 0; !c.isOver() && len(links) > 0; {
+	for n := 0; !isClosed(c.over) && len(links) > 0; {
 		c.waitToOpen(n)
 		if links = c.dialAll(links, j); len(links) == 0 {
 			return
@@ -135,7 +136,7 @@
 			ids = c.newIDs(n)
 			n += len(ids)
 		}
-		if c.isOver() {
+		if isClosed(c.over) {
 			return
 		}
 		attempts, open := c.send(links[slot], ids)
@@ -150,9 +151,9 @@
 	}
 }
 
-func (c *caller) isOver() bool {
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-c.over:
+	case <-c:
 		return true
 	default:
 		return false
@@ -230,36 +231,23 @@
 func (c *caller) send(l *link, ids []string) (attempts []attempt, open bool) {
 	attempts = make([]attempt, len(ids))
 	_ = l.SetDeadline(time.Now().Add(callerPatience)) // an error shows when the connection is used
-	stale := l.ended()
-	started := time.Now()
+	stale, stopping, started := l.ended(), isClosed(c.stop), time.Now()
 	err := c.write(l, ids)
 	sent := time.Now()
 	for i, id := range ids {
-		attempts[i] = attempt{id: id, idempotent: c.idempotent(), started: started, sent: sent, stale: stale, complete: err == nil}
+		attempts[i] = attempt{id: id, idempotent: c.idempotent(), started: started, sent: sent, stale: stale, stopping: stopping, complete: err == nil}
 	}
 	for i := range attempts {
 		a := &attempts[i]
 		open = a.receive(l.reader, c.readTime)
 		a.ended = time.Now()
 		if !open {
-			markBehindClose(attempts[i:])
-			return attempts, false
+			return attempts, false // those behind it are not to be answered
 		}
 	}
 	return attempts, err == nil
 }
 
-// markBehindClose marks the attempts behind the first one if its whole response closed the connection:
-// their requests are not to be read.
-func markBehindClose(attempts []attempt) {
-	if attempts[0].status == 0 {
-		return
-	}
-	for i := range attempts[1:] {
-		attempts[1+i].behindClose = true
-	}
-}
-
 // write writes the requests, all at once or, if the caller is slow, in parts.
 func (c *caller) write(l *link, ids []string) error {
 	var all strings.Builder
@@ -282,8 +270,9 @@
 		return err
 	}
 	size := len(body)/parts + 1
+	pause := c.sendTime * time.Duration(size) / time.Duration(max(1, len(body)))
 	for part := range slices.Chunk([]byte(body), size) {
-		time.Sleep(c.sendTime / parts)
+		time.Sleep(pause)
 		if _, err := l.Write(part); err != nil {
 			return err
 		}
