server: a connection cannot stay in a state that nothing ends

Reading has a limit now, and ends with the response as serving does. - The rest of a body that was not read was awaited without a deadline after the response: a rejected upload held the stop in the same way. - A connection was judged idle by times that another request could have changed by then: both are now read and changed under one lock. - The HTTP server could clear the deadline of a connection that lingers. - The log line of a lost request read its id while a handler could set it.

--- a/server/conn.go
+++ b/server/conn.go
@@ -49,14 +49,17 @@
 	server  *Server
 	state   atomic.Int32
 	handled atomic.Bool // the handler has returned
-	left    atomic.Bool // the client closed the connection, or a write to it failed
-
-	mu        sync.Mutex
-	idleSince time.Time // when the connection became idle
-	idleUntil time.Time // until when it may stay idle, by the idle time that was set when it became idle
-	id        string    // of the request under way
-	begun     time.Time // when that request was read
-	reason    reason    // why this process ends the connection
+	left    atomic.Bool // the client closed the connection
+	failed  atomic.Bool // a write to the connection failed
+
+	deadlines sync.Mutex // held while a deadline of the socket is set
+
+	mu        sync.Mutex // also held while the connection becomes idle, or is given up
+	idleSince time.Time  // when the connection became idle, or the first byte of a request was read
+	idleUntil time.Time  // until when it may stay idle, by the idle time that was set when it became idle
+	id        string     // of the request under way
+	begun     time.Time  // when that request was read
+	reason    reason     // why this process ends the connection
 }
 
 func (c *conn) load() state { return state(c.state.Load()) }
@@ -77,16 +80,49 @@
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil {
-		c.left.Store(true)
+		c.failed.Store(true)
 	}
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads. It does nothing if the connection is closed, since its last
+// response may still be delivered.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
+	if c.load() == closed {
+		return net.ErrClosed
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// setLingerDeadline sets the deadline of reads from a connection that is closed.
+func (c *conn) setLingerDeadline(t time.Time) error {
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
 // startReading marks the read of a part of a request. It reports false if the connection is closed.
 func (c *conn) startReading() bool {
-	return c.state.CompareAndSwap(int32(idle), int32(reading)) || c.load() != closed
+	if c.load() == idle {
+		c.beginReading(time.Now())
+	}
+	return c.load() != closed
 }
 
+// beginReading marks the read of the first byte of a request.
+func (c *conn) beginReading(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.step(idle, reading) {
+		c.idleSince = now
+	}
+}
+
+// step changes the state, if it is the first one given. It reports whether it did.
+func (c *conn) step(from, to state) bool { return c.state.CompareAndSwap(int32(from), int32(to)) }
+
 // begin marks the start of the handling of a request. It reports false if the connection is
 // closed: the request must not be handled then. The state is still idle if the request was read
 // together with the one before it.
@@ -95,17 +131,25 @@
 	c.mu.Lock()
 	c.id, c.begun = "", time.Now()
 	c.mu.Unlock()
-	return c.state.CompareAndSwap(int32(reading), int32(serving)) || c.state.CompareAndSwap(int32(idle), int32(serving))
+	return c.step(reading, serving) || c.step(idle, serving)
 }
 
-// giveUp closes the connection if it is idle. A request that arrives meanwhile is never handled.
-func (c *conn) giveUp() {
-	if socket.Unread(c.Conn) || !c.state.CompareAndSwap(int32(idle), int32(closed)) {
+// giveUp closes the connection if it is in the given state, idle or reading, and due says so of the times
+// since when it is and until when it may be. A request of which bytes arrive meanwhile is never handled.
+func (c *conn) giveUp(from state, due func(since, until time.Time) bool) {
+	if socket.Unread(c.Conn) || !c.closeIf(from, due) {
 		return
 	}
 	_ = c.shut() // the response before was written, and there is no request
 }
 
+// closeIf changes the state to closed if it is the given one and due says so.
+func (c *conn) closeIf(from state, due func(since, until time.Time) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return due(c.idleSince, c.idleUntil) && c.step(from, closed)
+}
+
 // setID sets the ID of the request under way.
 func (c *conn) setID(id string) {
 	c.mu.Lock()
@@ -122,14 +166,6 @@
 	}
 }
 
-// idleTimes returns since when the connection is idle, if it is, and until when it is kept at
-// least.
-func (c *conn) idleTimes() (since, until time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.idleSince, c.idleUntil
-}
-
 // Close closes the connection.
 func (c *conn) Close() error {
 	last := state(c.state.Swap(int32(closed)))
@@ -178,7 +214,7 @@
 		return nil // the client has closed the connection
 	}
 	for time.Now().Before(deadline) && socket.Unsent(c.Conn) {
-		if c.Conn.SetReadDeadline(time.Now().Add(lingerPoll)) != nil {
+		if c.setLingerDeadline(time.Now().Add(lingerPoll)) != nil {
 			return nil // the server was closed
 		}
 		_, err := io.Copy(io.Discard, c.Conn)
@@ -191,7 +227,7 @@
 
 // reportLost logs and counts the request under way, unless its response was written whole.
 func (c *conn) reportLost() {
-	why, lost := c.lostReason()
+	why, id, begun, lost := c.lostRequest()
 	if !lost {
 		return
 	}
@@ -199,42 +235,47 @@
 	if !c.server.lines.Allow(time.Now()) {
 		return
 	}
-	event.RequestLost.Log(context.Background(), c.server.log, slog.String("server", c.server.name), slog.String("id", c.id),
-		slog.String("reason", string(why)),
-		slog.Int64("took_ms", time.Since(c.begun).Milliseconds()))
+	event.RequestLost.Log(context.Background(), c.server.log, slog.String("server", c.server.name), slog.String("id", id),
+		slog.String("reason", string(why)), slog.Int64("took_ms", time.Since(begun).Milliseconds()))
 }
 
-// lostReason returns why the caller of the request under way gets no whole response, and false
-// if it gets one.
-func (c *conn) lostReason() (reason, bool) {
+// lostRequest returns the request under way and why its caller gets no whole response, and false if it
+// gets one.
+func (c *conn) lostRequest() (why reason, id string, begun time.Time, lost bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.reason != "":
-		return c.reason, true
+		why = c.reason
+	case c.failed.Load():
+		why = callerLeft
+	case c.handled.Load():
+		return "", "", time.Time{}, false
 	case c.left.Load():
-		return callerLeft, true
-	case !c.handled.Load():
-		return aborted, true
+		why = callerLeft
+	default:
+		why = aborted
 	}
-	return "", false
+	return why, c.id, c.begun, true
 }
 
 // setState follows the state that the HTTP server gives a connection. A connection becomes idle
 // after the response was written.
 func setState(raw net.Conn, s http.ConnState) {
-	c := raw.(*conn)
 	if s == http.StateIdle {
+		c := raw.(*conn)
 		c.setIdle(time.Now(), c.server.idleTime())
-		c.state.CompareAndSwap(int32(serving), int32(idle))
 	}
 }
 
-// setIdle sets that the connection is idle from now on, and may stay so for the given time.
+// setIdle sets that the connection is idle from now on, and may stay so for the given time. The HTTP server
+// responds to some requests itself, which are read and not served.
 func (c *conn) setIdle(now time.Time, longest time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince, c.idleUntil = now, now.Add(longest)
+	if c.step(serving, idle) || c.step(reading, idle) || c.load() == idle {
+		c.idleSince, c.idleUntil = now, now.Add(longest)
+	}
 }
 
 // connKey is the key of a request's connection in its context.
--- a/server/server.go
+++ b/server/server.go
@@ -27,6 +27,10 @@
 	defaultIdle    = 30 * time.Second
 	drainTime      = 100 * time.Millisecond
 	drainPoll      = time.Millisecond
+	// readingTime is how long a client may take for the head of a request during a planned stop.
+	readingTime = 2 * time.Second
+	// discardTime is how long the rest of a body may take that the handler did not read.
+	discardTime = 500 * time.Millisecond
 	// maxLostLines limits the log lines about lost requests in a second.
 	maxLostLines = 100
 )
@@ -40,6 +44,8 @@
 	log      *slog.Logger
 	lines    *event.Limiter // of the lines about lost requests
 	closing  atomic.Bool    // StopAccepting was called
+	begun    atomic.Bool    // Serve was called
+	served   chan struct{}  // closed when Serve returns
 	// lingering has the goroutines of connections that are closed for writing only.
 	lingering errgroup.Group
 
@@ -72,6 +78,7 @@
 func New(listener net.Listener, handler http.Handler, log *slog.Logger, opts ...Option) *Server {
 	s := &Server{
 		name: "callers", listener: listener, handler: handler, log: log, conns: make(map[*conn]struct{}), idle: defaultIdle,
+		served: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -87,6 +94,8 @@
 
 // Serve accepts and serves connections until the listener is closed.
 func (s *Server) Serve() {
+	s.begun.Store(true)
+	defer close(s.served)
 	err := s.http.Serve(tracked{Listener: s.listener, server: s})
 	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		event.ServeFailed.Log(context.Background(), s.log, slog.String("error", err.Error()))
@@ -179,10 +188,19 @@
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 {
+		defer c.limitDiscard()
+	}
 	s.handler.ServeHTTP(w, r)
 	c.handled.Store(true)
 }
 
+// limitDiscard limits how long the HTTP server waits for the rest of a request's body once the request is
+// handled: it reads that before the next request, or before it closes the connection.
+func (c *conn) limitDiscard() {
+	_ = c.SetReadDeadline(time.Now().Add(discardTime)) // it fails if the connection is closed
+}
+
 // SetIdle sets how long clients may leave a connection idle, defaultIdle if it is 0. Connections that are
 // idle already are kept for the longer of the old and the new time.
 func (s *Server) SetIdle(longest time.Duration) {
@@ -197,13 +215,13 @@
 	return s.idle
 }
 
-// CloseIdle closes the connections that have been idle for too long.
+// CloseIdle closes the connections that have been idle for too long, or on which the head of a request
+// stays incomplete.
 func (s *Server) CloseIdle(now time.Time) {
 	longest := s.idleTime()
 	for _, c := range s.all() {
-		if since, until := c.idleTimes(); now.After(until) && now.Sub(since) > longest {
-			c.giveUp()
-		}
+		c.giveUp(idle, func(since, until time.Time) bool { return now.After(until) && now.Sub(since) > longest })
+		c.giveUp(reading, func(since, _ time.Time) bool { return now.Sub(since) > headerTimeout })
 	}
 }
 
@@ -212,18 +230,24 @@
 // connection.
 func (s *Server) StopAccepting() error {
 	s.closing.Store(true)
-	for deadline := time.Now().Add(drainTime); socket.Backlog(s.listener) > 0 && time.Now().Before(deadline); {
+	deadline := time.Now().Add(drainTime)
+	for socket.Backlog(s.listener) > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPoll)
 	}
-	return s.listener.Close()
+	err := s.listener.Close()
+	select {
+	case <-s.served: // all connections that were accepted are among those of the server
+	case <-time.After(time.Until(deadline)):
+	}
+	return err
 }
 
-// GiveUpIdle closes the connections that have been idle since before the given time.
+// GiveUpIdle closes the connections that have been idle since before the given time, and those on which the
+// head of a request has stayed incomplete for readingTime longer.
 func (s *Server) GiveUpIdle(before time.Time) {
 	for _, c := range s.all() {
-		if since, _ := c.idleTimes(); since.Before(before) {
-			c.giveUp()
-		}
+		c.giveUp(idle, func(since, _ time.Time) bool { return since.Before(before) })
+		c.giveUp(reading, func(since, _ time.Time) bool { return since.Add(readingTime).Before(before) })
 	}
 }
 
@@ -244,6 +268,9 @@
 	if errors.Is(err, net.ErrClosed) {
 		err = nil
 	}
+	if !s.begun.Load() {
+		_ = s.listener.Close() // the HTTP server does not know it
+	}
 	for _, c := range s.all() {
 		_ = c.Conn.Close() // the error of a connection that ends without delivering its response is no other
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -53,6 +53,9 @@
 	return c
 }
 
+// giveUpNow gives up a connection that is idle.
+func giveUpNow(c *conn) { c.giveUp(idle, func(time.Time, time.Time) bool { return true }) }
+
 // TestGiveUpCrossesRequest guards against a request that is handled on a connection that was closed as
 // an idle one.
 func TestGiveUpCrossesRequest(t *testing.T) {
@@ -60,13 +63,13 @@
 		afterRead func(*conn)
 		handled   bool
 	}{
-		"given up between the read and its handling": {afterRead: (*conn).giveUp},
+		"given up between the read and its handling": {afterRead: giveUpNow},
 		"read, then not given up":                    {afterRead: func(*conn) {}, handled: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newTestConn(t, one.afterRead)
 			_, err := c.Read(make([]byte, 1))
-			c.giveUp()
+			giveUpNow(c)
 			if read, handled := err == nil, c.begin(); read != one.handled || handled != one.handled {
 				t.Errorf("read %v, handled %v, want %v", read, handled, one.handled)
 			}
@@ -79,7 +82,7 @@
 func TestGiveUpWithUnreadBytes(t *testing.T) {
 	c := newTestConn(t, func(*conn) {})
 	c.Conn = c.Conn.(*hookedConn).Conn // a socket, which the kernel can be asked about
-	c.giveUp()
+	giveUpNow(c)
 	if c.load() != idle {
 		t.Error("given up with unread bytes")
 	}
