server: a caller that closes after a whole response is not counted as lost

Cause: the end of the connection, as the server reads it, was taken for the caller's leaving, even when the response had been written before. Each caller that closes its connection after a response could count: event 504, caller-left.

A part of a response now counts as not delivered if it could not be written, or was written after the caller's close was read.

--- a/server/conn.go
+++ b/server/conn.go
@@ -49,7 +49,8 @@
 	server  *Server
 	state   atomic.Int32
 	handled atomic.Bool // the handler has returned
-	left    atomic.Bool // the client closed the connection, or a write to it failed
+	left    atomic.Bool // the client closed the connection
+	failed  atomic.Bool // a part of a response was written after that, or could not be written
 
 	mu        sync.Mutex
 	idleSince time.Time // when the connection became idle
@@ -73,11 +74,12 @@
 	return n, err
 }
 
-// Write writes to the connection.
+// Write writes to the connection. The kernel may take bytes that the client doesn't get any more.
 func (c *conn) Write(p []byte) (int, error) {
+	left := c.left.Load()
 	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.left.Store(true)
+	if left || err != nil {
+		c.failed.Store(true)
 	}
 	return n, err
 }
@@ -212,7 +214,7 @@
 	switch {
 	case c.reason != "":
 		return c.reason, true
-	case c.left.Load():
+	case c.failed.Load(), c.left.Load() && !c.handled.Load():
 		return callerLeft, true
 	case !c.handled.Load():
 		return aborted, true
