--- a/server/conn.go
+++ b/server/conn.go
@@ -50,7 +50,7 @@
 	state   atomic.Int32
 	handled atomic.Bool // the handler has returned
 	left    atomic.Bool // the client closed the connection
-	failed  atomic.Bool // a write to the connection failed
+	failed  atomic.Bool // a part of a response was written after that, or could not be written
 
 	deadlines sync.Mutex // held while a deadline of the socket is set
 
@@ -76,10 +76,11 @@
 	return n, err
 }
 
-// Write writes to the connection.
+// Write writes to the connection. The kernel may take bytes that the client doesn't get any more.
 func (c *conn) Write(p []byte) (int, error) {
+	left := c.left.Load()
 	n, err := c.Conn.Write(p)
-	if err != nil {
+	if left || err != nil {
 		c.failed.Store(true)
 	}
 	return n, err
