restart: a process that runs now and then, errors of requests without a response

Pauses of 0.4 s in every 0.5 s of the stop put each of its steps into a pause, with requests in the kernel and connections that were not accepted yet.

--- a/restart/caller_test.go
+++ b/restart/caller_test.go
@@ -285,12 +285,13 @@
 func (a *attempt) receive(reader *bufio.Reader, readTime time.Duration) (open bool) {
 	resp, err := http.ReadResponse(reader, nil)
 	if err != nil {
+		a.err = err
 		return false
 	}
 	a.begun = true
-	err = readBody(resp, readTime)
+	a.err = readBody(resp, readTime)
 	_ = resp.Body.Close() // the body was read
-	if err != nil {
+	if a.err != nil {
 		return false
 	}
 	a.status = resp.StatusCode
--- a/restart/journal_test.go
+++ b/restart/journal_test.go
@@ -14,12 +14,13 @@
 	started    time.Time // before its first byte was sent
 	sent       time.Time // when its last byte was sent
 	ended      time.Time
-	stopping   bool // it was sent after the first SIGTERM of the instance
-	begun      bool // the head of a response was received
-	status     int  // of a whole response, 0 if there was none
-	mixed      bool // the response was to another request
-	stale      bool // it was sent on a connection whose end had been received
-	complete   bool // all bytes of the request were sent
+	stopping   bool  // it was sent after the first SIGTERM of the instance
+	begun      bool  // the head of a response was received
+	status     int   // of a whole response, 0 if there was none
+	mixed      bool  // the response was to another request
+	stale      bool  // it was sent on a connection whose end had been received
+	err        error // why there is no whole response
+	complete   bool  // all bytes of the request were sent
 }
 
 // lossSlack is how long after its last byte was sent a request may be closed unread at the latest: it
--- a/restart/rows_test.go
+++ b/restart/rows_test.go
@@ -213,6 +213,12 @@
 			grace: 4 * time.Second, timeout: 800 * ms, upstreams: upstreams{work: 20 * ms}, crowds: spreadOverStop(4 * time.Second),
 			steps: repeat(200*ms, 4*time.Second, pause(150*ms)),
 		},
+		"a process that runs now and then": {
+			grace: 4 * time.Second, timeout: time.Second, upstreams: fast(1),
+			crowds: append(spreadOverStop(4*time.Second),
+				crowd{callers: 100, kind: unsafe, habit: habit{fresh: true}, longest: 200 * ms}),
+			steps: repeat(500*ms, 4*time.Second, pause(400*ms)),
+		},
 		"a pause longer than the timeout as bodies come": {
 			grace: 4 * time.Second, timeout: 500 * ms, upstreams: fast(1),
 			crowds: []crowd{{
--- a/restart/stop_test.go
+++ b/restart/stop_test.go
@@ -287,7 +287,7 @@
 		reasons[reason]++
 		if i < maxShown {
 			at := p.processes[0].stop.first
-			t.Logf("%s, %s: sent %v and ended %v after SIGTERM, response begun: %v", a.id, reason, a.sent.Sub(at), a.ended.Sub(at), a.begun)
+			t.Logf("%s, %s: sent %v and ended %v after SIGTERM, response begun: %v, %v", a.id, reason, a.sent.Sub(at), a.ended.Sub(at), a.begun, a.err)
 		}
 	}
 	if len(bad) == 0 {
