--- a/restart/journal_test.go
+++ b/restart/journal_test.go
@@ -92,6 +92,11 @@
 			if n > 0 {
 				c.untrue++
 			}
+		case a.status == http.StatusRequestTimeout: // its body did not arrive in time
+			c.expired++
+			if n > 0 {
+				c.untrue++
+			}
 		case a.status == http.StatusOK:
 			c.served++
 		case a.status == http.StatusGatewayTimeout:
