restart: large responses read slowly with the next request in the kernel

Closing a connection with unread bytes resets it and drops the part of the response that was not delivered.

--- a/restart/rows_test.go
+++ b/restart/rows_test.go
@@ -81,6 +81,13 @@
 			grace: 4 * time.Second, timeout: 2500 * ms, upstreams: upstreams{work: shortWork, body: 12 << 20},
 			crowds: []crowd{{callers: 10, kind: safe, habit: habit{readTime: time.Second}, longest: time.Second}},
 		},
+		"large responses read slowly, with the next request in the kernel": {
+			grace: 4 * time.Second, timeout: 2500 * ms, upstreams: upstreams{work: shortWork, body: 3 << 20},
+			crowds: []crowd{{
+				callers: 10, kind: kind{method: unsafe.method, path: unsafe.path, body: 48 << 10},
+				habit: habit{depth: 2, readTime: 800 * ms}, longest: 300 * ms,
+			}},
+		},
 		"response bodies that are slow": {
 			grace: 4 * time.Second, timeout: 2500 * ms, upstreams: upstreams{work: shortWork, body: 1 << 20, bodyTime: 1200 * ms},
 			crowds: []crowd{
