--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -114,16 +114,14 @@
 // follower keeps a mirror of each followed kind up to date: from the store if this instance
 // watches it for its failure domain, and otherwise from instances that have newer changes.
 type follower struct {
-	store    Store
-	mesh     peerMesh
-	client   *http.Client
-	port     uint16 // of the control addresses of all instances
-	log      *slog.Logger
-	onChange func(kind string)
-	started  time.Time
-	// ranBefore states that the instances of this deployment have run before, so callers may be
-	// waiting already.
-	ranBefore bool
+	store     Store
+	mesh      peerMesh
+	client    *http.Client
+	port      uint16 // of the control addresses of all instances
+	log       *slog.Logger
+	onChange  func(kind string)
+	started   time.Time
+	ranBefore bool          // see withRanBefore
 	wake      chan struct{} // gets a value when a peer reports changes that are missing here
 
 	mu            sync.Mutex
@@ -159,9 +157,20 @@
 	return []string{platform.KindConfiguration, platform.KindEvacuations, platform.KindUpstreams}
 }
 
+// followerOption sets a property of a follower.
+type followerOption func(*follower)
+
+// withRanBefore sets whether the instances of this deployment have run before, so that callers
+// may be waiting already. The default is that they have not.
+func withRanBefore(ranBefore bool) followerOption {
+	return func(f *follower) { f.ranBefore = ranBefore }
+}
+
 // newFollower returns a follower with empty mirrors. It calls onChange, without holding its
 // lock, after each change of the objects of a kind.
-func newFollower(store Store, mesh peerMesh, port uint16, log *slog.Logger, onChange func(kind string)) *follower {
+func newFollower(
+	store Store, mesh peerMesh, port uint16, log *slog.Logger, onChange func(kind string), options ...followerOption,
+) *follower {
 	f := &follower{
 		store: store, mesh: mesh, port: port, log: log, onChange: onChange, started: time.Now(),
 		mirrors: make(map[string]*mirror.Mirror), watches: make(map[string]*watch), wake: make(chan struct{}, 1),
@@ -176,6 +185,9 @@
 	}
 	f.mirrors[platform.KindUpstreams] = mirror.New(platform.KindUpstreams, mirror.WithRetention(entryRetention))
 	f.watchCtx, f.cancelWatches = context.WithCancel(context.Background())
+	for _, option := range options {
+		option(f)
+	}
 	return f
 }
 
--- a/hosted/follow_test.go
+++ b/hosted/follow_test.go
@@ -244,8 +244,8 @@
 				if _, err := store.Put(t.Context(), platform.KindUpstreams+"/a", []byte("{}"), 0); err != nil {
 					t.Fatal(err)
 				}
-				f := newFollower(store, &nonWatchingMesh{}, 1, slog.New(slog.DiscardHandler), func(string) {})
-				f.ranBefore = ranBefore
+				f := newFollower(store, &nonWatchingMesh{}, 1, slog.New(slog.DiscardHandler), func(string) {},
+					withRanBefore(ranBefore))
 				ctx, cancel := context.WithCancel(t.Context())
 				var group errgroup.Group
 				group.Go(func() error { return f.run(ctx) })
