server: a pause does not cut short the emptying of the listener's queue

The queue of a listener was emptied until a deadline. A process that is paused meanwhile finds the deadline passed when it goes on, and closed the listener with connections in the queue, 0.4 s after a caller had sent a request on one. It now looks a number of times.

--- a/server/server.go
+++ b/server/server.go
@@ -25,8 +25,8 @@
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	defaultIdle    = 30 * time.Second
-	drainTime      = 100 * time.Millisecond
 	drainPoll      = time.Millisecond
+	drainPolls     = 100 // a number, since a deadline could pass while the process is paused
 	// readingTime is how long a client may take for the head of a request during a planned stop.
 	readingTime = 2 * time.Second
 	// discardTime is how long the rest of a body may take that the handler did not read.
@@ -226,18 +226,20 @@
 }
 
 // StopAccepting closes the listener once all connections that the kernel has accepted are accepted
-// from it, at the latest after drainTime: the others are reset. Each further response closes its
-// connection.
+// from it, at the latest after drainPolls looks at its queue: the others are reset. Each further response
+// closes its connection.
 func (s *Server) StopAccepting() error {
 	s.closing.Store(true)
-	deadline := time.Now().Add(drainTime)
-	for socket.Backlog(s.listener) > 0 && time.Now().Before(deadline) {
+	for range drainPolls {
+		if socket.Backlog(s.listener) == 0 {
+			break
+		}
 		time.Sleep(drainPoll)
 	}
 	err := s.listener.Close()
 	select {
 	case <-s.served: // all connections that were accepted are among those of the server
-	case <-time.After(time.Until(deadline)):
+	case <-time.After(drainPolls * drainPoll):
 	}
 	return err
 }
