--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -2,13 +2,10 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -28,13 +25,6 @@
 	// defaultTimeout is how long a request may take if neither its route nor the caller sets a
 	// limit.
 	defaultTimeout = 30 * time.Second
-	// minRetryAfter and maxRetryAfter bound the random Retry-After time of refused requests.
-	minRetryAfter = 40 * time.Millisecond
-	maxRetryAfter = 250 * time.Millisecond
-	// defaultBodyBytes limits the body of a request if the configuration sets no limit.
-	defaultBodyBytes = int64(32 << 20)
-	// maxDiscarded is the largest number of bytes of a refused body that are read and discarded.
-	maxDiscarded = 2 << 20
 	// maxIdle is how many idle connections to one upstream are kept for reuse.
 	maxIdle = 32
 )
@@ -119,17 +109,6 @@
 	return limit
 }
 
-// refuseLate refuses a request that may take longer than the rest of a planned stop, before it is
-// sent to an upstream or sent again. It reports whether it did.
-func (x *exchange) refuseLate() bool {
-	if !x.ingress.endsBefore(x.planReq.Deadline) {
-		return false
-	}
-	x.choice = placement.Choice{Reason: placement.ReasonStopping}
-	x.refuse("the instance stops before the request's deadline")
-	return true
-}
-
 // affinityHash returns the hash of the request's affinity key. Without a key, or on a route
 // that isn't sticky, the hash is random, which spreads the requests over the upstreams.
 func (x *exchange) affinityHash() (hash uint64, sticky bool) {
@@ -140,54 +119,6 @@
 	return xxhash.Sum64String(key), true
 }
 
-// readBody reads the whole body, so that the request can be retried where that is allowed. It
-// reports whether the request may proceed; if not, it was answered.
-func (x *exchange) readBody() bool {
-	if x.r.ContentLength == 0 {
-		return true
-	}
-	maxBytes := cmp.Or(x.planReq.Table.Limits().BodyBytes, defaultBodyBytes)
-	if x.r.ContentLength > maxBytes {
-		x.refuseBody()
-		return false
-	}
-	rc := http.NewResponseController(x.w)
-	// Without support for deadlines, the read ends when the caller closes the connection.
-	_ = rc.SetReadDeadline(x.planReq.Deadline)
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	var buf bytes.Buffer
-	if x.r.ContentLength > 0 {
-		buf.Grow(int(x.r.ContentLength))
-	}
-	_, err := buf.ReadFrom(io.LimitReader(x.r.Body, maxBytes+1))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		x.w.Header().Set("Connection", "close") // the rest of the body may still come
-		x.fail(http.StatusRequestTimeout, "expired", "the body did not arrive in time")
-		return false
-	}
-	if err != nil {
-		x.result = result{outcome: "caller-gone", detail: "the body was cut short"}
-		panic(http.ErrAbortHandler)
-	}
-	if int64(buf.Len()) > maxBytes {
-		x.refuseBody()
-		return false
-	}
-	x.body = buf.Bytes()
-	return true
-}
-
-// refuseBody refuses a body over the limit. It reads part of the body first: closing the
-// connection with unread bytes resets it, and a caller that is still sending would lose the
-// response.
-func (x *exchange) refuseBody() {
-	_, err := io.CopyN(io.Discard, x.r.Body, maxDiscarded)
-	if err != nil && !errors.Is(err, io.EOF) {
-		x.result.detail = err.Error()
-	}
-	x.fail(http.StatusRequestEntityTooLarge, "too-large", "the body is over the configured limit")
-}
-
 // sendWithRetries sends the request to one upstream after another, until it is answered or must
 // not be sent again.
 func (x *exchange) sendWithRetries() {
@@ -353,15 +284,6 @@
 	return true
 }
 
-// failLost answers a request that an upstream may have executed but whose response was lost.
-func (x *exchange) failLost(f *fault.Error) {
-	if f.Kind() == fault.Expired || !time.Now().Before(x.planReq.Deadline) {
-		x.fail(http.StatusGatewayTimeout, "expired", f.Text())
-		return
-	}
-	x.fail(http.StatusBadGateway, "lost", f.Text())
-}
-
 // handleResponse forwards a complete response, unless it is a 5xx response to an idempotent request
 // that may be sent to another upstream.
 func (x *exchange) handleResponse(resp *bufferedResponse) (load.Outcome, bool) {
@@ -378,49 +300,3 @@
 	resp.finish()
 	return load.Answered, true
 }
-
-// refuse answers a request for which no further send is possible. If no upstream can have executed
-// it, the caller gets a 503 with the time to retry after. Otherwise the caller gets the last 5xx
-// response of an upstream, or a 502.
-func (x *exchange) refuse(detail string) {
-	switch {
-	case x.failure != nil:
-		x.failure.finish()
-		return
-	case x.maybeExecuted:
-		x.fail(http.StatusBadGateway, "lost", detail)
-		return
-	}
-	platform.SetRetryAfter(x.w.Header(), x.retryAfter(time.Now()))
-	x.fail(http.StatusServiceUnavailable, "refused", detail)
-}
-
-// retryAfter returns how long the caller of a refused request should wait. If a planned stop
-// leaves no time for the request, it need not wait. If a limit of
-// upstreams kept the request from them, that is until this instance has room for it.
-func (x *exchange) retryAfter(now time.Time) time.Duration {
-	if x.ingress.endsBefore(x.planReq.Deadline) {
-		return 0 // another instance has the time for it
-	}
-	if x.choice.Reason == placement.ReasonLimited {
-		if at, ok := x.ingress.planner.RetryAt(&x.planReq, now); ok {
-			return max(minRetryAfter, at.Sub(now))
-		}
-	}
-	wait := minRetryAfter + time.Duration(rand.Int64N(int64(maxRetryAfter-minRetryAfter)))
-	return min(wait, max(0, x.planReq.Deadline.Sub(now)/3))
-}
-
-// fail answers the request with an error of this instance, with the detail as the body.
-func (x *exchange) fail(status int, outcome, detail string) {
-	x.result = result{status: status, outcome: outcome, detail: detail}
-	if x.ingress.leaving() {
-		x.w.Header().Set("Connection", "close")
-	}
-	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.WriteHeader(status)
-	_, err := io.WriteString(x.w, detail+"\n")
-	if err != nil && !errors.Is(err, http.ErrHandlerTimeout) {
-		x.result.detail += " (the caller left)"
-	}
-}
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -85,8 +85,8 @@
 
 // callerStatus returns the status that the caller gets. For a request that must not be
 // executed twice, it replaces the statuses on which clients resend a request (408, 421, 429 and
-// 503) by 502: the upstream may have executed the request, since its response has no
-// Hickorydrum-Not-Executed header.
+// 503) by 502: the upstream may have executed the request, since its response does not say that it
+// has not.
 func (x *exchange) callerStatus(status int) int {
 	if x.planReq.Route.Idempotent {
 		return status
