server: the client of a connection that is given up learns of it at once

Traced by the times: all connections were given up 3.032 s after SIGTERM, the request was sent at 3.107 s, the process went on and exited at 3.440 s. A socket that is closed while a Read waits on it stays open until that goroutine runs, and the process was paused before that. The connection is now closed for writing in the same step.

--- a/server/conn.go
+++ b/server/conn.go
@@ -141,6 +141,9 @@
 	if socket.Unread(c.Conn) || !c.closeIf(from, due) {
 		return
 	}
+	if w, ok := c.Conn.(closeWriter); ok {
+		_ = w.CloseWrite() // the client learns of the end now; the socket stays open while a Read waits on it
+	}
 	_ = c.shut() // the response before was written, and there is no request
 }
 
