server, hosted, ingress, requestlog: what a reader new to them stumbled on

A reader of this work's code listed comments that disagreed with it and names with two meanings: the end of a stop and the last deadline of a request, a state named closed whose socket may live on, predicates that also close connections, a field for two times. They are reworded or renamed; no logic differs.

--- a/command/signal.go
+++ b/command/signal.go
@@ -18,8 +18,8 @@
 func ignoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
 
 // notifySignals returns a context that is done after SIGTERM or SIGINT, and the channel of SIGHUPs.
-// It is called before the first listener opens and holds until the process ends, so that no signal
-// ends the process in any other way than by a planned stop.
+// It is called before the first listener opens and holds until the process ends, so that SIGTERM and SIGINT
+// always lead to a planned stop, also if sent more than once, and SIGHUP never ends the process.
 func notifySignals(ctx context.Context) (stop context.Context, hangUps <-chan os.Signal) {
 	stop, _ = signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	received := make(chan os.Signal, 1)
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -101,8 +101,8 @@
 	return group.Wait()
 }
 
-// othersClosed gives up the idle connections of the other servers and reports whether none is open.
-func (s *servers) othersClosed() bool {
+// giveUpOthers gives up the idle connections of the other servers and reports whether none is open.
+func (s *servers) giveUpOthers() bool {
 	open := 0
 	for _, one := range s.others() {
 		one.GiveUpIdle(time.Now())
--- a/hosted/stop.go
+++ b/hosted/stop.go
@@ -10,28 +10,32 @@
 )
 
 const (
-	// maxStopMargin is how long before the end of the grace period a planned stop ends at the latest, or a
-	// tenth of the period if that is shorter.
+	// maxStopMargin bounds the time between the end of a planned stop and the end of the grace period,
+	// which is a tenth of that period if that is shorter.
 	maxStopMargin = 300 * time.Millisecond
-	// maxAnswerMargin is the time from the latest deadline of a request that is still sent to an upstream to
-	// the end of the stop, for its response to be written, or a fifteenth of the period if that is shorter.
+	// maxAnswerMargin bounds the time for responses to be written after the latest deadline that a request
+	// may have, which is a fifteenth of the grace period if that is shorter.
 	maxAnswerMargin = 200 * time.Millisecond
-	// propagationMargin is how long it takes until no instance names this one in look-ups any more.
+	// propagationMargin is the time allowed for all instances to stop naming this one in look-ups.
 	propagationMargin = 500 * time.Millisecond
-	// lateLookups is how many times as long as they may some callers use the response to a look-up.
+	// lateLookups is the factor by which some callers exceed the TTL of a look-up.
 	lateLookups = 3
-	// quietTime is how long no caller must have opened a connection for the stop to go on early, and how
-	// long a connection must have been idle to be closed.
+	// quietTime is how long a connection must have been idle to be given up. The listener closes early if no
+	// connection is open and none was accepted for as long.
 	quietTime = 500 * time.Millisecond
-	stopPoll  = 20 * time.Millisecond
-	// defaultTimeout is the longest time that a request may take if no configuration is in force.
+	// stopPoll is the interval at which a waiting step checks its condition.
+	stopPoll = 20 * time.Millisecond
+	// defaultTimeout stands for the longest timeout of a request if no configuration is in force or it sets
+	// none.
 	defaultTimeout = time.Second
 )
 
-// stop performs a planned stop: it directs callers to other instances, serves them until the look-ups
-// that name this instance have expired, and then waits until no connection is open. Correctness does not
-// depend on its times: a connection is given up only while no request is on it, and a request whose
-// deadline is after the end of the stop is rejected.
+// stop performs a planned stop: it directs callers to other instances and accepts connections until the
+// look-ups that name this instance have expired, also at callers that use them for too long, as far as the
+// grace period allows. It then closes the listener, waits until no connection is open, and ends the sends
+// that remain at the last deadline that a request may have. Whether a request is cut off does not depend on
+// these times: one whose deadline is later is rejected before it is sent, and a connection is given up only
+// while it is idle or the head of a request on it stays incomplete.
 func (i *Instance) stop() {
 	begun := time.Now()
 	i.readSettings(context.Background()) // the grace period may have changed; the last one holds otherwise
@@ -40,7 +44,9 @@
 
 func (i *Instance) openConnections() slog.LogValuer { return i.servers.front.Counts() }
 
-// stopSteps returns the steps of a planned stop that begins now.
+// stopSteps returns the steps of a planned stop: name other instances in look-ups, wait until callers use
+// those, close the callers' listener, finish their requests, end the sends that remain, and close the other
+// servers.
 func (i *Instance) stopSteps(begun time.Time) []shutdown.Step {
 	grace := i.bounds.Load().Grace
 	end := begun.Add(grace - min(maxStopMargin, grace/10))
@@ -55,7 +61,7 @@
 			return nil
 		}),
 		shutdown.WaitUntil("expire", func() time.Time { return expired }),
-		shutdown.WaitUntilOr("late look-ups", stopPoll, lastAccept, i.quiet),
+		shutdown.WaitUntilOr("late look-ups", stopPoll, lastAccept, i.giveUpQuiet),
 		shutdown.NewStep("stop accepting", func(context.Context) error { return front.StopAccepting() }),
 		shutdown.WaitUntilOr("finish callers", stopPoll, lastAnswer, func() bool {
 			front.GiveUpIdle(time.Now().Add(-quietTime))
@@ -67,13 +73,13 @@
 			return nil
 		}),
 		shutdown.NewStep("stop accepting others", func(context.Context) error { return i.servers.stopAcceptingOthers() }),
-		shutdown.WaitUntilOr("last answers", stopPoll, end, func() bool { return i.servers.othersClosed() && closed() }),
+		shutdown.WaitUntilOr("last answers", stopPoll, end, func() bool { return i.servers.giveUpOthers() && closed() }),
 	}
 }
 
-// acceptTimes returns when the look-ups that name this instance have expired, and when the last
-// connection is accepted: when those of callers who use them for too long have expired as well, but no
-// later than a request with the longest timeout can be answered.
+// acceptTimes returns when the look-ups that name this instance have expired, and until when the listener
+// stays open after that for callers that use them for too long. last leaves time for a request with the
+// longest timeout; if it is before expired, there is no such wait.
 func (i *Instance) acceptTimes(begun, lastAnswer time.Time) (expired, last time.Time) {
 	ttl := i.lookupTTL()
 	longest := defaultTimeout
@@ -95,8 +101,9 @@
 	return b
 }
 
-// quiet gives up idle connections and reports whether no connection is open and none was opened lately.
-func (i *Instance) quiet() bool {
+// giveUpQuiet gives up the connections that were idle for quietTime. It reports whether none is open and
+// none was accepted for as long.
+func (i *Instance) giveUpQuiet() bool {
 	front, now := i.servers.front, time.Now()
 	front.GiveUpIdle(now.Add(-quietTime))
 	return front.Counts().Open() == 0 && now.Sub(front.LastAccepted()) > quietTime
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -17,8 +17,9 @@
 	maxDiscarded = 2 << 20
 )
 
-// readBody reads the whole body, so that the request can be retried where that is allowed. It
-// reports whether the request may proceed; if not, it was answered.
+// readBody reads the whole body, so that the request can be sent again where that is allowed. It
+// reports false if it answered the request instead, and aborts the handler if the caller broke the
+// body off.
 func (x *exchange) readBody() bool {
 	if x.r.ContentLength == 0 {
 		return true
@@ -54,9 +55,9 @@
 	return true
 }
 
-// refuseBody refuses a body over the limit. It reads part of the body first: closing the
-// connection with unread bytes resets it, and a caller that is still sending would lose the
-// response.
+// refuseBody refuses a body over the limit. It first reads up to maxDiscarded bytes of it, since the
+// server reads the rest only for a short time after the response, and a caller that still sends could
+// lose the response.
 func (x *exchange) refuseBody() {
 	_, err := io.CopyN(io.Discard, x.r.Body, maxDiscarded)
 	if err != nil && !errors.Is(err, io.EOF) {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,9 +22,10 @@
 	limiter *logLimiter
 	// limitLines bounds the lines about limits of upstreams.
 	limitLines lineCounter
-	end        atomic.Pointer[time.Time] // of the planned stop, nil before it begins
-	sends      context.Context           // done when sends to upstreams must end
-	cut        context.CancelFunc
+	// lastDeadline is the latest deadline that a request may have, nil until a planned stop begins.
+	lastDeadline atomic.Pointer[time.Time]
+	sends        context.Context // done when sends to upstreams must end
+	cut          context.CancelFunc
 }
 
 // New returns a handler that sends requests to the upstreams that the planner chooses.
@@ -40,21 +41,22 @@
 	return g.planner.Table() != nil && g.planner.View() != nil && !g.leaving()
 }
 
-// Leave starts the planned stop, which ends at the given time: every further response closes its
-// connection, a request whose deadline is after the end is sent to no upstream any more, and
-// Ready returns false.
-func (g *Ingress) Leave(end time.Time) { g.end.Store(&end) }
+// Leave begins the planned stop: from now on Ready returns false, every response that has not begun
+// closes its connection, and a request whose deadline is after lastDeadline is not sent to an upstream.
+func (g *Ingress) Leave(lastDeadline time.Time) { g.lastDeadline.Store(&lastDeadline) }
 
 // leaving reports whether a planned stop has begun.
-func (g *Ingress) leaving() bool { return g.end.Load() != nil }
+func (g *Ingress) leaving() bool { return g.lastDeadline.Load() != nil }
 
-// endsBefore reports whether a planned stop has begun that ends before the given time.
-func (g *Ingress) endsBefore(deadline time.Time) bool {
-	end := g.end.Load()
-	return end != nil && deadline.After(*end)
+// leavesTooSoonFor reports whether a planned stop has begun that leaves no time for a request with the
+// given deadline.
+func (g *Ingress) leavesTooSoonFor(deadline time.Time) bool {
+	last := g.lastDeadline.Load()
+	return last != nil && deadline.After(*last)
 }
 
-// Cut ends the sends to upstreams that are under way. Their callers get a 502.
+// Cut ends the sends to upstreams that are under way. A caller whose response has not begun gets an error
+// response; one that has begun is broken off.
 func (g *Ingress) Cut() { g.cut() }
 
 var (
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// minRetryAfter and maxRetryAfter bound the random Retry-After time of refused requests.
+	// minRetryAfter and maxRetryAfter bound the random Retry-After time, before the cap by the deadline.
+	// minRetryAfter is also the shortest wait for a limit.
 	minRetryAfter = 40 * time.Millisecond
 	maxRetryAfter = 250 * time.Millisecond
 )
@@ -21,7 +22,7 @@
 // refuseLate refuses a request that may take longer than the rest of a planned stop, before it is
 // sent to an upstream or sent again. It reports whether it did.
 func (x *exchange) refuseLate() bool {
-	if !x.ingress.endsBefore(x.planReq.Deadline) {
+	if !x.ingress.leavesTooSoonFor(x.planReq.Deadline) {
 		return false
 	}
 	x.choice = placement.Choice{Reason: placement.ReasonStopping}
@@ -54,11 +55,11 @@
 	x.fail(http.StatusServiceUnavailable, "refused", detail)
 }
 
-// retryAfter returns how long the caller of a refused request should wait. If a planned stop
-// leaves no time for the request, it need not wait. If a limit of
-// upstreams kept the request from them, that is until this instance has room for it.
+// retryAfter returns how long the caller of a refused request should wait: not at all during a planned stop
+// that is too short for it, until this instance has room if limits of upstreams refused it, otherwise a
+// random time of at most a third of the time left.
 func (x *exchange) retryAfter(now time.Time) time.Duration {
-	if x.ingress.endsBefore(x.planReq.Deadline) {
+	if x.ingress.leavesTooSoonFor(x.planReq.Deadline) {
 		return 0 // another instance has the time for it
 	}
 	if x.choice.Reason == placement.ReasonLimited {
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -25,13 +25,14 @@
 	quietTime = 500 * time.Millisecond
 	// operatorTime is how long a planned stop waits for the responses to operators.
 	operatorTime = time.Second
-	stopPoll     = 20 * time.Millisecond
+	// stopPoll is the interval at which a waiting step checks its condition.
+	stopPoll = 20 * time.Millisecond
 )
 
 // stop performs a planned stop. No request that was admitted has a deadline after its end.
 func (i *Instance) stop() {
 	expiry := time.Now().Add(i.settings.Duration("lookup-life") + propagationMargin)
-	end := i.entry.Leave(expiry.Add(arrivalMargin + i.longestLimit())).Add(responseMargin)
+	end := i.entry.Leave(expiry.Add(arrivalMargin + i.longestTimeout())).Add(responseMargin)
 	shutdown.Stop(i.ctx, i.log, i.openConnections, i.stopSteps(expiry, end)...)
 }
 
@@ -39,7 +40,7 @@
 
 // stopSteps returns the steps of a planned stop: announce that the instance leaves, wait
 // until look-up responses that name it have expired, finish the requests in flight, and
-// announce that it is gone.
+// announce that it is gone, and finish the operators' requests.
 func (i *Instance) stopSteps(expiry, end time.Time) []shutdown.Step {
 	operatorEnd := func() time.Time { return time.Now().Add(operatorTime) }
 	return []shutdown.Step{
@@ -56,18 +57,18 @@
 		shutdown.WaitUntilOr("finish upstreams", stopPoll, end, func() bool { return i.pool.InFlight() == 0 }),
 		shutdown.NewStep("depart", func(ctx context.Context) error { return i.publish(ctx, roster.Gone) }),
 		shutdown.NewStep("stop accepting operators", func(context.Context) error { return i.admin.StopAccepting() }),
-		shutdown.WaitFor("finish operators", stopPoll, operatorEnd, i.operatorsDone),
+		shutdown.WaitFor("finish operators", stopPoll, operatorEnd, i.giveUpOperators),
 	}
 }
 
-// operatorsDone gives up the operators' idle connections and reports whether no other is open.
-func (i *Instance) operatorsDone() bool {
+// giveUpOperators gives up the idle connections of operators and reports whether none is open after that.
+func (i *Instance) giveUpOperators() bool {
 	i.admin.GiveUpIdle(time.Now())
 	return i.admin.Counts().Open() == 0
 }
 
-// longestLimit returns the longest time limit of a declared service.
-func (i *Instance) longestLimit() time.Duration {
+// longestTimeout returns the longest timeout of a declared service, 0 if there is none.
+func (i *Instance) longestTimeout() time.Duration {
 	longest := time.Duration(0)
 	if set := i.state.Set(); set != nil {
 		for _, s := range set.Services() {
--- a/requestlog/attempt.go
+++ b/requestlog/attempt.go
@@ -9,7 +9,7 @@
 	"hickorydrum/placement"
 )
 
-// maxBeginSkew is how far apart the begin of a request may be by two of its lines: each line has the
+// maxBeginSkew bounds the difference between the begins of a request as computed from two of its lines: each has the
 // time that the request took in milliseconds, and is written a moment after that is measured.
 const maxBeginSkew = 50 * time.Millisecond
 
@@ -20,13 +20,13 @@
 	stop *stop // the planned stop of the instance that had begun, nil if there was none
 }
 
-// attempts returns the attempts in the order in which they ended.
+// attempts returns the attempts, ordered by the times of their main lines.
 func (s *History) attempts() []attempt {
 	out := s.pairLines()
 	for i := range out {
-		out[i].stop = s.stopBefore(out[i].first().source, out[i].ended())
+		out[i].stop = s.stopBefore(out[i].mainLine().source, out[i].ended())
 	}
-	slices.SortStableFunc(out, func(a, b attempt) int { return compareTimes(*a.first(), *b.first()) })
+	slices.SortStableFunc(out, func(a, b attempt) int { return compareTimes(*a.mainLine(), *b.mainLine()) })
 	return out
 }
 
@@ -52,8 +52,8 @@
 	return out
 }
 
-// attemptOf returns the attempt that a line of event 504 is about, nil if there is none: that of the same
-// instance which began at the same time. Its own line may be written before or after.
+// attemptOf returns the attempt of the same instance whose begin is nearest to that of a line of event 504,
+// at most maxBeginSkew apart; nil if there is none. Its own line may be written before or after.
 func attemptOf(attempts []attempt, lost *line) *attempt {
 	var nearest *attempt
 	skew := maxBeginSkew
@@ -69,12 +69,12 @@
 	return nearest
 }
 
-// first returns the line about the end of the attempt, else that of event 504.
-func (a *attempt) first() *line { return cmp.Or(a.end, a.lost) }
+// mainLine returns the line about the end of the attempt, or that of event 504 if there is none.
+func (a *attempt) mainLine() *line { return cmp.Or(a.end, a.lost) }
 
 // ended returns when the last line about the attempt was written.
 func (a *attempt) ended() time.Time {
-	at := a.first().at
+	at := a.mainLine().at
 	if a.lost != nil && a.lost.at.After(at) {
 		at = a.lost.at
 	}
--- a/requestlog/story.go
+++ b/requestlog/story.go
@@ -37,7 +37,7 @@
 func (w *story) printf(format string, args ...any) { _, _ = fmt.Fprintf(w.out, format, args...) }
 
 func (w *story) writeAttempt(a *attempt) {
-	first := a.first()
+	first := a.mainLine()
 	w.printf("%s %s\n", first.Time, first.source)
 	if a.end != nil {
 		w.writeEnd(a.end)
@@ -103,7 +103,7 @@
 // writeStop writes what the steps of the planned stop did while the attempt was under way.
 func (w *story) writeStop(a *attempt) {
 	s := a.stop
-	arrived := a.first().begun()
+	arrived := a.mainLine().begun()
 	relation := "after"
 	since := arrived.Sub(s.begun.at)
 	if since < 0 {
--- a/restart/journal_test.go
+++ b/restart/journal_test.go
@@ -23,8 +23,8 @@
 	complete   bool  // all bytes of the request were sent
 }
 
-// lossSlack is how long after its last byte was sent a request may be closed unread at the latest: it
-// crossed the close then.
+// lossSlack is the longest time from the last byte of a request to the close of its connection for which the
+// request counts as having crossed the close.
 const lossSlack = 200 * time.Millisecond
 
 // closedLate reports whether the connection of a request without a response was closed later than the
--- a/restart/stop_test.go
+++ b/restart/stop_test.go
@@ -68,10 +68,11 @@
 	callers int // for each instance
 	kind    kind
 	habit   habit
-	// shortest and longest bound the pause of a caller before a request.
+	// shortest and longest bound the pause of a caller before a request; longest must be greater.
 	shortest, longest time.Duration
-	// moments, if set, are the times after SIGTERM at which each caller sends one request, give or
-	// take spread. The first request, or all requests if quiet is set, are those of the moments.
+	// moments, if set, are times after the first SIGTERM. Each caller sends one batch of habit.depth requests
+	// at each, at random within spread, which must be above 0. A caller sends its first batch without regard
+	// to the moments unless quiet is set; once they are used up, it pauses as before.
 	moments []time.Duration
 	spread  time.Duration
 	quiet   bool
--- a/server/conn.go
+++ b/server/conn.go
@@ -22,10 +22,10 @@
 type state int32
 
 const (
-	idle    state = iota // no byte of a request has been read since the last response
+	idle    state = iota // new, or its last response was written, and no byte has been read since
 	reading              // a part of a request's head has been read
 	serving              // a request is handled, or its response is being written
-	closed
+	closing              // no further request is handled; the socket may linger until the client has the last response
 )
 
 // reason is why a request's caller got no whole response.
@@ -33,7 +33,7 @@
 
 const (
 	stopped    reason = "stopped"     // the server was closed
-	callerLeft reason = "caller-left" // the caller closed its connection before
+	callerLeft reason = "caller-left" // the caller closed its connection before it had the whole response
 	aborted    reason = "aborted"     // the handler gave up, such as when an upstream broke off
 )
 
@@ -50,16 +50,16 @@
 	state   atomic.Int32
 	handled atomic.Bool // the handler has returned
 	left    atomic.Bool // the client closed the connection
-	failed  atomic.Bool // a part of a response was written after that, or could not be written
+	failed  atomic.Bool // a write failed, or was made after left was set
 
-	deadlines sync.Mutex // held while a deadline of the socket is set
+	deadlines sync.Mutex // orders SetReadDeadline of the HTTP server before those of linger
 
-	mu        sync.Mutex // also held while the connection becomes idle, or is given up
-	idleSince time.Time  // when the connection became idle, or the first byte of a request was read
-	idleUntil time.Time  // until when it may stay idle, by the idle time that was set when it became idle
-	id        string     // of the request under way
-	begun     time.Time  // when that request was read
-	reason    reason     // why this process ends the connection
+	mu           sync.Mutex // also held while the connection becomes idle, or is given up
+	stateSince   time.Time  // when the connection became idle, or when the first byte of a request was read
+	idleUntil    time.Time  // end of the idle time that applied when the connection became idle
+	id           string     // ID of the request under way
+	requestBegun time.Time  // when its handling began
+	reason       reason     // why this process ends the connection, "" if it does not
 }
 
 func (c *conn) load() state { return state(c.state.Load()) }
@@ -86,12 +86,12 @@
 	return n, err
 }
 
-// SetReadDeadline sets the deadline of reads. It does nothing if the connection is closed, since its last
-// response may still be delivered.
+// SetReadDeadline sets the deadline of reads. On a connection that was given up or closed it fails with
+// net.ErrClosed, since linger sets the deadlines then.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.deadlines.Lock()
 	defer c.deadlines.Unlock()
-	if c.load() == closed {
+	if c.load() == closing {
 		return net.ErrClosed
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -109,7 +109,7 @@
 	if c.load() == idle {
 		c.beginReading(time.Now())
 	}
-	return c.load() != closed
+	return c.load() != closing
 }
 
 // beginReading marks the read of the first byte of a request.
@@ -117,7 +117,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.step(idle, reading) {
-		c.idleSince = now
+		c.stateSince = now
 	}
 }
 
@@ -130,28 +130,29 @@
 func (c *conn) begin() bool {
 	c.handled.Store(false)
 	c.mu.Lock()
-	c.id, c.begun = "", time.Now()
+	c.id, c.requestBegun = "", time.Now()
 	c.mu.Unlock()
 	return c.step(reading, serving) || c.step(idle, serving)
 }
 
-// giveUp closes the connection if it is in the given state, idle or reading, and due says so of the times
-// since when it is and until when it may be. A request of which bytes arrive meanwhile is never handled.
+// giveUp closes the connection if it is in the state from (idle or reading), due returns true, and the
+// kernel holds no unread bytes of it. due gets when that state began and, for idle, until when it may last.
+// Bytes that arrive after the check are dropped; their request is never handled.
 func (c *conn) giveUp(from state, due func(since, until time.Time) bool) {
 	if socket.Unread(c.Conn) || !c.closeIf(from, due) {
 		return
 	}
 	if w, ok := c.Conn.(closeWriter); ok {
-		_ = w.CloseWrite() // the client learns of the end now; the socket stays open while a Read waits on it
+		_ = w.CloseWrite() // the client learns of the end now, also if a Read delays the close of the socket
 	}
 	_ = c.shut() // the response before was written, and there is no request
 }
 
-// closeIf changes the state to closed if it is the given one and due says so.
+// closeIf changes the state to closing if it is the given one and due says so.
 func (c *conn) closeIf(from state, due func(since, until time.Time) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return due(c.idleSince, c.idleUntil) && c.step(from, closed)
+	return due(c.stateSince, c.idleUntil) && c.step(from, closing)
 }
 
 // setID sets the ID of the request under way.
@@ -170,10 +171,11 @@
 	}
 }
 
-// Close closes the connection.
+// Close closes the connection for the HTTP server and reports the request under way if its caller gets no
+// whole response. The socket may linger, see shut.
 func (c *conn) Close() error {
-	last := state(c.state.Swap(int32(closed)))
-	if last == closed {
+	last := state(c.state.Swap(int32(closing)))
+	if last == closing {
 		return net.ErrClosed
 	}
 	if last == serving {
@@ -267,7 +269,7 @@
 	default:
 		why = aborted
 	}
-	return why, c.id, c.begun, true
+	return why, c.id, c.requestBegun, true
 }
 
 // setState follows the state that the HTTP server gives a connection. A connection becomes idle
@@ -285,7 +287,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.step(serving, idle) || c.step(reading, idle) || c.load() == idle {
-		c.idleSince, c.idleUntil = now, now.Add(longest)
+		c.stateSince, c.idleUntil = now, now.Add(longest)
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -1,6 +1,6 @@
-// Package server is an HTTP/1.1 server that knows of every request on its connections: from
-// the read of its first byte until the kernel has the last byte of its response. Whatever
-// ends a connection asks the connection's state first.
+// Package server is an HTTP/1.1 server that knows the state of each connection, so that an idle
+// timeout or a planned stop closes one only while no request is handled on it. When it closes a
+// connection, it first lets the client receive the last response.
 package server
 
 import (
@@ -26,10 +26,11 @@
 	headerTimeout  = 10 * time.Second
 	defaultIdle    = 30 * time.Second
 	drainPoll      = time.Millisecond
-	drainPolls     = 100 // a number, since a deadline could pass while the process is paused
+	drainPolls     = 100 // a count, since a deadline could pass while the process is paused
 	// readingTime is how long a client may take for the head of a request during a planned stop.
 	readingTime = 2 * time.Second
-	// discardTime is how long the rest of a body may take that the handler did not read.
+	// discardTime is how long the HTTP server may take to read the part of a body that the handler
+	// left unread.
 	discardTime = 500 * time.Millisecond
 	// maxLostLines limits the log lines about lost requests in a second.
 	maxLostLines = 100
@@ -52,14 +53,14 @@
 	mu    sync.Mutex
 	conns map[*conn]struct{} // the connections that are open
 	idle  time.Duration      // how long clients may leave a connection idle
-
+	// lastAccepted is when the last connection was accepted, zero if none was.
 	lastAccepted time.Time
 }
 
 // Option configures a Server.
 type Option func(*Server)
 
-// WithName sets the name of the server in metrics and log lines; it is callers if it is not set.
+// WithName sets the name of the server in metrics and log lines; the default is callers.
 func WithName(name string) Option { return func(s *Server) { s.name = name } }
 
 // Listen opens a listener and returns a server that isn't serving yet. Bytes that a client does
@@ -172,7 +173,7 @@
 			out.Reading++
 		case serving:
 			out.Serving++
-		case closed:
+		case closing:
 			out.Closing++
 		}
 	}
@@ -216,7 +217,7 @@
 }
 
 // CloseIdle closes the connections that have been idle for too long, or on which the head of a request
-// stays incomplete.
+// stays incomplete for headerTimeout. The server does not call it: its owner does so at intervals.
 func (s *Server) CloseIdle(now time.Time) {
 	longest := s.idleTime()
 	for _, c := range s.all() {
@@ -225,9 +226,9 @@
 	}
 }
 
-// StopAccepting closes the listener once all connections that the kernel has accepted are accepted
-// from it, at the latest after drainPolls looks at its queue: the others are reset. Each further response
-// closes its connection.
+// StopAccepting closes the listener once the kernel's queue of connections is empty, or after drainPolls
+// checks of it: those still in the queue are then reset. The response to each request whose handling
+// begins after the call closes its connection.
 func (s *Server) StopAccepting() error {
 	s.closing.Store(true)
 	for range drainPolls {
@@ -239,7 +240,7 @@
 	err := s.listener.Close()
 	select {
 	case <-s.served: // all connections that were accepted are among those of the server
-	case <-time.After(drainPolls * drainPoll):
+	case <-time.After(drainPolls * drainPoll): // unlike the polls, this wait can expire in a pause
 	}
 	return err
 }
@@ -260,8 +261,9 @@
 	return s.lastAccepted
 }
 
-// Close closes the listener and all connections, and waits for the connections that were closed
-// before. It is no error if the listener was closed before.
+// Close closes the listener and all connections at once, also those with a request under way, which it
+// reports as lost, and those whose last response is still being delivered. It is no error if the listener
+// was closed before.
 func (s *Server) Close() error {
 	for _, c := range s.all() {
 		c.setReason(stopped)
@@ -274,7 +276,7 @@
 		_ = s.listener.Close() // the HTTP server does not know it
 	}
 	for _, c := range s.all() {
-		_ = c.Conn.Close() // the error of a connection that ends without delivering its response is no other
+		_ = c.Conn.Close() // also connections that linger; an error would say nothing new
 	}
 	return errors.Join(err, s.lingering.Wait())
 }
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -53,11 +53,11 @@
 
 // WaitFor returns a step that checks a condition at the given interval until it holds. The step
 // fails if the deadline passes first. It calls deadline once, when it begins.
-func WaitFor(name string, interval time.Duration, deadline func() time.Time, condition func() bool) Step {
+func WaitFor(name string, every time.Duration, deadline func() time.Time, condition func() bool) Step {
 	return NewStep(name, func(ctx context.Context) error {
 		ctx, cancel := context.WithDeadline(ctx, deadline())
 		defer cancel()
-		ticker := time.NewTicker(interval)
+		ticker := time.NewTicker(every)
 		defer ticker.Stop()
 		for !condition() {
 			select {
@@ -72,8 +72,8 @@
 
 // WaitUntilOr returns a step that checks a condition at the given interval until it holds, at the latest
 // until the deadline. Unlike WaitFor it does not fail then.
-func WaitUntilOr(name string, interval time.Duration, deadline time.Time, condition func() bool) Step {
-	wait := WaitFor(name, interval, func() time.Time { return deadline }, condition)
+func WaitUntilOr(name string, every time.Duration, deadline time.Time, condition func() bool) Step {
+	wait := WaitFor(name, every, func() time.Time { return deadline }, condition)
 	return NewStep(name, func(ctx context.Context) error {
 		err := wait.run(ctx)
 		if errors.Is(err, context.DeadlineExceeded) {
