ingress: a refused body is awaited no longer than the request's deadline

Found by reading: a body over the limit is read for a while before it is refused, and that read had no deadline. A caller that sent no more held the request, and a planned stop, without end.

TestLateBody, late and too large: before, no response within 15 s; now 413 by the deadline, and the connection ends. The check of the end of the connection replaces that of the header Connection: close, and is stricter.

--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -153,16 +153,31 @@
 	w := c.worker("list", "one-a", nil)
 	m := c.start("a", "one-a")
 	c.ready(m, 1)
-	conn, reader := c.raw(m)
-	fmt.Fprint(conn, "POST /order/x HTTP/1.1\r\nHost: h.example\r\nHickorydrum-Attempt-Id: late\r\n"+
-		"Hickorydrum-Deadline-Remaining: 900\r\nContent-Length: 2\r\n\r\na")
-	resp, err := http.ReadResponse(reader, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	got := []any{resp.StatusCode, resp.Close, w.Runs("late")}
-	if diff := cmp.Diff([]any{http.StatusRequestTimeout, true, 0}, got); diff != "" {
-		t.Errorf("status, close and runs (-want +got):\n%s", diff)
+	for name, test := range map[string]struct{ length, status int }{
+		"late":               {2, http.StatusRequestTimeout},
+		"late and too large": {8 << 20, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, reader := c.raw(m)
+			if err := conn.SetDeadline(time.Now().Add(waitTimeout)); err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(conn, "POST /order/x HTTP/1.1\r\nHost: h.example\r\nHickorydrum-Attempt-Id: late\r\n"+
+				"Hickorydrum-Deadline-Remaining: 900\r\nContent-Length: %d\r\n\r\na", test.length)
+			resp, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]int{test.status, 0}, []int{resp.StatusCode, w.Runs("late")}); diff != "" {
+				t.Errorf("status and runs (-want +got):\n%s", diff)
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Error(err)
+			}
+			if _, err := reader.ReadByte(); err != io.EOF {
+				t.Errorf("after the response: %v, want the end of the connection", err)
+			}
+		})
 	}
 }
 
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -25,14 +25,14 @@
 		return true
 	}
 	maxBytes := cmp.Or(x.planReq.Table.Limits().BodyBytes, defaultBodyBytes)
-	if x.r.ContentLength > maxBytes {
-		x.refuseBody()
-		return false
-	}
 	rc := http.NewResponseController(x.w)
 	// Without support for deadlines, the read ends when the caller closes the connection.
 	_ = rc.SetReadDeadline(x.planReq.Deadline)
 	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	if x.r.ContentLength > maxBytes {
+		x.refuseBody()
+		return false
+	}
 	var buf bytes.Buffer
 	if x.r.ContentLength > 0 {
 		buf.Grow(int(x.r.ContentLength))
