server: a connection that begins to linger as its server is closed does not hold the stop

Close ends the connections that linger and waits for them, but one that begins to linger just then, closed by its own handler, was waited for up to 2 s.

--- a/server/conn.go
+++ b/server/conn.go
@@ -211,7 +211,7 @@
 }
 
 // linger closes the connection for writing, and closes it once the client has acknowledged all bytes and sends
-// no more, or has closed it, at the latest after lingerTime.
+// no more, or has closed it, at the latest after lingerTime, or when the server is closed.
 func (c *conn) linger(w closeWriter) error {
 	defer c.server.remove(c)
 	defer func() { _ = c.Conn.Close() }() // the response is delivered, or can't be
@@ -219,7 +219,7 @@
 	if w.CloseWrite() != nil {
 		return nil // the client has closed the connection
 	}
-	for time.Now().Before(deadline) {
+	for time.Now().Before(deadline) && !c.server.ended.Load() {
 		if c.setLingerDeadline(time.Now().Add(lingerPoll)) != nil {
 			return nil // the server was closed
 		}
--- a/server/linger_test.go
+++ b/server/linger_test.go
@@ -104,3 +104,28 @@
 		t.Errorf("the response ended after %d bytes with %v, want %d bytes and no error", len(got), err, size)
 	}
 }
+
+// TestLingerAfterClose guards against a server whose Close waits for a connection that begins to linger
+// meanwhile, so that a planned stop outlasts its end.
+func TestLingerAfterClose(t *testing.T) {
+	c := newTestConn(t, func(*conn) {})
+	c.Conn = c.Conn.(*hookedConn).Conn // a socket, which the kernel can be asked about
+	if err := c.Conn.(*net.TCPConn).SetWriteBuffer(sendBuffer); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = c.Write(make([]byte, 64<<20)) // the client reads nothing, so that a part stays undelivered
+	c.server.ended.Store(true)
+	begun := time.Now()
+	if err := c.shut(); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.server.lingering.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(begun); took > lingerTime/2 {
+		t.Errorf("the connection lingered for %v", took)
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -45,6 +45,7 @@
 	log      *slog.Logger
 	lines    *event.Limiter // of the lines about lost requests
 	closing  atomic.Bool    // StopAccepting was called
+	ended    atomic.Bool    // Close was called
 	begun    atomic.Bool    // Serve was called
 	served   chan struct{}  // closed when Serve returns
 	// lingering has the goroutines of connections that are closed for writing only.
@@ -265,6 +266,7 @@
 // reports as lost, and those whose last response is still being delivered. It is no error if the listener
 // was closed before.
 func (s *Server) Close() error {
+	s.ended.Store(true)
 	for _, c := range s.all() {
 		c.setReason(stopped)
 	}
