hosted, mirror, ingress: lines about upstreams say what is known of them, from whom

Cause: event 306 had only the number of upstreams.

Change: the mirror keeps the origin of each version and of each removal (watch, list, stale list, peer, end of a retention). Event 306 names what was added, updated, removed and what now leaves, with revision, source and peer. The line of a request has the revision of its upstream's entry, its source and since when it is known, and explain shows them. No decision changes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,6 +4,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -26,6 +27,11 @@
 	ColdRemainingMillis int64
 	// Revision is the store's revision of the upstream's entry.
 	Revision uint64
+	// Source says from where this instance has that revision, and Peer from which other instance.
+	Source string
+	Peer   string
+	// LearnedAt is when this instance received it.
+	LearnedAt time.Time
 
 	hash   uint64
 	region string
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -191,12 +191,31 @@
 	return f
 }
 
-// objects returns the objects of a kind, and whether the kind has been loaded at all.
-func (f *follower) objects(kind string) ([]platform.Object, bool) {
+// entries returns the objects of a kind, and whether the kind has been loaded at all.
+func (f *follower) entries(kind string) ([]mirror.Entry, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.mirrors[kind]
-	return m.Objects(), m.Cursor() > 0
+	return m.Entries(), m.Cursor() > 0
+}
+
+// objects is like entries, without the origins.
+func (f *follower) objects(kind string) ([]platform.Object, bool) {
+	entries, loaded := f.entries(kind)
+	objects := make([]platform.Object, len(entries))
+	for i := range entries {
+		objects[i] = entries[i].Object
+	}
+	return objects, loaded
+}
+
+// removal returns the origin of the removal of an object of a kind, the zero origin if it is not
+// recorded.
+func (f *follower) removal(kind, name string) mirror.Origin {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	origin, _ := f.mirrors[kind].Removal(name)
+	return origin
 }
 
 var (
@@ -316,10 +335,10 @@
 // changed. If the mirror has a newer change than before, the other instances get the new
 // revisions: at once if announce is set, else with the next heartbeats. If announce is set, the
 // first load of a kind is also announced to the other failure domains at once.
-func (f *follower) applyChange(kind string, announce bool, apply func(m *mirror.Mirror, now time.Time) bool) {
+func (f *follower) applyChange(kind string, announce bool, apply func(m *mirror.Mirror) bool) {
 	f.mu.Lock()
 	before, first := f.mirrors[kind].Newest(), f.mirrors[kind].Cursor() == 0
-	changed := apply(f.mirrors[kind], time.Now())
+	changed := apply(f.mirrors[kind])
 	newest := f.newest()
 	newer := f.mirrors[kind].Newest() > before
 	if changed || newer {
@@ -339,5 +358,5 @@
 
 // expire drops upstream entries whose retention is over.
 func (f *follower) expire() {
-	f.applyChange(platform.KindUpstreams, false, func(m *mirror.Mirror, now time.Time) bool { return m.Expire(now) })
+	f.applyChange(platform.KindUpstreams, false, func(m *mirror.Mirror) bool { return m.Expire(time.Now()) })
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -67,13 +67,6 @@
 	decoded           map[string]decodedUpstream // by key, the last decoded revision of each upstream entry
 }
 
-// decodedUpstream is the result of decoding one revision of an upstream entry.
-type decodedUpstream struct {
-	revision uint64
-	upstream fleet.Upstream
-	usable   bool
-}
-
 // New returns an instance with the settings in the platform's settings file. Its listeners
 // are open, but nothing is served before Run.
 func New(file string, log *slog.Logger) (*Instance, error) {
@@ -187,7 +180,7 @@
 // applyUpstreams puts a view of the current upstreams and evacuations into force. It does
 // nothing until the upstreams are loaded. i.mu must be held.
 func (i *Instance) applyUpstreams() {
-	entries, ok := i.follower.objects(platform.KindUpstreams)
+	entries, ok := i.follower.entries(platform.KindUpstreams)
 	if !ok {
 		return
 	}
@@ -197,7 +190,7 @@
 	for _, o := range evacuations {
 		domains = append(domains, o.Name())
 	}
-	upstreams := i.decode(entries)
+	upstreams, changes := i.decode(entries)
 	view := fleet.NewView(upstreams, domains, i.settings.Regions)
 	i.tracker.ApplyView(view, !i.hadConfiguredView, i.coldPeriod, now)
 	i.noteEvacuations(view, domains, now)
@@ -206,8 +199,8 @@
 	i.mesh.SetReady(i.ingress.Ready())
 	upstreamsKnown.Set(float64(len(upstreams)))
 	domainsEvacuated.Set(float64(len(domains)))
-	event.ViewApplied.Log(context.Background(), i.log, slog.Int("upstreams", len(upstreams)),
-		slog.Int("evacuated", len(domains)))
+	event.ViewApplied.Log(context.Background(), i.log, append(changes.attrs(),
+		slog.Int("upstreams", len(upstreams)), slog.Int("evacuated", len(domains)))...)
 }
 
 // coldPeriod returns how long an upstream of a service counts as cold after its start, 0
@@ -243,29 +236,6 @@
 	}
 }
 
-// decode returns the usable upstreams among the entries. Each revision of an entry is decoded
-// once, and logged if it is not usable. i.mu must be held.
-func (i *Instance) decode(entries []platform.Object) []fleet.Upstream {
-	upstreams := make([]fleet.Upstream, 0, len(entries))
-	decoded := make(map[string]decodedUpstream, len(entries))
-	for _, o := range entries {
-		d, ok := i.decoded[o.Key]
-		if !ok || d.revision != o.Version {
-			u, err := platform.DecodeUpstream(o)
-			if err != nil {
-				event.EntryRefused.Log(context.Background(), i.log, slog.String("error", err.Error()))
-			}
-			d = decodedUpstream{revision: o.Version, upstream: u, usable: err == nil}
-		}
-		decoded[o.Key] = d
-		if d.usable {
-			upstreams = append(upstreams, d.upstream)
-		}
-	}
-	i.decoded = decoded
-	return upstreams
-}
-
 // seedAddresses returns the IPv4 addresses among the seeds and skips the rest.
 func seedAddresses(seeds []string) []netip.Addr {
 	var out []netip.Addr
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -222,10 +222,11 @@
 		return false
 	}
 	countPeerCall("answered")
+	from := mirror.Origin{Source: mirror.FromPeer, Peer: peer.String(), At: time.Now()}
 	for i := range s.Kinds {
 		k := &s.Kinds[i]
 		if _, ok := f.mirrors[k.Kind]; ok {
-			f.applyChange(k.Kind, announce, func(m *mirror.Mirror, now time.Time) bool { return m.Merge(decodeKind(k), now) })
+			f.applyChange(k.Kind, announce, func(m *mirror.Mirror) bool { return m.Merge(decodeKind(k), from) })
 		}
 	}
 	return len(s.Kinds) > 0
--- a/hosted/watch.go
+++ b/hosted/watch.go
@@ -46,7 +46,8 @@
 		if err != nil {
 			return nil // the watching instances detect and report an outage of the store
 		}
-		f.applyChange(kind, true, func(m *mirror.Mirror, now time.Time) bool { return m.List(page, now) })
+		from := mirror.Origin{Source: mirror.FromStaleList, At: time.Now()}
+		f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
 	}
 	return nil
 }
@@ -137,7 +138,8 @@
 	}
 	f.storeAnswered()
 	if len(page.Objects) > 0 {
-		f.applyChange(kind, true, func(m *mirror.Mirror, now time.Time) bool { return m.ApplyEvents(page, now) })
+		from := mirror.Origin{Source: mirror.FromWatch, At: time.Now()}
+		f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.ApplyEvents(page, from) })
 		interval.Sleep(ctx, batchDelay)
 	}
 	if recheck {
@@ -162,7 +164,8 @@
 		return err
 	}
 	f.storeAnswered()
-	f.applyChange(kind, true, func(m *mirror.Mirror, now time.Time) bool { return m.List(page, now) })
+	from := mirror.Origin{Source: mirror.FromList, At: time.Now()}
+	f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
 	return nil
 }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -51,7 +51,9 @@
 	failure *bufferedResponse
 	choice  placement.Choice
 	chosen  *fleet.Upstream
-	result  result
+	// chosenAt is when chosen was chosen.
+	chosenAt time.Time
+	result   result
 }
 
 // result is how the request ended, for log and metrics.
@@ -157,7 +159,7 @@
 	if u == nil {
 		return false
 	}
-	x.chosen = u
+	x.chosen, x.chosenAt = u, now
 	return true
 }
 
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -79,7 +79,12 @@
 			slog.String("service", x.planReq.Service))
 	}
 	if x.chosen != nil {
-		attrs = append(attrs, slog.String("upstream", x.chosen.ID), slog.String("domain", x.chosen.Domain))
+		attrs = append(attrs, slog.String("upstream", x.chosen.ID), slog.String("domain", x.chosen.Domain),
+			slog.Uint64("entry", x.chosen.Revision), slog.String("source", x.chosen.Source),
+			slog.Int64("known_ms", x.chosenAt.Sub(x.chosen.LearnedAt).Milliseconds()))
+		if x.chosen.Peer != "" {
+			attrs = append(attrs, slog.String("peer", x.chosen.Peer))
+		}
 	}
 	if x.result.detail != "" {
 		attrs = append(attrs, slog.String("detail", x.result.detail))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -15,19 +15,49 @@
 type Mirror struct {
 	kind          string
 	retention     time.Duration // how long missing objects are kept after an outage; 0 means not at all
-	objects       map[string]platform.Object
+	objects       map[string]Entry
 	retainedUntil map[string]time.Time // by name, the end of the retention of a missing object
 	cursor        uint64               // see Cursor
 	newest        uint64               // see Newest
 
 	retentionEnd time.Time // objects that go missing before this time are retained until then
-	// tombstones maps the name of each object that was removed after the revision
-	// tombstonesFrom to a revision at which it no longer existed. Removals up to
-	// tombstonesFrom are not recorded.
-	tombstones     map[string]uint64
+	// tombstones holds, by name, the objects that were removed after the revision
+	// tombstonesFrom. Removals up to tombstonesFrom are not recorded.
+	tombstones     map[string]tombstone
 	tombstonesFrom uint64
 }
 
+// Source says who an update is from.
+type Source string
+
+// The sources.
+const (
+	FromWatch     Source = "watch"      // the store's events
+	FromList      Source = "list"       // a list of the store
+	FromStaleList Source = "stale-list" // a list of the store that may be some seconds old
+	FromPeer      Source = "peer"       // another instance
+	FromExpiry    Source = "expiry"     // the end of a retention
+)
+
+// Origin says who an update is from and when it was received.
+type Origin struct {
+	Source Source
+	Peer   string // address of the instance, "" for other sources
+	At     time.Time
+}
+
+// Entry is an object of a mirror, with the origin of its version.
+type Entry struct {
+	Object platform.Object
+	Origin Origin
+}
+
+// tombstone records that an object no longer existed at a revision.
+type tombstone struct {
+	revision uint64
+	origin   Origin
+}
+
 // maxTombstones is the largest number of removed objects that are recorded for peers.
 // Beyond it, peers with an older cursor get the full state.
 const maxTombstones = 1024
@@ -44,8 +74,8 @@
 // New returns an empty mirror of the objects of a kind.
 func New(kind string, opts ...Option) *Mirror {
 	m := &Mirror{
-		kind: kind, objects: make(map[string]platform.Object), retainedUntil: make(map[string]time.Time),
-		tombstones: make(map[string]uint64),
+		kind: kind, objects: make(map[string]Entry), retainedUntil: make(map[string]time.Time),
+		tombstones: make(map[string]tombstone),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -79,7 +109,7 @@
 // List replaces the state by a list of all objects and reports whether anything
 // changed. A list with a cursor below that of the mirror is ignored, and objects of the
 // mirror that are newer than the list are kept.
-func (m *Mirror) List(page platform.Page, now time.Time) bool {
+func (m *Mirror) List(page platform.Page, from Origin) bool {
 	if page.Cursor < m.cursor {
 		return false
 	}
@@ -94,11 +124,11 @@
 	for _, o := range page.Objects {
 		listed[o.Name()] = true
 		m.newest = max(m.newest, o.Version)
-		changed = m.put(o, now) || changed
+		changed = m.put(o, from) || changed
 	}
 	for name, o := range m.objects {
-		if !listed[name] && o.Version <= page.Cursor {
-			changed = m.remove(name, page.Cursor, now) || changed
+		if !listed[name] && o.Object.Version <= page.Cursor {
+			changed = m.remove(name, page.Cursor, from) || changed
 		}
 	}
 	m.cursor = page.Cursor
@@ -107,16 +137,16 @@
 
 // ApplyEvents applies the changes that a watch from the cursor returned, and reports
 // whether anything changed.
-func (m *Mirror) ApplyEvents(page platform.Page, now time.Time) bool {
+func (m *Mirror) ApplyEvents(page platform.Page, from Origin) bool {
 	changed := false
 	for _, o := range page.Objects {
 		m.newest = max(m.newest, o.Version)
 		if o.Deleted {
 			m.newest = max(m.newest, page.Cursor)
-			changed = m.removeAt(o.Name(), o.Version, page.Cursor, now) || changed
+			changed = m.removeAt(o.Name(), o.Version, page.Cursor, from) || changed
 			continue
 		}
-		changed = m.put(o, now) || changed
+		changed = m.put(o, from) || changed
 	}
 	// A watch that returns no change may have missed one, so its cursor is not adopted.
 	// The next watch from the old cursor returns the missed change, or fails because the
@@ -129,41 +159,44 @@
 
 // put stores an object, or removes it if it is marked as deleted, unless the mirror has a
 // newer version. It reports whether the mirror changed.
-func (m *Mirror) put(o platform.Object, now time.Time) bool {
+func (m *Mirror) put(o platform.Object, from Origin) bool {
 	name := o.Name()
 	if o.Deleted {
-		return m.remove(name, o.Version, now)
+		return m.remove(name, o.Version, from)
 	}
 	old, ok := m.objects[name]
-	if ok && old.Version > o.Version {
+	if ok && old.Object.Version > o.Version {
 		return false
 	}
 	_, wasRetained := m.retainedUntil[name]
 	delete(m.retainedUntil, name)
 	delete(m.tombstones, name)
-	m.objects[name] = o
-	return !ok || wasRetained || old.Version != o.Version
+	if ok && old.Object.Version == o.Version {
+		return wasRetained
+	}
+	m.objects[name] = Entry{Object: o, Origin: from}
+	return true
 }
 
 // remove removes an object that no longer exists at the revision version, unless the
 // mirror has a newer version of it. During a retention the object stays until that ends.
 // It reports whether the object was dropped.
-func (m *Mirror) remove(name string, version uint64, now time.Time) bool {
-	return m.removeAt(name, version, version, now)
+func (m *Mirror) remove(name string, version uint64, from Origin) bool {
+	return m.removeAt(name, version, version, from)
 }
 
 // removeAt is like remove, but records at as the revision of the removal. The event of a
 // removal may carry the object's last version, while the store's revision is higher.
-func (m *Mirror) removeAt(name string, version, at uint64, now time.Time) bool {
+func (m *Mirror) removeAt(name string, version, at uint64, from Origin) bool {
 	old, ok := m.objects[name]
-	if ok && old.Version > version {
+	if ok && old.Object.Version > version {
 		return false
 	}
-	m.addTombstone(name, at)
+	m.addTombstone(name, tombstone{revision: at, origin: from})
 	if !ok {
 		return false
 	}
-	if now.Before(m.retentionEnd) {
+	if from.At.Before(m.retentionEnd) {
 		if _, retained := m.retainedUntil[name]; !retained {
 			m.retainedUntil[name] = m.retentionEnd
 		}
@@ -175,13 +208,13 @@
 
 // addTombstone records for peers that an object no longer exists at a revision. When
 // there are more than maxTombstones, it discards all of them and advances tombstonesFrom.
-func (m *Mirror) addTombstone(name string, at uint64) {
-	m.tombstones[name] = at
+func (m *Mirror) addTombstone(name string, t tombstone) {
+	m.tombstones[name] = t
 	if len(m.tombstones) <= maxTombstones {
 		return
 	}
-	for _, revision := range m.tombstones {
-		m.tombstonesFrom = max(m.tombstonesFrom, revision)
+	for _, t := range m.tombstones {
+		m.tombstonesFrom = max(m.tombstonesFrom, t.revision)
 	}
 	clear(m.tombstones)
 }
@@ -205,16 +238,22 @@
 	return changed
 }
 
-// Objects returns the objects, retained ones included, sorted by key.
-func (m *Mirror) Objects() []platform.Object {
-	out := make([]platform.Object, 0, len(m.objects))
-	for _, o := range m.objects {
-		out = append(out, o)
+// Entries returns the objects, retained ones included, sorted by key.
+func (m *Mirror) Entries() []Entry {
+	out := make([]Entry, 0, len(m.objects))
+	for _, e := range m.objects {
+		out = append(out, e)
 	}
-	slices.SortFunc(out, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Object.Key, b.Object.Key) })
 	return out
 }
 
+// Removal returns the origin of the removal of an object, and false if it is not recorded.
+func (m *Mirror) Removal(name string) (Origin, bool) {
+	t, ok := m.tombstones[name]
+	return t.origin, ok
+}
+
 // State is what an instance sends to a peer about one kind.
 type State struct {
 	// Cursor is the revision up to which the state includes all changes, and Newest that of
@@ -237,9 +276,9 @@
 	if remaining := m.retentionEnd.Sub(now); remaining > 0 {
 		s.Retention = remaining
 	}
-	for _, o := range m.Objects() {
-		if s.Full || o.Version > cursor {
-			s.Objects = append(s.Objects, o)
+	for _, e := range m.Entries() {
+		if s.Full || e.Object.Version > cursor {
+			s.Objects = append(s.Objects, e.Object)
 		}
 	}
 	removed := func(name string, at uint64) {
@@ -248,9 +287,9 @@
 	for name := range m.retainedUntil {
 		removed(name, m.cursor)
 	}
-	for name, at := range m.tombstones {
-		if _, retained := m.retainedUntil[name]; !retained && !s.Full && at > cursor {
-			removed(name, at)
+	for name, t := range m.tombstones {
+		if _, retained := m.retainedUntil[name]; !retained && !s.Full && t.revision > cursor {
+			removed(name, t.revision)
 		}
 	}
 	return s
@@ -260,12 +299,12 @@
 // the cursor of this mirror, or after a lower one. It reports whether anything changed. A
 // state with a cursor below that of this mirror is ignored, and so is one that is not full
 // while this mirror is empty.
-func (m *Mirror) Merge(s State, now time.Time) bool {
+func (m *Mirror) Merge(s State, from Origin) bool {
 	if s.Cursor < m.cursor || m.cursor == 0 && !s.Full {
 		return false
 	}
-	if s.Retention > 0 && m.retention > 0 && now.Add(s.Retention).After(m.retentionEnd) {
-		m.retentionEnd = now.Add(s.Retention)
+	if s.Retention > 0 && m.retention > 0 && from.At.Add(s.Retention).After(m.retentionEnd) {
+		m.retentionEnd = from.At.Add(s.Retention)
 	}
 	var present, removed []platform.Object
 	for _, o := range s.Objects {
@@ -277,11 +316,11 @@
 	}
 	changed := false
 	if s.Full {
-		changed = m.List(platform.Page{Cursor: s.Cursor, Objects: present}, now)
+		changed = m.List(platform.Page{Cursor: s.Cursor, Objects: present}, from)
 	} else {
-		changed = m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: present}, now)
+		changed = m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: present}, from)
 	}
-	changed = m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: removed}, now) || changed
+	changed = m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: removed}, from) || changed
 	m.cursor = max(m.cursor, s.Cursor)
 	m.newest = max(m.newest, s.Newest)
 	return changed
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -17,6 +17,9 @@
 	return platform.Object{Key: "k/" + name, Version: version, Value: []byte(fmt.Sprint(version))}
 }
 
+// at is the origin of an update that is received from the store at an instant.
+func at(now time.Time) Origin { return Origin{Source: FromWatch, At: now} }
+
 func deleted(name string, version uint64) platform.Object {
 	o := object(name, version)
 	o.Deleted = true
@@ -29,17 +32,17 @@
 
 func versions(m *Mirror) map[string]uint64 {
 	out := make(map[string]uint64)
-	for _, o := range m.Objects() {
-		out[o.Name()] = o.Version
+	for _, e := range m.Entries() {
+		out[e.Object.Name()] = e.Object.Version
 	}
 	return out
 }
 
 func TestMirror(t *testing.T) {
 	type step func(m *Mirror, now time.Time) bool
-	list := func(p platform.Page) step { return func(m *Mirror, now time.Time) bool { return m.List(p, now) } }
+	list := func(p platform.Page) step { return func(m *Mirror, now time.Time) bool { return m.List(p, at(now)) } }
 	events := func(p platform.Page) step {
-		return func(m *Mirror, now time.Time) bool { return m.ApplyEvents(p, now) }
+		return func(m *Mirror, now time.Time) bool { return m.ApplyEvents(p, at(now)) }
 	}
 	recovery := func(m *Mirror, now time.Time) bool { m.StartRetention(now); return false }
 	expire := func(m *Mirror, now time.Time) bool { return m.Expire(now) }
@@ -170,11 +173,11 @@
 		follow := func(m *Mirror) {
 			if m.Cursor() > 0 {
 				if p, ok := s.watch(m.Cursor()); ok {
-					m.ApplyEvents(p, start)
+					m.ApplyEvents(p, at(start))
 					return
 				}
 			}
-			m.List(s.list(), start)
+			m.List(s.list(), at(start))
 		}
 		last, lastFar := 0, 0
 		for step := range 60 {
@@ -194,14 +197,14 @@
 				follow(peer)
 			case 4: // a stalled watch returns the store's revision without events
 				if m.Cursor() > 0 {
-					m.ApplyEvents(page(s.revision), start)
+					m.ApplyEvents(page(s.revision), at(start))
 				}
 			case 5:
 				s.oldest = s.revision
 				s.history = nil
 			case 6:
 				if peer.Cursor() > 0 {
-					m.Merge(peer.Since(m.Cursor(), start), start)
+					m.Merge(peer.Since(m.Cursor(), start), at(start))
 				}
 			case 7, 8:
 				source := m
@@ -209,7 +212,7 @@
 					source = peer
 				}
 				if source.Cursor() > 0 {
-					far.Merge(source.Since(far.Cursor(), start), start)
+					far.Merge(source.Since(far.Cursor(), start), at(start))
 				}
 				for far.Cursor() > 0 && lastFar < len(states) && !cmp.Equal(states[lastFar], versions(far)) {
 					lastFar++
@@ -243,13 +246,13 @@
 // when the retention ends without a new write.
 func TestMergeHolds(t *testing.T) {
 	source := New("k", WithRetention(2*time.Second))
-	source.List(page(5, object("a", 2), object("b", 3)), start)
+	source.List(page(5, object("a", 2), object("b", 3)), at(start))
 	near := New("k", WithRetention(2*time.Second))
-	near.Merge(source.Since(near.Cursor(), start), start)
+	near.Merge(source.Since(near.Cursor(), start), at(start))
 	source.StartRetention(start)
-	source.List(page(8, object("a", 2), object("c", 8)), start)
+	source.List(page(8, object("a", 2), object("c", 8)), at(start))
 	for name, m := range map[string]*Mirror{"merged before the outage": near, "new": New("k", WithRetention(2*time.Second))} {
-		m.Merge(source.Since(m.Cursor(), start), start)
+		m.Merge(source.Since(m.Cursor(), start), at(start))
 		if diff := cmp.Diff(map[string]uint64{"a": 2, "b": 3, "c": 8}, versions(m)); diff != "" {
 			t.Errorf("%s, right after the recovery: %s", name, diff)
 		}
@@ -268,14 +271,14 @@
 	for i := range uint64(maxTombstones + 2) {
 		all = append(all, object(fmt.Sprint(i), i+1))
 	}
-	m.List(page(maxTombstones+2, all...), start)
-	peer.Merge(m.Since(0, start), start)
-	m.List(page(maxTombstones+10, all[0]), start)
+	m.List(page(maxTombstones+2, all...), at(start))
+	peer.Merge(m.Since(0, start), at(start))
+	m.List(page(maxTombstones+10, all[0]), at(start))
 	s := m.Since(peer.Cursor(), start)
 	if !s.Full {
 		t.Error("the state is not full")
 	}
-	peer.Merge(s, start)
+	peer.Merge(s, at(start))
 	if diff := cmp.Diff(versions(m), versions(peer)); diff != "" {
 		t.Error(diff)
 	}
--- a/requestlog/requestlog.go
+++ b/requestlog/requestlog.go
@@ -39,6 +39,10 @@
 	Detail   string           `json:"detail"`
 	Error    string           `json:"error"`
 	Count    int              `json:"count"`
+	Entry    uint64           `json:"entry"`
+	Source   string           `json:"source"`
+	Peer     string           `json:"peer"`
+	Known    int64            `json:"known_ms"`
 
 	// Fields of the lines about a planned stop.
 	Step     string        `json:"step"`
--- a/requestlog/story.go
+++ b/requestlog/story.go
@@ -72,6 +72,10 @@
 	if l.Upstream != "" {
 		w.printf("  last upstream: %s in %s; sent to %d in all\n", l.Upstream, l.Domain, l.Sends)
 	}
+	if l.Source != "" {
+		w.printf("  what was known of it: its entry at revision %d, from the source %q %s, %d ms before it was chosen\n",
+			l.Entry, l.Source, l.Peer, l.Known)
+	}
 	if text := l.Reason.Text(); text != "" {
 		w.printf("  last choice: %s (%s)", l.Reason, text)
 		if l.Expected > 0 {
--- a/requestlog/story_test.go
+++ b/requestlog/story_test.go
@@ -55,6 +55,15 @@
   the line about its end takes that for the caller's close
   whether it ran: an upstream may have run it; it can be sent again only if it is idempotent
 ` + storyStop + storyStopped,
+		},
+		"answered by an upstream that a peer brought back": {
+			log: `front-1 {"time":"2026-01-01T00:00:02.6Z","event":501,"id":"abc","outcome":"answered","status":200,"took_ms":100,"limit_ms":900,"sends":1,"upstream":"i-1","domain":"one-a","entry":23,"source":"peer","peer":"10.0.0.4","known_ms":750}
+`,
+			want: `2026-01-01T00:00:02.6Z front-1
+  request abc: answered, status 200 after 100 ms of 900
+  last upstream: i-1 in one-a; sent to 1 in all
+  what was known of it: its entry at revision 23, from the source "peer" 10.0.0.4, 750 ms before it was chosen
+`,
 		},
 		"stopped, line 504 left out": {
 			log: logStop + logStopped +
