--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -283,3 +283,76 @@
 		t.Error(diff)
 	}
 }
+
+// TestRemovedStaysRemoved guards against an object that has been removed and comes back from a
+// peer that still has an older version of it. Such a peer has been without the store for a time
+// and retains what it finds missing.
+func TestRemovedStaysRemoved(t *testing.T) {
+	retaining := func(objects ...platform.Object) *Mirror {
+		m := New("k", WithRetention(2*time.Second))
+		m.List(page(5, objects...), at(start))
+		m.StartRetention(start)
+		m.List(page(20, object("b", 3)), at(start))
+		return m
+	}
+	tests := map[string]struct {
+		setUp func(m *Mirror)
+		peer  *Mirror
+		want  map[string]uint64
+	}{
+		"by an event": {
+			setUp: func(m *Mirror) {
+				m.List(page(5, object("a", 2), object("b", 3)), at(start))
+				m.ApplyEvents(page(12, deleted("a", 12)), at(start))
+			},
+			peer: retaining(object("a", 2), object("b", 3)), want: map[string]uint64{"b": 3},
+		},
+		"by an event, after a version that the peer has not": {
+			setUp: func(m *Mirror) {
+				m.List(page(5, object("a", 2), object("b", 3)), at(start))
+				m.ApplyEvents(page(10, object("a", 10)), at(start))
+				m.ApplyEvents(page(12, deleted("a", 12)), at(start))
+			},
+			peer: retaining(object("a", 2), object("b", 3)), want: map[string]uint64{"b": 3},
+		},
+		"by a list": {
+			setUp: func(m *Mirror) {
+				m.List(page(5, object("a", 2), object("b", 3)), at(start))
+				m.List(page(18, object("b", 3)), at(start))
+			},
+			peer: retaining(object("a", 2), object("b", 3)), want: map[string]uint64{"b": 3},
+		},
+		"before the first list": {
+			setUp: func(m *Mirror) { m.List(page(18, object("b", 3)), at(start)) },
+			peer:  retaining(object("a", 2), object("b", 3)), want: map[string]uint64{"b": 3},
+		},
+		"among more than are recorded": {
+			setUp: func(m *Mirror) {
+				m.List(page(5, object("a", 2), object("b", 3)), at(start))
+				m.ApplyEvents(page(6, deleted("a", 6)), at(start))
+				for i := range maxTombstones + 1 {
+					m.ApplyEvents(page(7, deleted(fmt.Sprint(i), 7)), at(start))
+				}
+			},
+			peer: retaining(object("a", 2), object("b", 3)), want: map[string]uint64{"b": 3},
+		},
+		"present here, missing there: kept for the retention": {
+			setUp: func(m *Mirror) { m.List(page(5, object("a", 2), object("b", 3)), at(start)) },
+			peer:  retaining(object("a", 2), object("b", 3)), want: map[string]uint64{"a": 2, "b": 3},
+		},
+		"unknown here: taken over for the retention": {
+			setUp: func(*Mirror) {},
+			peer:  retaining(object("a", 2), object("b", 3)), want: map[string]uint64{"a": 2, "b": 3},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := New("k", WithRetention(2*time.Second))
+			test.setUp(m)
+			m.Merge(test.peer.Since(m.Cursor(), start), at(start))
+			if diff := cmp.Diff(test.want, versions(m)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
