mirror: what is known to be removed does not come back from a peer

Cause: after an outage an instance retains, for 2 s, entries that the store no longer has, and sends them to peers as present. A peer that had seen them removed stored them again, at the old revision and in the old state, and for the rest of the retention: put asked only for a newer version among the objects that are there, and a removal left nothing that binds.

Change: a mirror includes all changes up to its cursor. A version from a peer that is not above the cursor, of an object that the mirror does not have, is therefore one that was removed or replaced, and is left out. No record of removals is needed, so it holds after lists and for any number of removals. What the mirror still has is retained as before.

TestNoReturn, 300 seeds of changes, outages and merges between four mirrors, fails before (first seeds) and passes. TestInterleavings, TestMergeHolds pass unchanged.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -295,10 +295,18 @@
 	return s
 }
 
+// knowsRemoved reports whether a version of an object is one that the mirror knows to be removed:
+// it includes all changes up to its cursor, but not that object.
+func (m *Mirror) knowsRemoved(o platform.Object) bool {
+	_, ok := m.objects[o.Name()]
+	return !ok && o.Version <= m.cursor
+}
+
 // Merge applies the state that a peer sent in response to a request for the changes after
 // the cursor of this mirror, or after a lower one. It reports whether anything changed. A
 // state with a cursor below that of this mirror is ignored, and so is one that is not full
-// while this mirror is empty.
+// while this mirror is empty. Of what the peer retains, only what this mirror has, or has not
+// seen yet, is kept.
 func (m *Mirror) Merge(s State, from Origin) bool {
 	if s.Cursor < m.cursor || m.cursor == 0 && !s.Full {
 		return false
@@ -308,9 +316,10 @@
 	}
 	var present, removed []platform.Object
 	for _, o := range s.Objects {
-		if o.Deleted {
+		switch {
+		case o.Deleted:
 			removed = append(removed, o)
-		} else {
+		case !m.knowsRemoved(o):
 			present = append(present, o)
 		}
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -356,3 +356,56 @@
 		})
 	}
 }
+
+// TestNoReturn runs changes, outages, lists, watches, dropped histories and merges between mirrors
+// in random order. It guards against a mirror that takes back a version of an object which it has
+// dropped, whatever the order of outages and merges.
+func TestNoReturn(t *testing.T) {
+	const retention = 2 * time.Second
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		s := &model{objects: make(map[string]uint64)}
+		mirrors := make([]*Mirror, 4) // the last two are updated by the others only
+		dropped := make([]map[string]uint64, len(mirrors))
+		for i := range mirrors {
+			mirrors[i], dropped[i] = New("k", WithRetention(retention)), make(map[string]uint64)
+		}
+		now := start
+		for step := range 600 {
+			now = now.Add(time.Duration(r.Int64N(int64(retention / 8))))
+			i := r.IntN(len(mirrors))
+			m, before := mirrors[i], versions(mirrors[i])
+			switch r.IntN(6) {
+			case 0:
+				s.change(r)
+			case 1:
+				s.oldest, s.history = s.revision, nil
+			case 2:
+				m.Expire(now)
+			case 3: // the end of an outage
+				m.StartRetention(now)
+			case 4:
+				if p, ok := s.watch(m.Cursor()); ok && m.Cursor() > 0 && i < 2 {
+					m.ApplyEvents(p, at(now))
+				} else if i < 2 {
+					m.List(s.list(), at(now))
+				}
+			case 5:
+				if source := mirrors[r.IntN(len(mirrors))]; source.Cursor() > 0 {
+					m.Merge(source.Since(m.Cursor(), now), at(now))
+				}
+			}
+			after := versions(m)
+			for name, version := range before {
+				if _, ok := after[name]; !ok {
+					dropped[i][name] = version
+				}
+			}
+			for name, version := range after {
+				if version <= dropped[i][name] {
+					t.Fatalf("seed %d, step %d: mirror %d has %s at %d, dropped at %d", seed, step, i, name, version, dropped[i][name])
+				}
+			}
+		}
+	}
+}
