hosted: an instance that the store does not answer asks its peers, also while it watches

Cause: an instance that watches the store was taken to get all changes from its watch. While the store did not answer it, it ignored what its peers reported. The only instance of a failure domain has nobody to hand the watch to, so it kept its last state for as long as that lasted.

Change: missing changes come from peers whenever the store does not answer, as at an instance that does not watch. This holds for configurations and evacuations too.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -283,8 +283,8 @@
 
 // handleNotice handles a peer's report of the last changes that it has. If this instance
 // watches the store, its watch may still return a missing change: only after stallTimeout
-// is the watch treated as stalled and replaced by a recheck. If it does not watch the store,
-// or has not loaded every kind yet, askPeers is woken to fetch the change from the peer.
+// is the watch treated as stalled and replaced by a recheck. If missing changes have to come
+// from peers, askPeers is woken to fetch them.
 func (f *follower) handleNotice(n gossip.RevisionNotice) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -309,7 +309,7 @@
 			w.cancel()
 		}
 	}
-	if !missing || f.watching && f.allLoaded() {
+	if !missing || !f.needsPeers() {
 		return
 	}
 	f.source = n
@@ -319,6 +319,13 @@
 	}
 }
 
+// needsPeers reports whether missing changes have to come from peers: this instance does not watch
+// the store, or the store does not answer it, or it has not loaded every kind yet. f.mu must be
+// held.
+func (f *follower) needsPeers() bool {
+	return !f.watching || !f.outageSince.IsZero() || !f.allLoaded()
+}
+
 // allLoaded reports whether every kind has been loaded. f.mu must be held.
 func (f *follower) allLoaded() bool {
 	for _, m := range f.mirrors {
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -185,12 +185,12 @@
 	}
 }
 
-// behind reports whether a peer has reported changes that are missing here. It is false for an
-// instance that watches the store and has loaded every kind, since its watch returns them.
+// behind reports whether a peer has reported changes that are missing here and have to come from
+// peers.
 func (f *follower) behind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.watching && f.allLoaded() {
+	if !f.needsPeers() {
 		return false
 	}
 	for _, kind := range kinds() {
