hosted: a single failed call to the store does not keep upstreams that left

Cause: after any failed call the next answer began the retention, which keeps entries that the store no longer has for 2 s, since upstreams may have been unable to write them. No entry lapses within one heartbeat, so after a short failure what is missing was removed.

Change: the retention begins only if the store had not answered for a heartbeat interval of the upstreams, which the platform's settings name. Without that setting it begins as before.

Evidence: TestRetentionAfterOutage, row 'a failed call' kept the upstream before (1, want 0).

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -122,6 +122,7 @@
 	onChange  func(kind string)
 	started   time.Time
 	ranBefore bool          // see withRanBefore
+	heartbeat time.Duration // see withHeartbeat
 	wake      chan struct{} // gets a value when a peer reports changes that are missing here
 
 	mu            sync.Mutex
@@ -130,6 +131,7 @@
 	source        gossip.RevisionNotice     // the last peer that reported changes missing here
 	watching      bool
 	outageSince   time.Time          // start of the current outage of the store, zero while it answers
+	answeredAt    time.Time          // time of the last answer of the store
 	failedAt      time.Time          // time of the last failed call to the store, zero after an answer or after failedWatchPause
 	watchCtx      context.Context    // canceled to end all watches under way, and replaced then
 	cancelWatches context.CancelFunc // cancels watchCtx
@@ -166,6 +168,12 @@
 	return func(f *follower) { f.ranBefore = ranBefore }
 }
 
+// withHeartbeat sets how often an upstream writes its entry in the store. An entry lapses after
+// several intervals without a write, so an outage shorter than one makes none lapse. The default is 0.
+func withHeartbeat(interval time.Duration) followerOption {
+	return func(f *follower) { f.heartbeat = interval }
+}
+
 // newFollower returns a follower with empty mirrors. It calls onChange, without holding its
 // lock, after each change of the objects of a kind.
 func newFollower(
@@ -249,20 +257,23 @@
 	}
 }
 
-// storeAnswered records that the store answered. At the end of an outage it starts the
-// retention of entries that the store no longer has and cancels all watches, since their
-// connections may have lost a response.
+// storeAnswered records that the store answered. At the end of an outage it cancels all
+// watches, since their connections may have lost a response. If entries may have lapsed in the
+// outage, it starts the retention of those that the store no longer has.
 func (f *follower) storeAnswered() {
 	f.mu.Lock()
-	since := f.outageSince
+	since, now := f.outageSince, time.Now()
+	silent := now.Sub(f.answeredAt)
+	f.answeredAt = now
 	if since.IsZero() {
 		f.mu.Unlock()
 		return
 	}
 	f.outageSince, f.failedAt = time.Time{}, time.Time{}
-	now := time.Now()
-	for _, m := range f.mirrors {
-		m.StartRetention(now)
+	if silent >= f.heartbeat {
+		for _, m := range f.mirrors {
+			m.StartRetention(now)
+		}
 	}
 	f.cancelWatches()
 	f.watchCtx, f.cancelWatches = context.WithCancel(context.Background())
--- a/hosted/follow_test.go
+++ b/hosted/follow_test.go
@@ -261,3 +261,48 @@
 		})
 	}
 }
+
+// TestRetentionAfterOutage guards against upstreams that left and are kept for seconds after a
+// single call to the store failed: no entry lapses in that time, so those that are missing
+// have been removed. After a longer outage, entries that are missing may be written again.
+func TestRetentionAfterOutage(t *testing.T) {
+	const heartbeat = 1500 * time.Millisecond
+	for name, test := range map[string]struct {
+		outage time.Duration
+		want   int // upstreams right after the recovery
+	}{
+		"a failed call": {outage: 100 * time.Millisecond, want: 0},
+		"an outage":     {outage: 6 * time.Second, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &unreachableStore{Store: standin.NewStore()}
+				version, err := store.Put(t.Context(), platform.KindUpstreams+"/a", []byte("{}"), 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f := newFollower(store, &soloMesh{}, 1, slog.New(slog.DiscardHandler), func(string) {}, withHeartbeat(heartbeat))
+				ctx, cancel := context.WithCancel(t.Context())
+				var group errgroup.Group
+				group.Go(func() error { return f.run(ctx) })
+				time.Sleep(roleDelay + 2*roleInterval + 50*time.Millisecond)
+				store.setUnreachable(true)
+				f.mu.Lock()
+				f.cancelWatches()
+				f.watchCtx, f.cancelWatches = context.WithCancel(context.Background())
+				f.mu.Unlock()
+				time.Sleep(test.outage)
+				if err := store.Delete(t.Context(), platform.KindUpstreams+"/a", version); err != nil {
+					t.Fatal(err)
+				}
+				store.setUnreachable(false)
+				time.Sleep(outagePingInterval + maxRetryDelay/10)
+				if objects, _ := f.objects(platform.KindUpstreams); len(objects) != test.want {
+					t.Errorf("%d upstreams, want %d", len(objects), test.want)
+				}
+				cancel()
+				_ = group.Wait()
+			})
+		})
+	}
+}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -99,7 +99,8 @@
 	location := planner.Location{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
 	i.planner = planner.New(location, i.tracker, i.mesh, retryBounds(settings.Bounds))
 	i.ingress = ingress.New(i.planner, log)
-	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.apply, withRanBefore(!settings.Bootstrap))
+	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.apply, withRanBefore(!settings.Bootstrap),
+		withHeartbeat(settings.HeartbeatInterval))
 	i.mesh.OnRevisions(i.follower.handleNotice)
 	i.mesh.OnLoadReports(i.receiveLoadReports)
 	i.mesh.OnLimits(i.receiveLimits)
