mirror: a removal that a list shows counts as a new change

Found by going through what can keep a withdrawn upstream in use. Cause: instances tell each other the revision of the last change that they have. A list that no longer has an object did not raise it, as only versions of listed objects counted. After the store had dropped its history, an instance that does not watch therefore never asked for the removal, and went on sending until the next change of that kind.

Change: an object that a list finds missing raises the revision to that of the list, once.

Evidence: TestListedRemovalIsNew, both rows red before. Cost: a watching instance that had the removal by an event checks the store once more, after such a list only.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -127,9 +127,13 @@
 		changed = m.put(o, from) || changed
 	}
 	for name, o := range m.objects {
-		if !listed[name] && o.Object.Version <= page.Cursor {
-			changed = m.remove(name, page.Cursor, from) || changed
+		if listed[name] || o.Object.Version > page.Cursor {
+			continue
+		}
+		if _, retained := m.retainedUntil[name]; !retained {
+			m.newest = max(m.newest, page.Cursor) // the revision of the removal is not known
 		}
+		changed = m.remove(name, page.Cursor, from) || changed
 	}
 	m.cursor = page.Cursor
 	return changed
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -409,3 +409,25 @@
 		}
 	}
 }
+
+// TestListedRemovalIsNew guards against peers that never ask for a removal which was found by a list,
+// since the revision of the last change that they are told of did not grow.
+func TestListedRemovalIsNew(t *testing.T) {
+	for name, retention := range map[string]time.Duration{"dropped": 0, "retained": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			m := New("k", WithRetention(retention))
+			m.List(page(5, object("a", 2), object("b", 3)), at(start))
+			before := m.Newest()
+			m.StartRetention(start)
+			m.List(page(8, object("b", 3)), at(start))
+			if m.Newest() <= before {
+				t.Errorf("the last change is at %d after the removal, and %d before", m.Newest(), before)
+			}
+			removed := m.Newest()
+			m.List(page(9, object("b", 3)), at(start))
+			if m.Newest() != removed {
+				t.Errorf("the last change is at %d after a list without a change, want %d", m.Newest(), removed)
+			}
+		})
+	}
+}
