withdrawal, planner, ingress: what an upstream withdraws is known in one place and only grows

New rules of the users: an upstream that leaves says so in its answers (Server-Leaving: 1), and one that refuses a request with 503 may name a time for which it wants nothing from this instance (Retry-After).

Cause: an instance asked its view of the store's entries, and nothing else. What an upstream said itself was not read, and what was read once held only as long as the newest view had it.

Change: package withdrawal records, by run of an upstream, that it leaves, or until when it wants nothing. Entries, answers of every class (also late ones, ones cut off, and a rejection by another upstream that has the address) add to it; only a new start of the upstream ends it. The planner asks it for each candidate, and again right before the first byte is sent. What only pauses keep from being served is rejected at once, reason 'paused', with a Retry-After at which this instance may send again, spread over a quarter of the pause or 250 ms.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,10 +52,25 @@
 	evacuated map[string]bool
 }
 
+// ViewOption configures a View in NewView.
+type ViewOption func(*viewConfig)
+
+type viewConfig struct {
+	left func(u *Upstream) bool
+}
+
+// WithLeft sets a function that reports whether an upstream leaves although its entry does not say so.
+// Such an upstream counts as draining.
+func WithLeft(left func(u *Upstream) bool) ViewOption { return func(c *viewConfig) { c.left = left } }
+
 // NewView returns a view of the upstreams. Those that are draining or in an
 // evacuated failure domain are found by id but get no requests. The map regions has
 // the region of each failure domain.
-func NewView(upstreams []Upstream, evacuated []string, regions map[string]string) *View {
+func NewView(upstreams []Upstream, evacuated []string, regions map[string]string, opts ...ViewOption) *View {
+	config := viewConfig{left: func(*Upstream) bool { return false }}
+	for _, opt := range opts {
+		opt(&config)
+	}
 	v := &View{
 		byService: make(map[string][]*Upstream), byID: make(map[string]*Upstream, len(upstreams)),
 		evacuated: make(map[string]bool, len(evacuated)),
@@ -67,6 +82,7 @@
 		u := upstreams[i]
 		u.hash = xxhash.Sum64String(u.ID)
 		u.region = regions[u.Domain]
+		u.Draining = u.Draining || config.left(&u)
 		v.byID[u.ID] = &u
 		if !u.Draining && !v.evacuated[u.Domain] {
 			v.byService[u.Service] = append(v.byService[u.Service], &u)
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -34,6 +34,9 @@
 	// recheckWait.
 	stallTimeout = 400 * time.Millisecond
 	recheckWait  = 50 * time.Millisecond
+	// waitedFor is the time after which a watch that returns changes has waited for them, so that
+	// they were made just before.
+	waitedFor = 30 * time.Millisecond
 	// absentFor is how long reports of a change are ignored after a recheck of the store did
 	// not return it.
 	absentFor = 10 * time.Second
@@ -130,12 +133,13 @@
 	watches       map[string]*watch         // by kind
 	source        gossip.RevisionNotice     // the last peer that reported changes missing here
 	watching      bool
-	outageSince   time.Time          // start of the current outage of the store, zero while it answers
-	answeredAt    time.Time          // time of the last answer of the store
-	failedAt      time.Time          // time of the last failed call to the store, zero after an answer or after failedWatchPause
-	watchCtx      context.Context    // canceled to end all watches under way, and replaced then
-	cancelWatches context.CancelFunc // cancels watchCtx
-	stateCache    map[string][]byte  // encoded states for peers by their cursors, cleared by each change
+	outageSince   time.Time            // start of the current outage of the store, zero while it answers
+	answeredAt    time.Time            // time of the last answer of the store
+	failedAt      time.Time            // time of the last failed call to the store, zero after an answer or after failedWatchPause
+	watchCtx      context.Context      // canceled to end all watches under way, and replaced then
+	cancelWatches context.CancelFunc   // cancels watchCtx
+	current       map[string]time.Time // by kind, a time up to which the mirror had all changes
+	stateCache    map[string][]byte    // encoded states for peers by their cursors, cleared by each change
 }
 
 // watch is the state of the watch of one kind.
@@ -185,7 +189,7 @@
 		client: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{
 			DisableCompression: true, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
-		stateCache: make(map[string][]byte),
+		current: make(map[string]time.Time), stateCache: make(map[string][]byte),
 	}
 	for _, kind := range kinds() {
 		f.mirrors[kind] = mirror.New(kind)
@@ -217,6 +221,25 @@
 	return objects, loaded
 }
 
+// received returns the origin of an update of a kind that is received now. current is a time up to
+// which the update has all changes, the zero time if that is not known. f.mu must not be held.
+func (f *follower) received(kind string, source mirror.Source, peer string, current time.Time) mirror.Origin {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	origin := mirror.Origin{Source: source, Peer: peer, At: time.Now(), After: f.current[kind]}
+	if current.After(origin.After) {
+		f.current[kind] = current
+	}
+	return origin
+}
+
+// setCurrent records a time up to which the mirror of a kind has all changes.
+func (f *follower) setCurrent(kind string, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current[kind] = at
+}
+
 // removal returns the origin of the removal of an object of a kind, the zero origin if it is not
 // recorded.
 func (f *follower) removal(kind, name string) mirror.Origin {
@@ -303,6 +326,9 @@
 	missing := false
 	for i, kind := range kinds() {
 		w, m := f.watches[kind], f.mirrors[kind]
+		if i < len(n.Newest) && n.Newest[i] == m.Newest() {
+			f.current[kind] = now // as far as the peer knows
+		}
 		if i >= len(n.Newest) || n.Newest[i] <= m.Newest() {
 			continue
 		}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -60,6 +60,7 @@
 	servers  servers
 	group    errgroup.Group
 	bounds   atomic.Pointer[platform.Bounds] // as last read from the settings file
+	refresh  chan struct{}                   // see refreshView
 
 	mu                sync.Mutex                 // held while objects from the store are applied; guards the fields below
 	evacuated         map[string]bool            // failure domains under evacuation in the last view
@@ -76,7 +77,7 @@
 	}
 	i := &Instance{
 		file: file, settings: settings, log: log, store: platform.New("http://" + settings.Store),
-		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream),
+		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream), refresh: make(chan struct{}, 1),
 	}
 	i.bounds.Store(&settings.Bounds)
 	control, err := netip.ParseAddrPort(settings.Control)
@@ -98,7 +99,7 @@
 	i.tracker = load.NewTracker(settings.Domain, settings.Region, regionNames(&settings), i.newDialer)
 	location := planner.Location{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
 	i.planner = planner.New(location, i.tracker, i.mesh, retryBounds(settings.Bounds))
-	i.ingress = ingress.New(i.planner, log)
+	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView))
 	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.apply, withRanBefore(!settings.Bootstrap),
 		withHeartbeat(settings.HeartbeatInterval))
 	i.mesh.OnRevisions(i.follower.handleNotice)
@@ -130,6 +131,7 @@
 	i.group.Go(func() error { return i.mesh.Run(ctx) })
 	i.group.Go(func() error { return i.follower.run(ctx) })
 	i.group.Go(func() error { return i.reload(ctx, reload) })
+	i.group.Go(func() error { return i.refreshViews(ctx) })
 	i.group.Go(func() error { return i.closeIdle(ctx) })
 	i.group.Go(func() error { return i.updateShares(ctx) })
 	i.group.Go(func() error { return i.exchangeLimits(ctx) })
@@ -192,7 +194,8 @@
 		domains = append(domains, o.Name())
 	}
 	upstreams, changes := i.decode(entries)
-	view := fleet.NewView(upstreams, domains, i.settings.Regions)
+	view := fleet.NewView(upstreams, domains, i.settings.Regions, fleet.WithLeft(i.planner.Left))
+	i.recordWithdrawals(view, changes.withdrawn)
 	i.tracker.ApplyView(view, !i.hadConfiguredView, i.coldPeriod, now)
 	i.noteEvacuations(view, domains, now)
 	i.hadConfiguredView = i.planner.Table() != nil
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -222,10 +222,10 @@
 		return false
 	}
 	countPeerCall("answered")
-	from := mirror.Origin{Source: mirror.FromPeer, Peer: peer.String(), At: time.Now()}
 	for i := range s.Kinds {
 		k := &s.Kinds[i]
 		if _, ok := f.mirrors[k.Kind]; ok {
+			from := f.received(k.Kind, mirror.FromPeer, peer.String(), time.Time{})
 			f.applyChange(k.Kind, announce, func(m *mirror.Mirror) bool { return m.Merge(decodeKind(k), from) })
 		}
 	}
--- a/hosted/upstreams.go
+++ b/hosted/upstreams.go
@@ -30,7 +30,7 @@
 		if !ok || d.revision != e.Object.Version {
 			old := d
 			d = i.decodeEntry(&e)
-			changes.addUpdate(&old, &d, e.Object.Name())
+			changes.addUpdate(&old, &d, &e)
 		}
 		decoded[e.Object.Key] = d
 		if d.usable {
@@ -64,14 +64,25 @@
 // with the upstream's ID, the revision, the source and the peer.
 type viewChanges struct {
 	added, updated, draining, removed []string
+
+	withdrawn []withdrawn
+}
+
+// withdrawn is an upstream whose entry says that it leaves, or is gone.
+type withdrawn struct {
+	id       string
+	gone     bool
+	revision uint64 // of the entry that says so, 0 if it is gone
+	from     mirror.Origin
 }
 
 // addUpdate records the change to a revision of an upstream. old is the zero value if it had none.
-func (c *viewChanges) addUpdate(old, now *decodedUpstream, name string) {
-	text := describe(name, now.revision, now.upstream.Source, now.upstream.Peer)
+func (c *viewChanges) addUpdate(old, now *decodedUpstream, e *mirror.Entry) {
+	text := describe(e.Object.Name(), now.revision, now.upstream.Source, now.upstream.Peer)
 	switch {
 	case now.upstream.Draining && !old.upstream.Draining:
 		c.draining = append(c.draining, text)
+		c.withdrawn = append(c.withdrawn, withdrawn{id: e.Object.Name(), revision: now.revision, from: e.Origin})
 	case old.revision == 0:
 		c.added = append(c.added, text)
 	default:
@@ -82,6 +93,7 @@
 // addRemoval records the removal of an upstream.
 func (c *viewChanges) addRemoval(name string, from mirror.Origin) {
 	c.removed = append(c.removed, describe(name, 0, string(from.Source), from.Peer))
+	c.withdrawn = append(c.withdrawn, withdrawn{id: name, gone: true, from: from})
 }
 
 // describe returns the text of one change. A revision of 0 is left out, and so is an empty source or peer.
--- a/hosted/watch.go
+++ b/hosted/watch.go
@@ -46,7 +46,7 @@
 		if err != nil {
 			return nil // the watching instances detect and report an outage of the store
 		}
-		from := mirror.Origin{Source: mirror.FromStaleList, At: time.Now()}
+		from := f.received(kind, mirror.FromStaleList, "", time.Time{})
 		f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
 	}
 	return nil
@@ -126,6 +126,7 @@
 	if recheck {
 		wait = recheckWait
 	}
+	begun := time.Now()
 	page, err := f.store.Watch(callCtx, kind+"/", cursor, wait)
 	switch {
 	case err != nil && callCtx.Err() != nil:
@@ -138,7 +139,10 @@
 	}
 	f.storeAnswered()
 	if len(page.Objects) > 0 {
-		from := mirror.Origin{Source: mirror.FromWatch, At: time.Now()}
+		if time.Since(begun) > waitedFor {
+			f.setCurrent(kind, time.Now()) // the change was made just now
+		}
+		from := f.received(kind, mirror.FromWatch, "", time.Now())
 		f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.ApplyEvents(page, from) })
 		interval.Sleep(ctx, batchDelay)
 	}
@@ -158,13 +162,14 @@
 
 // list loads all objects of a kind from the store.
 func (f *follower) list(ctx context.Context, kind string) error {
+	begun := time.Now()
 	page, err := f.store.List(ctx, kind+"/")
 	if err != nil {
 		f.storeFailedUnlessDone(ctx, err)
 		return err
 	}
 	f.storeAnswered()
-	from := mirror.Origin{Source: mirror.FromList, At: time.Now()}
+	from := f.received(kind, mirror.FromList, "", begun)
 	f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
 	return nil
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -20,17 +20,28 @@
 	planner *planner.Planner
 	log     *slog.Logger
 	limiter *logLimiter
-	// limitLines bounds the lines about limits of upstreams.
-	limitLines lineCounter
+	// upstreamLines bounds the lines about what upstreams say of themselves.
+	upstreamLines lineCounter
+	onLeaving     func()
 	// lastDeadline is the latest deadline that a request may have, nil until a planned stop begins.
 	lastDeadline atomic.Pointer[time.Time]
 	sends        context.Context // done when sends to upstreams must end
 	cut          context.CancelFunc
 }
 
+// Option configures an Ingress.
+type Option func(*Ingress)
+
+// WithOnLeaving sets a function that is called when an upstream says in a response that it leaves,
+// once for each run of an upstream.
+func WithOnLeaving(onLeaving func()) Option { return func(g *Ingress) { g.onLeaving = onLeaving } }
+
 // New returns a handler that sends requests to the upstreams that the planner chooses.
-func New(p *planner.Planner, log *slog.Logger) *Ingress {
-	g := &Ingress{planner: p, log: log, limiter: newLogLimiter()}
+func New(p *planner.Planner, log *slog.Logger, opts ...Option) *Ingress {
+	g := &Ingress{planner: p, log: log, limiter: newLogLimiter(), onLeaving: func() {}}
+	for _, opt := range opts {
+		opt(g)
+	}
 	g.sends, g.cut = context.WithCancel(context.Background())
 	return g
 }
@@ -63,6 +74,11 @@
 	latency = metrics.GetOrCreateHistogram(`hickorydrum_request_seconds`)
 	retries = metrics.GetOrCreateCounter(`hickorydrum_retries_total`)
 
+	// withdrawn counts the upstreams that said in a response that they leave, and pauses the pauses
+	// that upstreams asked for.
+	withdrawn = metrics.GetOrCreateCounter(`hickorydrum_withdrawals_total{source="answer"}`)
+	pauses    = metrics.GetOrCreateCounter(`hickorydrum_pauses_total`)
+
 	limitLinesOmitted = metrics.GetOrCreateCounter(`hickorydrum_limit_lines_omitted_total`)
 )
 
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -17,6 +17,9 @@
 	// minRetryAfter is also the shortest wait for a limit.
 	minRetryAfter = 40 * time.Millisecond
 	maxRetryAfter = 250 * time.Millisecond
+	// After a pause that upstreams asked for, callers return within this fraction of it, and within
+	// maxRetryAfter at least.
+	pauseSpread = 0.25
 )
 
 // refuseLate refuses a request that may take longer than the rest of a planned stop, before it is
@@ -56,8 +59,9 @@
 }
 
 // retryAfter returns how long the caller of a refused request should wait: not at all during a planned stop
-// that is too short for it, until this instance has room if limits of upstreams refused it, otherwise a
-// random time of at most a third of the time left.
+// that is too short for it, until this instance has room if limits of upstreams refused it, until upstreams
+// want requests again and a random time if they asked for a pause, otherwise a random time of at most a
+// third of the time left.
 func (x *exchange) retryAfter(now time.Time) time.Duration {
 	if x.ingress.leavesTooSoonFor(x.planReq.Deadline) {
 		return 0 // another instance has the time for it
@@ -67,6 +71,11 @@
 			return max(minRetryAfter, at.Sub(now))
 		}
 	}
+	if x.choice.Reason == placement.ReasonPaused {
+		if pause, ok := x.ingress.planner.PauseEnd(&x.planReq); ok {
+			return pause + rand.N(max(maxRetryAfter, time.Duration(pauseSpread*float64(pause))))
+		}
+	}
 	wait := minRetryAfter + time.Duration(rand.Int64N(int64(maxRetryAfter-minRetryAfter)))
 	return min(wait, max(0, x.planReq.Deadline.Sub(now)/3))
 }
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -41,7 +41,7 @@
 	return l.failed.Allow(now), omitted
 }
 
-// lineCounter limits the log lines about the limits of upstreams in each second.
+// lineCounter limits the log lines about what upstreams say of themselves in each second.
 type lineCounter struct{ limiter event.Limiter }
 
 // allow reports whether one more line may be written now. Others are dropped and counted in
--- a/ingress/upstream.go
+++ b/ingress/upstream.go
@@ -9,6 +9,7 @@
 	"hickorydrum/fleet"
 	"hickorydrum/limit"
 	"hickorydrum/platform"
+	"hickorydrum/withdrawal"
 )
 
 // upstreamReports passes on what an upstream says of itself in the response to one request.
@@ -30,7 +31,7 @@
 // what changes by it.
 func (r *upstreamReports) ReportLimit(l platform.Limit) {
 	if l.Err != nil {
-		r.ingress.logLimit(event.LimitInvalid, r.upstream.ID, slog.String("error", l.Err.Error()))
+		r.ingress.logUpstream(event.LimitInvalid, r.upstream.ID, slog.String("error", l.Err.Error()))
 		return
 	}
 	state, changed := r.ingress.planner.RecordLimit(r.upstream, limit.Response{
@@ -41,19 +42,55 @@
 	}
 }
 
+// ReportLeaving records that the upstream leaves, or another one that has its address now.
+func (r *upstreamReports) ReportLeaving(misdirected bool) {
+	if !misdirected {
+		r.ingress.recordLeaving(r.upstream)
+		return
+	}
+	for _, u := range r.ingress.planner.View().All() {
+		if u.Address == r.upstream.Address && u.ID != r.upstream.ID {
+			r.ingress.recordLeaving(u)
+		}
+	}
+}
+
+// recordLeaving records and logs that an upstream said in a response that it leaves.
+func (g *Ingress) recordLeaving(u *fleet.Upstream) {
+	if !g.planner.RecordLeaving(u) {
+		return
+	}
+	withdrawn.Inc()
+	g.logUpstream(event.UpstreamWithdrawn, u.ID, slog.String("state", "leaving"),
+		slog.String("source", string(withdrawal.FromAnswer)), slog.Uint64("entry", u.Revision))
+	g.onLeaving()
+}
+
+// ReportPause records the pause that the upstream asks for.
+func (r *upstreamReports) ReportPause(p platform.Pause) {
+	if p.Err != nil {
+		r.ingress.logUpstream(event.PauseInvalid, r.upstream.ID, slog.String("error", p.Err.Error()))
+		return
+	}
+	if r.ingress.planner.RecordPause(r.upstream, p.Wait) {
+		pauses.Inc()
+		r.ingress.logUpstream(event.UpstreamPaused, r.upstream.ID, slog.Int64("wait_ms", p.Wait.Milliseconds()))
+	}
+}
+
 // LogLimit logs a limit that has changed.
 func (g *Ingress) LogLimit(upstream string, s *limit.State, attrs ...slog.Attr) {
 	if !s.InForce {
-		g.logLimit(event.LimitEnded, upstream, attrs...)
+		g.logUpstream(event.LimitEnded, upstream, attrs...)
 		return
 	}
-	g.logLimit(event.LimitNamed, upstream, append(attrs, slog.Float64("per_second", s.PerSecond))...)
+	g.logUpstream(event.LimitNamed, upstream, append(attrs, slog.Float64("per_second", s.PerSecond))...)
 }
 
-// logLimit writes a line about the limit of an upstream, unless there were too many in this
-// second.
-func (g *Ingress) logLimit(e event.Event, upstream string, attrs ...slog.Attr) {
-	if g.limitLines.allow(time.Now()) {
+// logUpstream writes a line about what an upstream says of itself, unless there were too many in
+// this second.
+func (g *Ingress) logUpstream(e event.Event, upstream string, attrs ...slog.Attr) {
+	if g.upstreamLines.allow(time.Now()) {
 		e.Log(context.Background(), g.log, append(attrs, slog.String("upstream", upstream))...)
 	}
 }
--- a/load/load.go
+++ b/load/load.go
@@ -65,6 +65,7 @@
 	coldUntil   time.Time          // end of its cold period
 	cold        budget.TokenBucket // limits the requests in its cold period
 
+	sentAt      time.Time // when the last request was sent
 	inFlight    int
 	reported    float64 // requests running and waiting, by its last report
 	reportedOwn int     // requests that this instance had in flight when it received the report
@@ -267,9 +268,20 @@
 		return nil, false
 	}
 	s.inFlight++
+	s.sentAt = now
 	return s.dialer, true
 }
 
+// SentAt returns when a request was last sent to an upstream, the zero time if none was.
+func (tr *Tracker) SentAt(id string) time.Time {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if s, ok := tr.states[id]; ok {
+		return s.sentAt
+	}
+	return time.Time{}
+}
+
 // RecordLoad records the number of running and waiting requests that an upstream reported.
 func (tr *Tracker) RecordLoad(id string, running, waiting int, now time.Time) {
 	tr.mu.Lock()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -44,6 +44,18 @@
 	Source Source
 	Peer   string // address of the instance, "" for other sources
 	At     time.Time
+	// After is a time up to which the state before the update was current: the store acknowledged
+	// the changes of the update after it. It is the zero time if that is not known.
+	After time.Time
+}
+
+// Delay returns the longest time that may have passed between the store's acknowledgement of the
+// update and its receipt, and false if that is not known.
+func (o Origin) Delay() (time.Duration, bool) {
+	if o.After.IsZero() {
+		return 0, false
+	}
+	return max(0, o.At.Sub(o.After)), true
 }
 
 // Entry is an object of a mirror, with the origin of its version.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -123,6 +123,8 @@
 	ReasonBusy   Reason = "busy"    // the mean wait at all upstreams is too long, and so is the wait at the best one
 	// ReasonLimited is set by package planner: the limits that upstreams name have no room.
 	ReasonLimited Reason = "limited"
+	// ReasonPaused is set by package planner: the upstreams that are left asked for a pause.
+	ReasonPaused Reason = "paused"
 	// ReasonStopping is set by package ingress: a planned stop leaves no time for the request.
 	ReasonStopping Reason = "stopping"
 )
@@ -135,6 +137,7 @@
 	ReasonNone:     "no upstream may be used: none is ready in the allowed regions, or all were tried",
 	ReasonNoTime:   "no upstream was expected to answer in the time left",
 	ReasonLimited:  "no upstream may be used: those left name a limit of requests a second, which has no room",
+	ReasonPaused:   "no upstream may be used: those left named a time until which they want no requests from this instance",
 	ReasonStopping: "the instance stops before the request's deadline, and sends it to no upstream any more",
 	ReasonBusy:     "requests arrive faster than they are served: the mean wait at all upstreams is too long, and so is the wait at the best one",
 }
--- a/planner/limit.go
+++ b/planner/limit.go
@@ -15,13 +15,14 @@
 
 // Choose returns the upstream to which a request is sent next, by the newest view. An
 // upstream whose limit has no room is passed over. If there is none, the choice has index
-// -1 and the upstream is nil; the reason is placement.ReasonLimited if a limit was the cause.
+// -1 and the upstream is nil; the reason is placement.ReasonLimited if a limit was the cause, and
+// placement.ReasonPaused if a pause was.
 // SetView and StartRequest must have been called before.
 func (p *Planner) Choose(req *Request, now time.Time) (placement.Choice, *fleet.Upstream) {
 	for offers := range maxOffers + 1 {
 		choice, u := p.chooseOnce(req, offers == maxOffers, now)
 		if u == nil {
-			return p.limited(req, choice), nil
+			return p.withoutUpstream(req, choice), nil
 		}
 		if p.tracker.Offer(u, p.countInstances, now) {
 			return choice, u
@@ -32,14 +33,19 @@
 		req.heldBack[u.ID] = true
 	}
 	// A limit was named between the last two choices.
-	return p.limited(req, placement.Choice{Index: -1, Reason: placement.ReasonNone}), nil
+	return p.withoutUpstream(req, placement.Choice{Index: -1, Reason: placement.ReasonNone}), nil
 }
 
-// limited returns the choice of no upstream with its reason: if none is left and a limit
-// held the request back, that is the limit.
-func (p *Planner) limited(req *Request, choice placement.Choice) placement.Choice {
-	if choice.Reason == placement.ReasonNone && len(req.heldBack) > 0 {
+// withoutUpstream returns the choice of no upstream with its reason: if none is left and a limit
+// held the request back, that is the limit, and if only pauses are in the way, those.
+func (p *Planner) withoutUpstream(req *Request, choice placement.Choice) placement.Choice {
+	if choice.Reason != placement.ReasonNone {
+		return choice
+	}
+	if len(req.heldBack) > 0 {
 		choice.Reason = placement.ReasonLimited
+	} else if _, ok := p.PauseEnd(req); ok {
+		choice.Reason = placement.ReasonPaused
 	}
 	return choice
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -17,6 +17,7 @@
 	"hickorydrum/load"
 	"hickorydrum/placement"
 	"hickorydrum/route"
+	"hickorydrum/withdrawal"
 )
 
 // Instances counts the instances, and determines which share of the request rate of a
@@ -77,9 +78,12 @@
 	costs     placement.Costs
 	choose    ChooseFunc
 
-	bounds   atomic.Pointer[RetryBounds]
-	table    atomic.Pointer[route.Table]
-	view     atomic.Pointer[fleet.View]
+	bounds atomic.Pointer[RetryBounds]
+	table  atomic.Pointer[route.Table]
+	view   atomic.Pointer[fleet.View]
+	// withdrawals says to which upstreams nothing is sent, although the view has them.
+	withdrawals *withdrawal.Registry
+
 	splitter *route.Splitter // chooses the service of a request among the targets of its route
 	shares   *shares         // determines the region that serves an object
 
@@ -94,12 +98,16 @@
 // placement.Choose.
 func WithChoose(choose ChooseFunc) Option { return func(p *Planner) { p.choose = choose } }
 
+// WithWithdrawals sets the registry of what upstreams withdraw. The default is an empty one.
+func WithWithdrawals(r *withdrawal.Registry) Option { return func(p *Planner) { p.withdrawals = r } }
+
 // New returns the planner of an instance that has no configuration yet.
 func New(location Location, tracker *load.Tracker, instances Instances, bounds RetryBounds, opts ...Option) *Planner {
 	p := &Planner{
 		location: location, tracker: tracker, instances: instances, choose: placement.Choose,
 		costs:    placement.Costs{DomainPerKiB: domainPerKiB, RegionPerKiB: regionPerKiB},
 		splitter: route.NewSplitter(), shares: newShares(location), budgets: make(map[string]*budget.Retry),
+		withdrawals: withdrawal.New(),
 	}
 	p.bounds.Store(&bounds)
 	for _, opt := range opts {
@@ -161,8 +169,10 @@
 func (p *Planner) chooseOnce(req *Request, unlimited bool, now time.Time) (placement.Choice, *fleet.Upstream) {
 	request := load.Request{
 		Service: req.Service, Object: req.Object, Sticky: req.Sticky, Tried: req.Tried, Unlimited: unlimited,
-		Cold:   func(u *fleet.Upstream) load.ColdShare { return p.coldShare(req.Table, u) },
-		Allows: func(u *fleet.Upstream) bool { return req.Route.AllowsRegion(u.Region()) && !req.heldBack[u.ID] },
+		Cold: func(u *fleet.Upstream) load.ColdShare { return p.coldShare(req.Table, u) },
+		Allows: func(u *fleet.Upstream) bool {
+			return req.Route.AllowsRegion(u.Region()) && !req.heldBack[u.ID] && p.withdrawals.Allows(u)
+		},
 	}
 	candidates, upstreams := p.tracker.Candidates(&request, p.View().Service(req.Service), now)
 	warm, cold := p.tracker.ServiceTimes(req.Service, req.Route.Class())
@@ -180,8 +190,11 @@
 	return choice, upstreams[choice.Index]
 }
 
-// Eligible reports whether an upstream that was chosen earlier may still get requests.
-func (p *Planner) Eligible(u *fleet.Upstream) bool { return p.View().Eligible(u) }
+// Eligible reports whether an upstream that was chosen earlier may still get requests. It is called
+// right before the first byte is sent.
+func (p *Planner) Eligible(u *fleet.Upstream) bool {
+	return p.View().Eligible(u) && p.withdrawals.Allows(u)
+}
 
 // Begin counts a request as in flight at an upstream and returns the dialer to it. It
 // returns false if the upstream may no longer get requests (see Eligible), has restarted,
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -34,6 +34,7 @@
 	WorkerEncoded  WorkerFault = "encoded"  // respond with a Content-Encoding
 	WorkerFail     WorkerFault = "fail"     // respond with status 500
 	WorkerBusy     WorkerFault = "busy"     // respond with status 503 and without Hickorydrum-Not-Executed
+	WorkerRefuse   WorkerFault = "refuse"   // refuse the request without running it
 	WorkerSilent   WorkerFault = "silent"   // run the request, never respond
 	WorkerEndless  WorkerFault = "endless"  // respond with a body that has no end
 )
@@ -75,6 +76,7 @@
 	conns    map[net.Conn]bool
 	closed   bool
 	limit    string // value of the limit header, "" for none
+	header   string // further header lines of all responses, see SetHeader
 	most     int    // connections open at a time, at most
 }
 
@@ -119,6 +121,13 @@
 	w.limit = perSecond
 }
 
+// SetHeader sets further header lines that all responses have from now on, each with its CRLF.
+func (w *Worker) SetHeader(lines string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.header = lines
+}
+
 // Runs returns how often the attempt with the ID was run.
 func (w *Worker) Runs(id string) int {
 	w.mu.Lock()
@@ -239,6 +248,12 @@
 	if early {
 		return true
 	}
+	if w.takeFault(WorkerRefuse) {
+		w.mu.Lock()
+		w.arrivals++
+		w.mu.Unlock()
+		return w.reply(c, req, 503, "Hickorydrum-Not-Executed: 1\r\n", "")
+	}
 	if !w.acquireSlot() {
 		return w.reply(c, req, 503, "Hickorydrum-Not-Executed: 1\r\n", "")
 	}
@@ -328,7 +343,10 @@
 		}
 		return false
 	case w.takeFault(WorkerCut):
-		w.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nHickorydrum-Attempt-Id: %s\r\n%sContent-Length: 500\r\n\r\nhalf", id, sealHeader))
+		w.mu.Lock()
+		header := sealHeader + w.header
+		w.mu.Unlock()
+		w.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nHickorydrum-Attempt-Id: %s\r\n%sContent-Length: 500\r\n\r\nhalf", id, header))
 		return false
 	case w.takeFault(WorkerGarbage):
 		w.write(c, "\x00\x01 220 this is no answer\r\n\r\n")
@@ -363,6 +381,7 @@
 	w.mu.Lock()
 	load := fmt.Sprintf("%d,%d,%d", w.running, w.waiting, w.config.Slots)
 	limit := w.limit
+	header += w.header
 	w.mu.Unlock()
 	if limit != "" {
 		header += "Hickorydrum-Server-Limit: " + limit + "\r\n"
