upstream: on the own interface a withdrawal only grows too

What an upstream withdrew lived in two maps that the next list or health page replaced: a page that says ready, wrongly or by accident, or a list without the address put it back in use. What it says in its answers was not read: neither that it leaves nor a time for which it wants nothing.

Change: the pool uses the registry of withdrawals. Upstreams may name their start on the health page; then only a new start ends a leaving, from whichever source (page, list, the new header Leaving of any response, also of the losing attempt of a hedged request). Without it the next page that says ready does, as before. A 503 or 429 with Retry-After pauses the upstream for this instance. It is asked for each candidate and before the first byte is sent.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -17,6 +17,7 @@
 	"hickorydrum/placement"
 	"hickorydrum/route"
 	"hickorydrum/steering"
+	"hickorydrum/withdrawal"
 )
 
 const (
@@ -34,13 +35,16 @@
 	bind      net.IP
 	instances func() int // how many instances may be running
 	tracker   *load.Tracker
+	// withdrawals says to which upstreams nothing is sent, although they are declared.
+	withdrawals *withdrawal.Registry
 
 	mu          sync.Mutex
 	set         *declaration.Set
 	view        *fleet.View
 	initialized bool                 // the tracker has a view of the upstreams
 	leaving     map[string]bool      // by address, as listed by the platform
-	draining    map[string]bool      // by address, as reported by the health page
+	draining    map[string]bool      // by address, upstreams that leave and whose start is not known
+	runs        map[string]run       // by address
 	lastUsed    map[string]time.Time // when an address last got a request
 	inFlight    map[string]int       // requests that hold a slot, by address
 	queues      map[string]*queue    // by service and region, see queueFor
@@ -60,7 +64,7 @@
 // NewPool returns the pool of an instance in the given failure domain and region.
 func NewPool(domain, region string, opts ...PoolOption) *Pool {
 	p := &Pool{
-		view: fleet.NewView(nil, nil, nil), leaving: make(map[string]bool), draining: make(map[string]bool),
+		view: fleet.NewView(nil, nil, nil), leaving: make(map[string]bool), draining: make(map[string]bool), runs: make(map[string]run), withdrawals: withdrawal.New(),
 		lastUsed: make(map[string]time.Time), inFlight: make(map[string]int), queues: make(map[string]*queue),
 		slotFreed: make(chan struct{}), instances: func() int { return 1 },
 	}
@@ -87,14 +91,18 @@
 	p.updateView(now)
 }
 
-// SetLeaving sets the addresses of the upstreams that the platform lists as leaving. They get no
-// new requests.
+// SetLeaving sets the addresses of the upstreams that the platform's newest list has as leaving. They
+// get no new requests. An upstream whose start is known gets none either after a later list has it no
+// more.
 func (p *Pool) SetLeaving(addresses []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leaving = make(map[string]bool, len(addresses))
 	for _, address := range addresses {
-		p.leaving[address] = true
+		p.leaving[address] = p.runAt(address).startMillis == 0
+		if u, ok := p.view.Upstream(address); ok && !p.leaving[address] {
+			p.leave(u)
+		}
 	}
 	p.updateView(time.Now())
 }
@@ -122,15 +130,14 @@
 	for _, s := range p.set.Services() {
 		for _, w := range s.Workers() {
 			regions[w.Domain()] = w.Region()
-			// The start time of a declared upstream is not known. 1 ms after the epoch is long past,
-			// so that those of the first view do not count as cold.
 			upstreams = append(upstreams, fleet.Upstream{
-				ID: w.Address(), Service: s.Name(), Address: w.Address(), Domain: w.Domain(), Slots: w.Slots(), StartMillis: 1,
-				Draining: p.leaving[w.Address()] || p.draining[w.Address()] || p.set.WorkerDrained(w, now),
+				ID: w.Address(), Service: s.Name(), Address: w.Address(), Domain: w.Domain(), Slots: w.Slots(),
+				StartMillis: p.runAt(w.Address()).number,
+				Draining:    p.leaving[w.Address()] || p.draining[w.Address()] || p.set.WorkerDrained(w, now),
 			})
 		}
 	}
-	p.view = fleet.NewView(upstreams, nil, regions)
+	p.view = fleet.NewView(upstreams, nil, regions, fleet.WithLeft(p.withdrawals.Left))
 	p.tracker.ApplyView(p.view, !p.initialized, func(string) time.Duration { return coldPeriod }, now)
 	p.initialized = true
 	p.notifyWaiters()
@@ -196,7 +203,7 @@
 func (p *Pool) candidates(req *Request, now time.Time) ([]placement.Candidate, []*fleet.Upstream) {
 	request := &load.Request{
 		Service: req.Service, Object: rand.Uint64(), Tried: req.Tried, Cold: coldShare,
-		Allows: func(u *fleet.Upstream) bool { return u.Region() == req.Region },
+		Allows: func(u *fleet.Upstream) bool { return u.Region() == req.Region && p.withdrawals.Allows(u) },
 	}
 	candidates, upstreams := p.tracker.Candidates(request, p.view.Service(req.Service), now)
 	for i := len(candidates) - 1; i >= 0; i-- {
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -26,6 +26,8 @@
 // healthPage is the body of an upstream's health page.
 type healthPage struct {
 	State string `json:"state"`
+	// Start is the Unix time of the upstream's start, in milliseconds, 0 if the page does not name it.
+	Start int64 `json:"start"`
 }
 
 // stateDraining is the only state that has an effect, which is that the upstream gets no new
@@ -55,15 +57,15 @@
 	return interval.Each(ctx, probeInterval, func(time.Time) { p.Probe(ctx) })
 }
 
-// Probe fetches the health page of each upstream that was used recently or is draining. An
+// Probe fetches the health page of each upstream that was used recently or leaves. An
 // upstream whose page cannot be fetched keeps its state.
 func (p *Prober) Probe(ctx context.Context) {
 	var group errgroup.Group
 	group.SetLimit(maxProbes)
 	for address, path := range p.pool.probeTargets(time.Now()) {
 		group.Go(func() error {
-			if state, err := p.fetchState(ctx, address, path); err == nil {
-				p.pool.setDraining(address, state == stateDraining)
+			if page, err := p.fetch(ctx, address, path); err == nil {
+				p.pool.setHealth(address, page)
 			}
 			return nil
 		})
@@ -71,24 +73,24 @@
 	_ = group.Wait()
 }
 
-// fetchState returns the state that the health page at the address and path reports.
-func (p *Prober) fetchState(ctx context.Context, address, path string) (string, error) {
+// fetch returns the health page at the address and path.
+func (p *Prober) fetch(ctx context.Context, address, path string) (healthPage, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return "", err
+		return healthPage{}, err
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return "", err
+		return healthPage{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var page healthPage
 	err = json.NewDecoder(io.LimitReader(resp.Body, maxHealthBytes)).Decode(&page)
-	return page.State, err
+	return page, err
 }
 
 // probeTargets returns, by address, the health paths of the upstreams that were used within
-// recentUse or are draining.
+// recentUse or leave.
 func (p *Pool) probeTargets(now time.Time) map[string]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,7 +100,9 @@
 	}
 	for _, s := range p.set.Services() {
 		for _, w := range s.Workers() {
-			if used, ok := p.lastUsed[w.Address()]; ok && now.Sub(used) < recentUse || p.draining[w.Address()] {
+			used, ok := p.lastUsed[w.Address()]
+			u, known := p.view.Upstream(w.Address())
+			if ok && now.Sub(used) < recentUse || known && u.Draining {
 				out[w.Address()] = s.HealthPath()
 			}
 		}
--- a/upstream/protocol.go
+++ b/upstream/protocol.go
@@ -20,6 +20,7 @@
 	HeaderRan       = "Ran"             // "no" in a refusal: the upstream did not execute the request
 	HeaderBusy      = "Busy"            // requests in flight at the upstream
 	HeaderLimit     = "Limit"           // requests a second that the upstream takes from all instances together
+	HeaderLeaving   = "Leaving"         // "1" in any response: the upstream leaves
 )
 
 // Request is a request to an upstream of a service, without its body.
@@ -35,12 +36,21 @@
 	Tried map[string]bool
 }
 
-// dialect is the dispatch.Dialect of the project's own protocol with upstreams. It calls
-// reportLoad with each number of requests in flight that an upstream reports, and reportLimit
-// with what each response says of the upstream's limit.
-type dialect struct {
-	reportLoad  func(busy int)
-	reportLimit func(r limit.Response)
+// dialect is the dispatch.Dialect of the project's own protocol with upstreams. It passes what
+// upstreams say of themselves to the reporter.
+type dialect struct{ reporter reporter }
+
+// reporter receives what an upstream says of itself in its responses.
+type reporter interface {
+	// reportLoad is called with each number of requests in flight that the upstream reports.
+	reportLoad(busy int)
+	// reportLimit is called with what each response says of the upstream's limit.
+	reportLimit(r limit.Response)
+	// reportLeaving is called for each response that says that the upstream leaves.
+	reportLeaving()
+	// reportPause is called with each time for which the upstream wants no requests from this
+	// instance.
+	reportPause(wait time.Duration)
 }
 
 // Prepare sets the id of the request and the time left until the deadline.
@@ -51,16 +61,22 @@
 
 // ClassifyResponse returns the class of a response, by its request id, status and Ran header.
 func (d *dialect) ClassifyResponse(r *dispatch.Request, resp *http.Response) dispatch.ResponseClass {
+	if strings.TrimSpace(resp.Header.Get(HeaderLeaving)) == "1" {
+		d.reporter.reportLeaving()
+	}
 	if id := resp.Header.Get(HeaderRequestID); id != "" && id != r.ID {
 		return dispatch.Invalid
 	}
 	if busy, err := strconv.Atoi(strings.TrimSpace(resp.Header.Get(HeaderBusy))); err == nil && busy >= 0 {
-		d.reportLoad(busy)
+		d.reporter.reportLoad(busy)
 	}
 	shed := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	refused := shed && resp.Header.Get(HeaderRan) == string(fault.NotExecuted)
 	if perSecond, named, err := limit.Parse(resp.Header.Values(HeaderLimit)); err == nil {
-		d.reportLimit(limit.Response{Named: named, PerSecond: perSecond, Executed: !refused})
+		d.reporter.reportLimit(limit.Response{Named: named, PerSecond: perSecond, Executed: !refused})
+	}
+	if wait, named, _ := dispatch.ParseRetryAfter(resp.Header, time.Now()); shed && named {
+		d.reporter.reportPause(wait)
 	}
 	if refused {
 		return dispatch.Refused
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -62,14 +62,13 @@
 // Address returns the address of the slot's upstream.
 func (s *Slot) Address() string { return s.upstream.Address }
 
-// Usable reports whether the upstream may still get the request: it is still declared, and
-// neither drained, draining nor listed as leaving. It is called right before the first byte is
+// Usable reports whether the upstream may still get the request: it is still declared, and is
+// neither drained nor has it withdrawn. It is called right before the first byte is
 // sent, since the process may have been paused after the slot was acquired.
 func (s *Slot) Usable() bool {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
-	u, ok := s.pool.view.Upstream(s.upstream.ID)
-	return ok && !u.Draining
+	return s.pool.view.Eligible(s.upstream) && s.pool.withdrawals.Allows(s.upstream)
 }
 
 // release frees the slot and records the outcome of the request.
@@ -163,7 +162,7 @@
 			}
 		}
 		if ended {
-			return nil, p.leaveQueue(q, w, noneUsable)
+			return nil, p.leaveQueue(q, w, req, noneUsable)
 		}
 	}
 }
@@ -180,24 +179,18 @@
 }
 
 // leaveQueue removes a request from its queue and returns the fault of its refusal.
-func (p *Pool) leaveQueue(q *queue, w *waiter, noneUsable bool) error {
+func (p *Pool) leaveQueue(q *queue, w *waiter, req *Request, noneUsable bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q.remove(w)
 	p.notifyWaiters()
 	refused.Inc()
 	if noneUsable {
-		return noUpstream()
+		return p.noUpstream(req)
 	}
 	return overloaded(time.Now(), 0)
 }
 
-// noUpstream returns the fault of a request whose service has no usable upstream in the region.
-func noUpstream() error {
-	return notExecuted(fault.Unavailable, "no upstream of the service may be used in the region", "retry after the given time",
-		fault.WithRetryAt(time.Now().Add(retryDelay)))
-}
-
 // overloaded returns the fault of a request that got no slot. It may be retried after wait plus 0.5
 // to 1.5 times retryDelay.
 func overloaded(now time.Time, wait time.Duration) *fault.Error {
@@ -210,7 +203,7 @@
 func (p *Pool) usableSlots(req *Request) int {
 	n := 0
 	for _, u := range p.view.Service(req.Service) {
-		if u.Region() == req.Region && !req.Tried[u.ID] {
+		if u.Region() == req.Region && !req.Tried[u.ID] && p.withdrawals.Allows(u) {
 			n += u.Slots
 		}
 	}
@@ -223,7 +216,7 @@
 func (p *Pool) checkQueue(q *queue, req *Request, now time.Time) error {
 	slots := p.usableSlots(req)
 	if slots == 0 {
-		return noUpstream()
+		return p.noUpstream(req)
 	}
 	_, serviceTime := p.tracker.ServiceTimes(req.Service, route.Class{})
 	wait := time.Duration(float64(serviceTime) * float64(len(q.waiters)+1) / float64(slots))
--- a/upstream/serve.go
+++ b/upstream/serve.go
@@ -13,7 +13,6 @@
 
 	"hickorydrum/dispatch"
 	"hickorydrum/fault"
-	"hickorydrum/limit"
 	"hickorydrum/load"
 )
 
@@ -110,13 +109,7 @@
 	request := req.Request
 	request.Header = req.Header.Clone()
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
-	d := &dialect{
-		reportLoad: func(busy int) { s.pool.tracker.RecordLoad(s.upstream.ID, busy, 0, time.Now()) },
-		reportLimit: func(r limit.Response) {
-			r.SentAt = begun
-			s.pool.tracker.RecordLimit(s.upstream, r, time.Now())
-		},
-	}
+	d := &dialect{reporter: &slotReports{slot: s, sentAt: begun}}
 	reusable, err := dispatch.NewExchange(&request, d, req.Deadline, c).Run(ctx, body, sink)
 	if reusable && err == nil {
 		s.dialer.Put(c, time.Now(), maxIdle)
