rollout: every instance gets the platform's list, and none goes back to an older one

Cause, found by asking where a withdrawal lives on the own interface: only the two relays of a failure domain read the platform's list of instances and upstreams that leave. The others never had it. And each list that was read replaced the one before, whatever its version.

Change: the hello between instances has the version of the list; an instance that has an older one fetches it. A list is applied only if its version is higher.

Cost: a few bytes in each hello, and one call for each instance and version.

--- a/rollout/exchange.go
+++ b/rollout/exchange.go
@@ -85,13 +85,13 @@
 // ownHello returns the hello of this instance in its present state.
 func (f *Follower) ownHello() helloMessage {
 	return helloMessage{
-		From: f.roster.Self(), Revision: f.state.Revision(), Roster: f.roster.View().Digest(),
+		From: f.roster.Self(), Revision: f.state.Revision(), Roster: f.roster.View().Digest(), List: f.listVersion(),
 	}
 }
 
 // reconcile compares the hello of a peer with the state of this instance. It
-// fetches a higher revision, takes an equal one as a confirmation, and exchanges
-// members if the rosters differ.
+// fetches a higher revision and a later list of instances, takes an equal revision as
+// a confirmation, and exchanges members if the rosters differ.
 func (f *Follower) reconcile(ctx context.Context, theirs helloMessage) {
 	f.roster.Merge([]roster.Member{theirs.From})
 	if theirs.Revision <= f.state.Revision() {
@@ -101,6 +101,9 @@
 	} else {
 		f.fetch(ctx, theirs.From)
 	}
+	if theirs.List > f.listVersion() {
+		f.fetchList(ctx, theirs.From)
+	}
 	if theirs.Roster != f.roster.View().Digest() {
 		f.syncRosters(ctx, theirs.From)
 	}
@@ -189,6 +192,9 @@
 	} else if theirs.Revision == f.state.Revision() && theirs.Revision > 0 {
 		f.state.Confirm(time.Now())
 	}
+	if theirs.List > f.listVersion() {
+		f.fetchList(ctx, theirs.From)
+	}
 	return f.ownHello(), nil
 }
 
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,8 @@
 	CallUpdate peer.Call = "update"
 	// CallRoster exchanges the members of failure domains whose digests differ.
 	CallRoster peer.Call = "roster"
+	// CallList requests the platform's list of instances.
+	CallList peer.Call = "list"
 )
 
 const (
@@ -48,6 +51,8 @@
 	From     roster.Member `cbor:"1,keyasint"`
 	Revision uint64        `cbor:"2,keyasint"`
 	Roster   uint64        `cbor:"3,keyasint"` // digest of the sender's roster
+	// List is the version of the platform's list of instances at the sender, 0 if it has none.
+	List uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // updateRequest is the request of CallUpdate.
@@ -83,8 +88,14 @@
 // address for callers. Leaving may name upstreams too, by their addresses. The list
 // lags behind the real state.
 type InstanceList struct {
-	Live    []string `json:"live"`
-	Leaving []string `json:"leaving"`
+	Live    []string `json:"live" cbor:"1,keyasint,omitempty"`
+	Leaving []string `json:"leaving" cbor:"2,keyasint,omitempty"`
+}
+
+// listMessage is the response of CallList.
+type listMessage struct {
+	Version uint64       `cbor:"1,keyasint"`
+	List    InstanceList `cbor:"2,keyasint"`
 }
 
 // Asker makes unary calls to peers.
@@ -106,10 +117,14 @@
 	loader       loader
 	watchFailing atomic.Bool   // the last call for the watch failed
 	changed      chan struct{} // has an entry if peers must be notified of a change
+
+	listMu sync.Mutex // held while a list is applied
+	list   listMessage
 }
 
 // NewFollower returns a Follower. onList is called with each version of the
-// platform's list of instances that this instance reads.
+// platform's list of instances that this instance gets from the platform or a peer,
+// in their order.
 func NewFollower(
 	state *State, store Store, r *roster.Roster, asker Asker, log *slog.Logger, onList func(InstanceList),
 ) *Follower {
@@ -126,6 +141,7 @@
 	node.Handle(CallHello, peer.Unary(f.onHello))
 	node.Handle(CallUpdate, peer.Unary(f.onUpdate))
 	node.Handle(CallRoster, peer.Unary(f.onRoster))
+	node.Handle(CallList, peer.Unary(f.onListCall))
 }
 
 // Run watches the platform, if this instance is a relay, and exchanges state with
@@ -240,7 +256,7 @@
 		case o.Key == InstanceListKey && !o.Deleted:
 			var list InstanceList
 			if json.Unmarshal(o.Value, &list) == nil {
-				f.onList(list)
+				f.applyList(listMessage{Version: o.Version, List: list})
 			}
 		}
 	}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,6 +129,7 @@
 	follower *Follower
 	state    *State
 	roster   *roster.Roster
+	leaving  atomic.Pointer[[]string] // by the newest list
 }
 
 // asker makes the calls of one node.
@@ -154,6 +156,8 @@
 		*resp.(*updateMessage), err = target.follower.onUpdate(ctx, a.from, req.(updateRequest))
 	case CallRoster:
 		*resp.(*rosterMessage), err = target.follower.onRoster(ctx, a.from, req.(rosterMessage))
+	case CallList:
+		*resp.(*listMessage), err = target.follower.onListCall(ctx, a.from, req.(struct{}))
 	}
 	return err
 }
@@ -176,8 +180,9 @@
 		}
 		last = revision
 	})
-	f := NewFollower(state, store, r, asker{net: n, from: name}, slog.New(slog.DiscardHandler), func(InstanceList) {})
-	node := &testNode{follower: f, state: state, roster: r}
+	node := &testNode{state: state, roster: r}
+	node.follower = NewFollower(state, store, r, asker{net: n, from: name}, slog.New(slog.DiscardHandler),
+		func(list InstanceList) { node.leaving.Store(&list.Leaving) })
 	n.nodes[name] = node
 	return node
 }
@@ -193,6 +198,39 @@
 	}
 }
 
+// TestListEverywhere guards against instances that never learn which upstreams the platform lists as
+// leaving since they do not watch it, and against an older list that takes that back.
+func TestListEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		n := &network{nodes: make(map[string]*testNode)}
+		for d := range 2 {
+			for k := range 5 {
+				n.add(t, s, fmt.Sprintf("d%d-%d", d, k), "one", fmt.Sprintf("d%d", d))
+			}
+		}
+		n.introduce()
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		for _, node := range n.nodes {
+			group.Go(func() error { return node.follower.Run(ctx) })
+		}
+		time.Sleep(2 * time.Second)
+		if _, err := s.Put(ctx, InstanceListKey, []byte(`{"leaving":["a"]}`), 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		for name, node := range n.nodes {
+			node.follower.applyList(listMessage{Version: 0})
+			if leaving := node.leaving.Load(); leaving == nil || len(*leaving) != 1 {
+				t.Errorf("%s does not know after 2 s that an upstream leaves", name)
+			}
+		}
+		cancel()
+		_ = group.Wait()
+	})
+}
+
 // inForceBound is the time that the users allow from the acceptance of a revision
 // until it is in force at every instance.
 const inForceBound = 5 * time.Second
