dispatch: another response that is written into a body does not pass as a part of it

From the reports of other operators: a faulty upstream wrote an earlier refusal once more, here in the midst of the true response. Cause: a body with a length was read to that length, with the refusal in it, and passed on as whole; the rest of it lay unread on the connection.

Change: a body that has the head of a response in it is held back at its end; if bytes follow it, within 100 ms, its framing is broken and the response is not valid. A body that only speaks of such heads, with nothing after it, passes. Bodies without one are not delayed.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -64,6 +64,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
+	// Reused states that the request is sent on a connection that carried others before. What is
+	// received on it may belong to one of those.
+	Reused bool
 }
 
 // Head is the status and the header of a response.
@@ -333,7 +336,14 @@
 	}
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	if _, err := io.CopyBuffer(sink, struct{ io.Reader }{resp.Body}, *buf); err != nil {
+	body := &spliceGuard{sink: sink}
+	if _, err := io.CopyBuffer(body, struct{ io.Reader }{resp.Body}, *buf); err != nil {
+		return false, &failure{kind: fault.Corrupt, text: "the answer was cut short", cause: err}
+	}
+	if body.suspect && resp.ContentLength > 0 && x.continues() {
+		return false, &failure{kind: fault.Corrupt, text: "another answer was written into the answer"}
+	}
+	if err := body.flush(); err != nil {
 		return false, &failure{kind: fault.Corrupt, text: "the answer was cut short", cause: err}
 	}
 	x.progress.MarkAnswered()
