platform, upstream: on a kept connection only a refusal that names the request counts

From the reports of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that it had run (REFUSED).

Cause: a refusal without a request id was taken for that of the request under way, also on a connection that had carried others. One with the id of another request was discarded already.

Change: on a connection that carried requests before, a refusal (or a 421) that does not repeat the id is not valid: a request that must not run twice gets 502, any other is sent again. On a new connection it counts as before. Both interfaces.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -200,6 +200,7 @@
 	dialect := platform.NewDialect(u.ID, reports)
 	resp := newBufferedResponse(x)
 	request := x.request()
+	request.Reused = conn.Reused()
 	d := dispatch.NewExchange(request, dialect, x.planReq.Deadline, conn)
 	reusable, err := d.Run(ctx, io.NopCloser(bytes.NewReader(x.body)), resp)
 	if err == nil && reusable {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -367,6 +367,33 @@
 	}
 }
 
+// TestEarlierRefusal guards against a caller that is told that its request was not run since an upstream
+// wrote an earlier refusal once more on a kept connection.
+func TestEarlierRefusal(t *testing.T) {
+	refusal := func(id string) http.Header { return http.Header{"Ran": {"no"}, "Request-Id": {id}} }
+	tests := map[string]struct {
+		header http.Header
+		reused bool
+		want   dispatch.ResponseClass
+	}{
+		"its own":                            {refusal("1"), true, dispatch.Refused},
+		"without an ID, on a new connection": {http.Header{"Ran": {"no"}}, false, dispatch.Refused},
+		"without an ID, on a kept one":       {http.Header{"Ran": {"no"}}, true, dispatch.Invalid},
+		"of another request":                 {refusal("2"), true, dispatch.Invalid},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			busy := 0
+			d := &dialect{reporter: loadReports{busy: &busy}}
+			got := d.ClassifyResponse(&dispatch.Request{ID: "1", Reused: test.reused},
+				&http.Response{StatusCode: http.StatusServiceUnavailable, Header: test.header})
+			if got != test.want {
+				t.Errorf("class %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // loadReports keeps the load that is reported, and ignores the rest.
 type loadReports struct{ busy *int }
 
--- a/upstream/protocol.go
+++ b/upstream/protocol.go
@@ -75,6 +75,9 @@
 	if perSecond, named, err := limit.Parse(resp.Header.Values(HeaderLimit)); err == nil {
 		d.reporter.reportLimit(limit.Response{Named: named, PerSecond: perSecond, Executed: !refused})
 	}
+	if refused && r.Reused && resp.Header.Get(HeaderRequestID) != r.ID {
+		return dispatch.Invalid // it may be the refusal of an earlier request once more
+	}
 	if wait, named, _ := dispatch.ParseRetryAfter(resp.Header, time.Now()); shed && named {
 		d.reporter.reportPause(wait)
 	}
--- a/upstream/serve.go
+++ b/upstream/serve.go
@@ -107,6 +107,7 @@
 		return err
 	}
 	request := req.Request
+	request.Reused = c.Reused()
 	request.Header = req.Header.Clone()
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
 	d := &dialect{reporter: &slotReports{slot: s, sentAt: begun}}
