hosted: an instance that takes the watch back and is refused again says so

Cause: an instance that the store refuses tells the others, and tries again after 5 s: it says that it is no longer refused, and by its rank the others leave the watch to it. If the store still refused it, it said nothing, since the outage had begun before. It kept the watch of its failure domain, and heard nothing, for as long as that lasted.

Change: the first failure of each try is told to the others. The log has one line per outage as before.

Evidence: TestRefusedAgain, 3 tries in 20 s: told once and then wrongly free before, now 3 times.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -136,6 +136,7 @@
 	outageSince   time.Time            // start of the current outage of the store, zero while it answers
 	answeredAt    time.Time            // time of the last answer of the store
 	failedAt      time.Time            // time of the last failed call to the store, zero after an answer or after failedWatchPause
+	refused       bool                 // the other instances have been told that the store does not serve this one
 	watchCtx      context.Context      // canceled to end all watches under way, and replaced then
 	cancelWatches context.CancelFunc   // cancels watchCtx
 	current       map[string]time.Time // by kind, a time up to which the mirror had all changes
@@ -260,13 +261,14 @@
 	return f.watches[kind].missingRevision > f.mirrors[kind].Newest()
 }
 
-// storeFailed records a failed call to the store. The first one starts an outage: the other
-// members of the failure domain are notified at once, so that one of them can take over the
-// watch.
+// storeFailed records a failed call to the store. The first one starts an outage. At the first one,
+// and at the first one of each later try, the other members of the failure domain are notified at
+// once, so that one of them can take over the watch.
 func (f *follower) storeFailed(err error) {
 	f.mu.Lock()
 	f.failedAt = time.Now()
-	first := f.outageSince.IsZero()
+	first, notify := f.outageSince.IsZero(), !f.refused
+	f.refused = true
 	newest := f.newest()
 	if first {
 		f.outageSince = f.failedAt
@@ -274,9 +276,11 @@
 	}
 	f.mu.Unlock()
 	if first {
+		event.WatchFailed.Log(context.Background(), f.log, slog.String("error", err.Error()))
+	}
+	if notify {
 		f.mesh.SetStoreRefused(true)
 		f.mesh.Announce(newest, false)
-		event.WatchFailed.Log(context.Background(), f.log, slog.String("error", err.Error()))
 	}
 }
 
@@ -292,7 +296,7 @@
 		f.mu.Unlock()
 		return
 	}
-	f.outageSince, f.failedAt = time.Time{}, time.Time{}
+	f.outageSince, f.failedAt, f.refused = time.Time{}, time.Time{}, false
 	if silent >= f.heartbeat {
 		for _, m := range f.mirrors {
 			m.StartRetention(now)
--- a/hosted/follow_test.go
+++ b/hosted/follow_test.go
@@ -364,3 +364,59 @@
 	cancel()
 	_ = group.Wait()
 }
+
+// rankedMesh is the mesh of an instance that watches the store unless it has told the others that the
+// store refuses it. It counts how often it did.
+type rankedMesh struct {
+	soloMesh
+
+	mu      sync.Mutex
+	refused bool
+	told    int
+}
+
+func (m *rankedMesh) Watches() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.refused
+}
+
+func (m *rankedMesh) SetStoreRefused(refused bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refused = refused
+	if refused {
+		m.told++
+	}
+}
+
+// TestRefusedAgain guards against an instance that takes the watch back while the store still refuses it,
+// and keeps it: the others of its failure domain must learn of each try that fails, so that one of them
+// watches.
+func TestRefusedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, mesh := &unreachableStore{Store: standin.NewStore()}, &rankedMesh{}
+		if _, err := store.Put(t.Context(), platform.KindUpstreams+"/a", []byte("{}"), 0); err != nil {
+			t.Fatal(err)
+		}
+		f := newFollower(store, mesh, 1, slog.New(slog.DiscardHandler), func(string) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return f.run(ctx) })
+		time.Sleep(roleDelay + 2*roleInterval)
+		for _, kind := range kinds() {
+			if _, loaded := f.objects(kind); !loaded {
+				t.Fatalf("%s is not loaded", kind)
+			}
+		}
+		store.setUnreachable(true)
+		time.Sleep(3*failedWatchPause + 5*time.Second)
+		mesh.mu.Lock()
+		if mesh.told < 3 || !mesh.refused {
+			t.Errorf("the others were told %d times that the store refuses the instance, the last word is %t; want 3 times, true", mesh.told, mesh.refused)
+		}
+		mesh.mu.Unlock()
+		cancel()
+		_ = group.Wait()
+	})
+}
--- a/hosted/watch.go
+++ b/hosted/watch.go
@@ -65,7 +65,7 @@
 	}
 	retry := !f.watching && !f.failedAt.IsZero() && now.Sub(f.failedAt) > failedWatchPause
 	if retry {
-		f.failedAt = time.Time{}
+		f.failedAt, f.refused = time.Time{}, false
 	}
 	f.mu.Unlock()
 	if retry {
