hosted: a seeded soak of withdrawals

Five instances in three failure domains, each behind a proxy that the test can make refuse it, five upstreams that leave, go and start again, dropped histories and changes of the configuration. No instance may send to a run later than 2.5 s after the store acknowledged that it leaves or is gone, or again after it had stopped.

--- a/hosted/cluster_test.go
+++ b/hosted/cluster_test.go
@@ -131,6 +131,8 @@
 one-a = "one"
 one-b = "one"
 two-a = "two"
+[platform]
+heartbeatMs = 1500
 [platform.platform]
 address = %q
 [terms.bounds]
--- a/hosted/leave_test.go
+++ b/hosted/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,6 +50,10 @@
 	if took := time.Since(acknowledged); took > inForce {
 		t.Errorf("the refused instance stopped sending after %s, want at most %s", took, inForce)
 	}
+	c.await("the lines about it", func() bool {
+		return strings.Contains(alone.logs.String(), `"event":314,"upstream":"`+leaving.ID()+`","state":"leaving","source":"peer"`) &&
+			strings.Contains(c.instances[1].logs.String(), `"event":314,"upstream":"`+leaving.ID()+`","state":"leaving","source":"watch"`)
+	})
 	c.remove(platform.KindUpstreams + "/" + leaving.ID())
 	c.await("the removal at the peer", func() bool { return len(allUpstreams(c.instances[1])) == 1 })
 	proxy.refuses.Store(false)
--- a/hosted/raw_test.go
+++ b/hosted/raw_test.go
@@ -121,7 +121,8 @@
 	}{
 		"before, with the earlier ID": {
 			func(conn net.Conn, id string) { _, _ = io.WriteString(conn, refusal("first")+sealed(id, body)) },
-			reply{Status: 200, Body: body, Sealed: true}, reply{Status: 200, Body: body, Sealed: true},
+			reply{Status: 200, Body: body, Sealed: true},
+			reply{Status: 200, Body: body, Sealed: true},
 		},
 		"before and apart, with the earlier ID": {
 			func(conn net.Conn, id string) {
@@ -129,15 +130,18 @@
 				time.Sleep(pause)
 				_, _ = io.WriteString(conn, sealed(id, body))
 			},
-			reply{Status: 200, Body: body, Sealed: true}, reply{Status: 200, Body: body, Sealed: true},
+			reply{Status: 200, Body: body, Sealed: true},
+			reply{Status: 200, Body: body, Sealed: true},
 		},
 		"before, without an ID": {
 			func(conn net.Conn, id string) { _, _ = io.WriteString(conn, refusal("")+sealed(id, body)) },
-			reply{Status: 502}, reply{Status: 502},
+			reply{Status: 502},
+			reply{Status: 502},
 		},
 		"after": {
 			func(conn net.Conn, id string) { _, _ = io.WriteString(conn, sealed(id, body)+refusal("first")) },
-			reply{Status: 200, Body: body, Sealed: true}, reply{Status: 200, Body: body, Sealed: true},
+			reply{Status: 200, Body: body, Sealed: true},
+			reply{Status: 200, Body: body, Sealed: true},
 		},
 		"after and apart": {
 			func(conn net.Conn, id string) {
@@ -145,7 +149,8 @@
 				time.Sleep(pause)
 				_, _ = io.WriteString(conn, refusal("first"))
 			},
-			reply{Status: 200, Body: body, Sealed: true}, reply{Status: 200, Body: body, Sealed: true},
+			reply{Status: 200, Body: body, Sealed: true},
+			reply{Status: 200, Body: body, Sealed: true},
 		},
 		"in the midst of the head": {
 			func(conn net.Conn, id string) {
@@ -153,7 +158,8 @@
 				at := strings.Index(whole, "Content-Length")
 				_, _ = io.WriteString(conn, whole[:at]+refusal("first")+whole[at:])
 			},
-			reply{Status: 502}, reply{Status: 502},
+			reply{Status: 502},
+			reply{Status: 502},
 		},
 		"in the midst of the body": {
 			func(conn net.Conn, id string) {
@@ -161,7 +167,8 @@
 				at := len(whole) - len(body)/2
 				_, _ = io.WriteString(conn, whole[:at]+refusal("first")+whole[at:])
 			},
-			reply{Status: 502}, reply{Status: 502},
+			reply{Status: 502},
+			reply{Status: 502},
 		},
 		"in the midst of the body and apart": {
 			func(conn net.Conn, id string) {
@@ -172,7 +179,8 @@
 					time.Sleep(pause)
 				}
 			},
-			reply{Status: 502}, reply{Status: 502},
+			reply{Status: 502},
+			reply{Status: 502},
 		},
 	}
 	for name, test := range tests {
--- /dev/null
+++ b/hosted/soak_test.go
@@ -0,0 +1,200 @@
+package hosted
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/interval"
+	"hickorydrum/platform"
+	"hickorydrum/standin"
+)
+
+var (
+	soakSeeds = flag.Int("seeds", 2, "seeds that TestWithdrawalSoak plays")
+	soakTime  = flag.Duration("soak", 8*time.Second, "how long TestWithdrawalSoak plays each seed")
+)
+
+// drainBound is how long after the store's acknowledgement instances may send to an upstream that leaves.
+const drainBound = 2500 * time.Millisecond
+
+// soak withdraws upstreams at random while the store refuses instances and forgets its history.
+type soak struct {
+	c         *cluster
+	random    *rand.Rand
+	members   []*member
+	proxies   []*storeProxy
+	upstreams []*soakUpstream
+	routes    int
+}
+
+// soakUpstream is one upstream of a soak, with its present run.
+type soakUpstream struct {
+	worker *standin.Worker
+	start  time.Time
+	listed bool      // the store has its entry
+	leftAt time.Time // when the store acknowledged that the run leaves, zero if it does not
+	// sent holds the instances that could send to the run, and stopped those of them that no longer can.
+	sent, stopped map[*member]bool
+}
+
+func newSoak(c *cluster, seed uint64) *soak {
+	s := &soak{c: c, random: rand.New(rand.NewPCG(seed, 1))}
+	c.configure(reads)
+	for i := range 5 {
+		w := c.worker("list", "one-a", func(w *standin.WorkerConfig) { w.ID = fmt.Sprint("i-", i) })
+		s.upstreams = append(s.upstreams, &soakUpstream{worker: w, listed: true, sent: make(map[*member]bool), stopped: make(map[*member]bool)})
+	}
+	for _, u := range s.upstreams {
+		s.restart(u)
+	}
+	var seeds []string
+	for i, domain := range []string{"one-a", "one-a", "one-a", "one-b", "two-a"} {
+		p := newStoreProxy(c)
+		m := c.startWith(fmt.Sprint("m", i), domain, p.server.Listener.Addr().String(), seeds)
+		seeds = append(seeds[:min(len(seeds), 2):min(len(seeds), 2)], fmt.Sprintf("%s:%d", m.ip, controlPort))
+		s.members, s.proxies = append(s.members, m), append(s.proxies, p)
+	}
+	for _, m := range s.members {
+		c.ready(m, len(s.upstreams))
+	}
+	return s
+}
+
+// restart starts a new run of an upstream.
+func (s *soak) restart(u *soakUpstream) {
+	start := time.Now()
+	s.c.put(platform.KindUpstreams+"/"+u.worker.ID(), u.worker.Entry("list", "one-a", "ready", start, 0))
+	u.start, u.listed, u.leftAt = start, true, time.Time{}
+	clear(u.sent)
+	clear(u.stopped)
+}
+
+// step changes something at random.
+func (s *soak) step() {
+	u := s.upstreams[s.random.IntN(len(s.upstreams))]
+	i := s.random.IntN(len(s.proxies))
+	switch s.random.IntN(8) {
+	case 0, 1:
+		s.toggle(i)
+	case 2, 3:
+		s.leave(u)
+	case 4:
+		s.remove(u)
+	case 5:
+		if !u.listed && time.Since(u.leftAt) > drainBound {
+			s.restart(u)
+		}
+	case 6:
+		s.routes++
+		s.c.configure(reads, testRoute{prefix: fmt.Sprintf("/r%d/", s.routes), kind: "safe", service: "list"})
+	case 7:
+		s.c.store.Fail(standin.StoreHistoryDropped, 1)
+	}
+}
+
+// toggle makes the store refuse an instance, or serve it again. It always serves one.
+func (s *soak) toggle(i int) {
+	serves := 0
+	for _, p := range s.proxies {
+		if !p.refuses.Load() {
+			serves++
+		}
+	}
+	p := s.proxies[i]
+	if p.refuses.Load() {
+		p.refuses.Store(false)
+	} else if serves > 1 {
+		p.refuses.Store(true)
+		p.server.CloseClientConnections()
+	}
+}
+
+// leave makes an upstream say in the store that it leaves.
+func (s *soak) leave(u *soakUpstream) {
+	if !u.listed || !u.leftAt.IsZero() {
+		return
+	}
+	s.c.put(platform.KindUpstreams+"/"+u.worker.ID(), u.worker.Entry("list", "one-a", "draining", u.start, 0))
+	u.leftAt = time.Now()
+}
+
+// remove removes the entry of an upstream, whether it has said that it leaves or not.
+func (s *soak) remove(u *soakUpstream) {
+	if !u.listed {
+		return
+	}
+	s.c.remove(platform.KindUpstreams + "/" + u.worker.ID())
+	u.listed = false
+	if u.leftAt.IsZero() {
+		u.leftAt = time.Now()
+	}
+}
+
+// check returns what is wrong: an instance sends to an upstream too late, or again.
+func (s *soak) check() error {
+	for _, u := range s.upstreams {
+		for _, m := range s.members {
+			sends := eligible(m, u)
+			u.sent[m] = u.sent[m] || sends
+			switch {
+			case u.leftAt.IsZero():
+			case sends && u.stopped[m]:
+				return fmt.Errorf("%s sends to %s again, %s after it had left", m.instance.settings.Name, u.worker.ID(), time.Since(u.leftAt))
+			case sends && time.Since(u.leftAt) > drainBound:
+				return fmt.Errorf("%s sends to %s, %s after it had left", m.instance.settings.Name, u.worker.ID(), time.Since(u.leftAt))
+			case !sends:
+				u.stopped[m] = u.sent[m]
+			}
+		}
+	}
+	return nil
+}
+
+// eligible reports whether an instance may send to the run of an upstream.
+func eligible(m *member, u *soakUpstream) bool {
+	known, ok := m.instance.planner.View().Upstream(u.worker.ID())
+	return ok && known.StartMillis == u.start.UnixMilli() && m.instance.planner.Eligible(known)
+}
+
+// TestWithdrawalSoak guards against an instance that sends to an upstream later than the bound after the
+// store acknowledged that it leaves or is gone, or again after it had stopped, while single instances
+// lose the store, its history is dropped and configurations change. By hand:
+//
+//	go test ./hosted -run TestWithdrawalSoak -args -seeds 50 -soak 20s
+func TestWithdrawalSoak(t *testing.T) {
+	for seed := range uint64(*soakSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			s := newSoak(c, seed)
+			ctx, cancel := context.WithTimeout(t.Context(), *soakTime)
+			defer cancel()
+			var group errgroup.Group
+			next := time.Now()
+			group.Go(func() error {
+				for interval.Sleep(ctx, 5*time.Millisecond) {
+					if time.Now().After(next) {
+						s.step()
+						next = time.Now().Add(time.Duration(s.random.Int64N(int64(300 * time.Millisecond))))
+					}
+					if err := s.check(); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+			if err := group.Wait(); err != nil {
+				for _, m := range s.members {
+					t.Logf("%s", m.logs.String())
+				}
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/hosted/withdraw_test.go
+++ b/hosted/withdraw_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"hickorydrum/mirror"
 	"hickorydrum/platform"
 	"hickorydrum/standin"
 )
@@ -205,3 +207,27 @@
 		t.Errorf("callers come back after %s to %s", earliest, latest)
 	}
 }
+
+// TestWithdrawnLate guards against an instance that learns too late that an upstream has left, and does
+// not say so.
+func TestWithdrawnLate(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.configure(reads)
+	m := c.start("m", "one-a")
+	w := c.worker("list", "one-a", nil)
+	c.ready(m, 1)
+	c.await("a request at the upstream", func() bool {
+		return c.send(m, callerRequest{path: "/read/a", id: strconv.FormatInt(time.Now().UnixNano(), 36)}).Status == http.StatusOK
+	})
+	now := time.Now()
+	const late = `"event":317`
+	m.instance.logWithdrawal(&withdrawn{id: w.ID(), from: mirror.Origin{Source: mirror.FromPeer, At: now, After: now}})
+	if strings.Contains(m.logs.String(), late) {
+		t.Error("a withdrawal that was learned at once counts as late")
+	}
+	m.instance.logWithdrawal(&withdrawn{id: w.ID(), from: mirror.Origin{Source: mirror.FromPeer, At: now, After: now.Add(-5 * time.Second)}})
+	if !strings.Contains(m.logs.String(), late) {
+		t.Error("no line says that requests were sent after the upstream had left")
+	}
+}
