hosted: the retention of an entry ends in time

Cause: retained entries were dropped at the next ping, up to 1.6 s after the end of their retention, and up to 0.25 s after it at an instance that does not watch. Change: a timer drops them at that time.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -140,6 +140,7 @@
 	watchCtx      context.Context      // canceled to end all watches under way, and replaced then
 	cancelWatches context.CancelFunc   // cancels watchCtx
 	current       map[string]time.Time // by kind, a time up to which the mirror had all changes
+	expiry        *time.Timer          // calls expire when the next retention is over
 	stateCache    map[string][]byte    // encoded states for peers by their cursors, cleared by each change
 }
 
@@ -198,6 +199,7 @@
 	}
 	f.mirrors[platform.KindUpstreams] = mirror.New(platform.KindUpstreams, mirror.WithRetention(entryRetention))
 	f.watchCtx, f.cancelWatches = context.WithCancel(context.Background())
+	f.expiry = time.AfterFunc(entryRetention, f.expire)
 	for _, option := range options {
 		option(f)
 	}
@@ -395,6 +397,7 @@
 	if changed || newer {
 		clear(f.stateCache)
 	}
+	f.scheduleExpiry()
 	f.mu.Unlock()
 	switch {
 	case newer && announce:
@@ -407,6 +410,13 @@
 	}
 }
 
+// scheduleExpiry makes the next retention of an upstream entry end in time. f.mu must be held.
+func (f *follower) scheduleExpiry() {
+	if until, ok := f.mirrors[platform.KindUpstreams].NextExpiry(); ok {
+		f.expiry.Reset(time.Until(until))
+	}
+}
+
 // expire drops upstream entries whose retention is over.
 func (f *follower) expire() {
 	f.applyChange(platform.KindUpstreams, false, func(m *mirror.Mirror) bool { return m.Expire(time.Now()) })
--- a/hosted/watch.go
+++ b/hosted/watch.go
@@ -16,13 +16,13 @@
 // run keeps the mirrors up to date until the context is done.
 func (f *follower) run(ctx context.Context) error {
 	var group errgroup.Group
+	defer f.expiry.Stop()
 	group.Go(func() error { return f.askPeers(ctx) })
 	if f.ranBefore {
 		group.Go(func() error { return f.loadStale(ctx) })
 	}
 	for ctx.Err() == nil {
 		if !f.mustWatch(time.Now()) {
-			f.expire()
 			interval.Sleep(ctx, roleInterval)
 			continue
 		}
@@ -237,8 +237,8 @@
 	}
 }
 
-// pingStore pings the store, so that an outage is detected while the watches wait, and drops
-// entries whose retention is over. It returns nil when the context is done.
+// pingStore pings the store, so that an outage is detected while the watches wait. It returns nil when
+// the context is done.
 func (f *follower) pingStore(ctx context.Context) error {
 	for interval.Sleep(ctx, f.pingWait()) {
 		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -249,7 +249,6 @@
 		} else {
 			f.storeAnswered()
 		}
-		f.expire()
 	}
 	return nil
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -254,6 +254,17 @@
 	return changed
 }
 
+// NextExpiry returns when the next retention of an object is over, and false if none lasts.
+func (m *Mirror) NextExpiry() (time.Time, bool) {
+	var next time.Time
+	for _, until := range m.retainedUntil {
+		if next.IsZero() || until.Before(next) {
+			next = until
+		}
+	}
+	return next, !next.IsZero()
+}
+
 // Entries returns the objects, retained ones included, sorted by key.
 func (m *Mirror) Entries() []Entry {
 	out := make([]Entry, 0, len(m.objects))
