hosted, mirror: what was removed while the store served others is not retained

Cause: the retention is meant for entries that lapse while the store is away from the upstreams. An instance took each outage of its own for that. Nor did it ask anyone at its end: it watches, so it had its changes from the store.

Change: at the end of an outage it asks a peer before its watches begin again. What a peer that retains nothing has no more was removed while the store served that peer; it goes at once. While all instances are without the store, all retain, as before. A version that a watch returns after a peer's state has shown its object to be gone is left out too (TestOvertakenWatch).

Evidence: TestRemovalConfirmedByPeer, TestOvertakenWatch, red before.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -288,22 +288,28 @@
 
 // storeAnswered records that the store answered. At the end of an outage it cancels all
 // watches, since their connections may have lost a response. If entries may have lapsed in the
-// outage, it starts the retention of those that the store no longer has.
+// outage, it starts the retention of those that the store no longer has, and asks a peer before the
+// watches begin again: what was removed while the store served that peer is not retained.
 func (f *follower) storeAnswered() {
 	f.mu.Lock()
 	since, now := f.outageSince, time.Now()
-	silent := now.Sub(f.answeredAt)
+	lapsed := now.Sub(f.answeredAt) >= f.heartbeat
 	f.answeredAt = now
 	if since.IsZero() {
 		f.mu.Unlock()
 		return
 	}
 	f.outageSince, f.failedAt, f.refused = time.Time{}, time.Time{}, false
-	if silent >= f.heartbeat {
+	if lapsed {
 		for _, m := range f.mirrors {
 			m.StartRetention(now)
 		}
 	}
+	f.mu.Unlock()
+	if lapsed {
+		f.askAfterOutage()
+	}
+	f.mu.Lock()
 	f.cancelWatches()
 	f.watchCtx, f.cancelWatches = context.WithCancel(context.Background())
 	f.mu.Unlock()
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -30,6 +30,9 @@
 	// askPause is the pause after a round of calls to peers that left changes missing.
 	askPause   = 100 * time.Millisecond
 	peersAsked = 3 // peers called in one round
+	// afterOutageTimeout is how long an instance waits for a peer's state after an outage of the
+	// store, before it watches the store again.
+	afterOutageTimeout = 500 * time.Millisecond
 	// maxHeaderBytes is the largest header of a peer's response.
 	maxHeaderBytes = 64 << 10
 	peerTimeout    = time.Second
@@ -185,6 +188,18 @@
 	}
 }
 
+// askAfterOutage asks peers for their state until one answers, for up to afterOutageTimeout.
+func (f *follower) askAfterOutage() {
+	ctx, cancel := context.WithTimeout(context.Background(), afterOutageTimeout)
+	defer cancel()
+	peers := f.mesh.Peers()
+	for _, peer := range peers[:min(len(peers), peersAsked)] {
+		if f.askPeer(ctx, peer, true) {
+			return
+		}
+	}
+}
+
 // behind reports whether a peer has reported changes that are missing here and have to come from
 // peers.
 func (f *follower) behind() bool {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -162,6 +162,9 @@
 			changed = m.removeAt(o.Name(), o.Version, page.Cursor, from) || changed
 			continue
 		}
+		if m.knowsRemoved(o) {
+			continue // a peer's state has overtaken the watch
+		}
 		changed = m.put(o, from) || changed
 	}
 	// A watch that returns no change may have missed one, so its cursor is not adopted.
@@ -333,7 +336,8 @@
 // the cursor of this mirror, or after a lower one. It reports whether anything changed. A
 // state with a cursor below that of this mirror is ignored, and so is one that is not full
 // while this mirror is empty. Of what the peer retains, only what this mirror has, or has not
-// seen yet, is kept.
+// seen yet, is kept. What a peer that retains nothing has no more was removed while the store
+// served that peer, and is not retained here either.
 func (m *Mirror) Merge(s State, from Origin) bool {
 	if s.Cursor < m.cursor || m.cursor == 0 && !s.Full {
 		return false
@@ -341,6 +345,11 @@
 	if s.Retention > 0 && m.retention > 0 && from.At.Add(s.Retention).After(m.retentionEnd) {
 		m.retentionEnd = from.At.Add(s.Retention)
 	}
+	if s.Retention == 0 {
+		end := m.retentionEnd
+		m.retentionEnd = time.Time{}
+		defer func() { m.retentionEnd = end }()
+	}
 	var present, removed []platform.Object
 	for _, o := range s.Objects {
 		switch {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -431,3 +431,56 @@
 		})
 	}
 }
+
+// TestRemovalConfirmedByPeer guards against an object that is retained after an outage of one instance,
+// though it was removed while the store served others.
+func TestRemovalConfirmedByPeer(t *testing.T) {
+	tests := map[string]struct {
+		peer func(m *Mirror)
+		want map[string]uint64
+	}{
+		"a peer that saw it removed": {
+			func(m *Mirror) { m.ApplyEvents(page(9, deleted("a", 9)), at(start)) }, map[string]uint64{"b": 3},
+		},
+		"a peer that listed": {
+			func(m *Mirror) { m.List(page(9, object("b", 3)), at(start)) }, map[string]uint64{"b": 3},
+		},
+		"a peer that retains it too": {func(m *Mirror) {
+			m.StartRetention(start)
+			m.List(page(9, object("b", 3)), at(start))
+		}, map[string]uint64{"a": 2, "b": 3}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, peer := New("k", WithRetention(2*time.Second)), New("k", WithRetention(2*time.Second))
+			for _, one := range []*Mirror{m, peer} {
+				one.List(page(5, object("a", 2), object("b", 3)), at(start))
+			}
+			test.peer(peer)
+			m.StartRetention(start)
+			m.Merge(peer.Since(m.Cursor(), start), at(start))
+			if diff := cmp.Diff(test.want, versions(m)); diff != "" {
+				t.Error(diff)
+			}
+			m.List(page(9, object("b", 3)), at(start))
+			if diff := cmp.Diff(test.want, versions(m)); diff != "" {
+				t.Errorf("after its own list: %s", diff)
+			}
+		})
+	}
+}
+
+// TestOvertakenWatch guards against a watch that returns a version after a peer's state has shown that the
+// object was removed.
+func TestOvertakenWatch(t *testing.T) {
+	m, peer := New("k"), New("k")
+	for _, one := range []*Mirror{m, peer} {
+		one.List(page(5, object("b", 3)), at(start))
+	}
+	peer.ApplyEvents(page(9, object("a", 7), deleted("a", 9)), at(start))
+	m.Merge(peer.Since(m.Cursor(), start), at(start))
+	m.ApplyEvents(page(7, object("a", 7)), at(start))
+	if diff := cmp.Diff(map[string]uint64{"b": 3}, versions(m)); diff != "" {
+		t.Error(diff)
+	}
+}
