mirror: a peer's state says which of the removed objects it retains

Cause: the state of a peer that is in a retention made every removal in it one to be retained, also of objects that it had dropped since others had seen them removed.

Change: a retained object is always in the state, with its value and as removed; what is there only as removed, or missing from a full state, is gone for good. The format stays.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -296,6 +296,7 @@
 	Retention time.Duration
 	// Objects are the objects, and with Deleted set the removed ones. A retained object has
 	// an entry with Deleted set after the one with its value, so that the peer retains it too.
+	// Both are there even if the object did not change after the requested cursor.
 	Objects []platform.Object
 }
 
@@ -307,7 +308,8 @@
 		s.Retention = remaining
 	}
 	for _, e := range m.Entries() {
-		if s.Full || e.Object.Version > cursor {
+		_, retained := m.retainedUntil[e.Object.Name()]
+		if s.Full || e.Object.Version > cursor || retained {
 			s.Objects = append(s.Objects, e.Object)
 		}
 	}
@@ -332,12 +334,26 @@
 	return !ok && o.Version <= m.cursor
 }
 
+// mergeFinal applies the objects that a peer has and those that it has no more, without a retention.
+func (m *Mirror) mergeFinal(s State, present, removed []platform.Object, from Origin) bool {
+	end := m.retentionEnd
+	m.retentionEnd = time.Time{}
+	defer func() { m.retentionEnd = end }()
+	changed := false
+	if s.Full {
+		changed = m.List(platform.Page{Cursor: s.Cursor, Objects: present}, from)
+	} else {
+		changed = m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: present}, from)
+	}
+	return m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: removed}, from) || changed
+}
+
 // Merge applies the state that a peer sent in response to a request for the changes after
 // the cursor of this mirror, or after a lower one. It reports whether anything changed. A
 // state with a cursor below that of this mirror is ignored, and so is one that is not full
 // while this mirror is empty. Of what the peer retains, only what this mirror has, or has not
-// seen yet, is kept. What a peer that retains nothing has no more was removed while the store
-// served that peer, and is not retained here either.
+// seen yet, is kept. What the peer has no more and does not retain is not retained here either: it
+// was removed while the store served that peer or another one.
 func (m *Mirror) Merge(s State, from Origin) bool {
 	if s.Cursor < m.cursor || m.cursor == 0 && !s.Full {
 		return false
@@ -345,27 +361,23 @@
 	if s.Retention > 0 && m.retention > 0 && from.At.Add(s.Retention).After(m.retentionEnd) {
 		m.retentionEnd = from.At.Add(s.Retention)
 	}
-	if s.Retention == 0 {
-		end := m.retentionEnd
-		m.retentionEnd = time.Time{}
-		defer func() { m.retentionEnd = end }()
-	}
-	var present, removed []platform.Object
+	var present, removed, retained []platform.Object
+	has := make(map[string]bool, len(s.Objects))
 	for _, o := range s.Objects {
 		switch {
-		case o.Deleted:
+		case !o.Deleted:
+			has[o.Name()] = true
+			if !m.knowsRemoved(o) {
+				present = append(present, o)
+			}
+		case has[o.Name()]:
+			retained = append(retained, o)
+		default:
 			removed = append(removed, o)
-		case !m.knowsRemoved(o):
-			present = append(present, o)
 		}
 	}
-	changed := false
-	if s.Full {
-		changed = m.List(platform.Page{Cursor: s.Cursor, Objects: present}, from)
-	} else {
-		changed = m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: present}, from)
-	}
-	changed = m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: removed}, from) || changed
+	changed := m.mergeFinal(s, present, removed, from)
+	changed = m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: retained}, from) || changed
 	m.cursor = max(m.cursor, s.Cursor)
 	m.newest = max(m.newest, s.Newest)
 	return changed
