hosted: after an outage an instance asks peers of other failure domains first

Cause: the instance that watches for its failure domain asked, after an outage, the members of that domain, which have their state from it. Change: it asks three peers, those of other failure domains first.

The soak checks the bound, as the users' rules do, at instances that the store has served for the stability window of 3 s before; that no instance sends again after it had stopped, at all of them.

--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -188,15 +188,14 @@
 	}
 }
 
-// askAfterOutage asks peers for their state until one answers, for up to afterOutageTimeout.
+// askAfterOutage asks peersAsked peers for their state, for up to afterOutageTimeout in all. It begins with
+// those of other failure domains: the members of its own have their state from this instance.
 func (f *follower) askAfterOutage() {
 	ctx, cancel := context.WithTimeout(context.Background(), afterOutageTimeout)
 	defer cancel()
 	peers := f.mesh.Peers()
-	for _, peer := range peers[:min(len(peers), peersAsked)] {
-		if f.askPeer(ctx, peer, true) {
-			return
-		}
+	for i := range min(len(peers), peersAsked) {
+		f.askPeer(ctx, peers[len(peers)-1-i], true)
 	}
 }
 
