withdrawal: one look-up for each candidate

Allows looked up the record of an upstream twice, for each candidate of each request. PauseLeft is the name of what is left of a pause, in the registry and the planner. No decision changes.

--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -72,7 +72,7 @@
 		}
 	}
 	if x.choice.Reason == placement.ReasonPaused {
-		if pause, ok := x.ingress.planner.PauseEnd(&x.planReq); ok {
+		if pause, ok := x.ingress.planner.PauseLeft(&x.planReq); ok {
 			return pause + rand.N(max(maxRetryAfter, time.Duration(pauseSpread*float64(pause))))
 		}
 	}
--- a/planner/limit.go
+++ b/planner/limit.go
@@ -44,7 +44,7 @@
 	}
 	if len(req.heldBack) > 0 {
 		choice.Reason = placement.ReasonLimited
-	} else if _, ok := p.PauseEnd(req); ok {
+	} else if _, ok := p.PauseLeft(req); ok {
 		choice.Reason = placement.ReasonPaused
 	}
 	return choice
--- a/planner/withdrawal.go
+++ b/planner/withdrawal.go
@@ -19,12 +19,12 @@
 // Left reports whether an upstream leaves or has left.
 func (p *Planner) Left(u *fleet.Upstream) bool { return p.withdrawals.Left(u) }
 
-// PauseEnd returns how long it takes until the first upstream that could serve the request and asked
+// PauseLeft returns how long it takes until the first upstream that could serve the request and asked
 // for a pause wants requests again. It returns false if there is none.
-func (p *Planner) PauseEnd(req *Request) (time.Duration, bool) {
+func (p *Planner) PauseLeft(req *Request) (time.Duration, bool) {
 	shortest, found := time.Duration(0), false
 	for _, u := range p.View().Service(req.Service) {
-		wait := p.withdrawals.Wait(u)
+		wait := p.withdrawals.PauseLeft(u)
 		if wait == 0 || p.withdrawals.Left(u) || !req.Route.AllowsRegion(u.Region()) {
 			continue
 		}
--- a/upstream/withdraw.go
+++ b/upstream/withdraw.go
@@ -88,7 +88,7 @@
 func (p *Pool) noUpstream(req *Request) *fault.Error {
 	pause := time.Duration(0)
 	for _, u := range p.view.Service(req.Service) {
-		if wait := p.withdrawals.Wait(u); wait > 0 && u.Region() == req.Region && (pause == 0 || wait < pause) {
+		if wait := p.withdrawals.PauseLeft(u); wait > 0 && u.Region() == req.Region && (pause == 0 || wait < pause) {
 			pause = wait
 		}
 	}
--- a/withdrawal/withdrawal.go
+++ b/withdrawal/withdrawal.go
@@ -156,9 +156,10 @@
 // Left reports whether an upstream leaves or has left.
 func (r *Registry) Left(u *fleet.Upstream) bool { return r.get(u).left(u) }
 
-// Wait returns how long an upstream still wants no requests, 0 if it asked for no pause that lasts.
-func (r *Registry) Wait(u *fleet.Upstream) time.Duration {
-	one := r.get(u)
+// PauseLeft returns how long an upstream still wants no requests, 0 if it asked for no pause that lasts.
+func (r *Registry) PauseLeft(u *fleet.Upstream) time.Duration { return r.pauseLeft(r.get(u), u) }
+
+func (r *Registry) pauseLeft(one record, u *fleet.Upstream) time.Duration {
 	if one.pausedUntil.IsZero() || one.pausedStart != u.StartMillis {
 		return 0
 	}
@@ -166,4 +167,7 @@
 }
 
 // Allows reports whether a request may be sent to an upstream now.
-func (r *Registry) Allows(u *fleet.Upstream) bool { return !r.Left(u) && r.Wait(u) == 0 }
+func (r *Registry) Allows(u *fleet.Upstream) bool {
+	one := r.get(u)
+	return !one.left(u) && r.pauseLeft(one, u) == 0
+}
