hosted: the lines about upstreams that leave are bounded

After a long outage or a release hundreds of entries may go at once; each instance wrote a line for each. At most 50 lines a second now; the line about the view has the numbers. Sources that nothing sets are gone.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -61,6 +61,8 @@
 	group    errgroup.Group
 	bounds   atomic.Pointer[platform.Bounds] // as last read from the settings file
 	refresh  chan struct{}                   // see refreshView
+	// withdrawalLines bounds the lines about upstreams that leave or are gone.
+	withdrawalLines *event.Limiter
 
 	mu                sync.Mutex                 // held while objects from the store are applied; guards the fields below
 	evacuated         map[string]bool            // failure domains under evacuation in the last view
@@ -78,6 +80,7 @@
 	i := &Instance{
 		file: file, settings: settings, log: log, store: platform.New("http://" + settings.Store),
 		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream), refresh: make(chan struct{}, 1),
+		withdrawalLines: event.NewLimiter(event.LinesPerSecond(maxWithdrawalLines)),
 	}
 	i.bounds.Store(&settings.Bounds)
 	control, err := netip.ParseAddrPort(settings.Control)
--- a/hosted/withdraw.go
+++ b/hosted/withdraw.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -10,12 +11,18 @@
 
 	"hickorydrum/event"
 	"hickorydrum/fleet"
-	"hickorydrum/mirror"
 	"hickorydrum/platform"
 )
 
-// lateAfter is the delay from which it is too late that an instance learns that an upstream has left.
-const lateAfter = time.Second
+const (
+	// lateAfter is the delay from which it is too late that an instance learns that an upstream has left.
+	lateAfter = time.Second
+	// maxWithdrawalLines bounds the lines a second about upstreams that leave or are gone. The line about
+	// the view has the number of those that are left out.
+	maxWithdrawalLines = 50
+	// sourceUnknown is the source of a removal whose origin is not recorded any more.
+	sourceUnknown = "unknown"
+)
 
 // refreshView makes refreshViews build the view of the upstreams again.
 func (i *Instance) refreshView() {
@@ -58,7 +65,7 @@
 	if w.gone {
 		state = "gone"
 	}
-	source := string(w.from.Source)
+	source := cmp.Or(string(w.from.Source), sourceUnknown)
 	attrs := []slog.Attr{
 		slog.String("upstream", w.id), slog.String("state", state), slog.String("source", source), slog.Uint64("entry", w.revision),
 	}
@@ -72,9 +79,12 @@
 		attrs = append(attrs, slog.Int64("delay_ms", delay.Milliseconds()))
 		metrics.GetOrCreateHistogram(fmt.Sprintf(`hickorydrum_withdrawal_seconds{source=%q}`, source)).Update(delay.Seconds())
 	}
+	if !i.withdrawalLines.Allow(time.Now()) {
+		return
+	}
 	event.UpstreamWithdrawn.Log(context.Background(), i.log, attrs...)
 	sentAt := i.tracker.SentAt(w.id)
-	if known && w.from.Source != mirror.FromExpiry && sentAt.Sub(w.from.After) > lateAfter {
+	if known && sentAt.Sub(w.from.After) > lateAfter {
 		event.WithdrawnLate.Log(context.Background(), i.log, append(attrs, slog.Int64("sent_ms", time.Since(sentAt).Milliseconds()))...)
 	}
 }
--- a/ingress/upstream.go
+++ b/ingress/upstream.go
@@ -9,9 +9,11 @@
 	"hickorydrum/fleet"
 	"hickorydrum/limit"
 	"hickorydrum/platform"
-	"hickorydrum/withdrawal"
 )
 
+// sourceAnswer is the source of a withdrawal that a response of the upstream names.
+const sourceAnswer = "answer"
+
 // upstreamReports passes on what an upstream says of itself in the response to one request.
 // It implements platform.Reporter.
 type upstreamReports struct {
@@ -62,7 +64,7 @@
 	}
 	withdrawn.Inc()
 	g.logUpstream(event.UpstreamWithdrawn, u.ID, slog.String("state", "leaving"),
-		slog.String("source", string(withdrawal.FromAnswer)), slog.Uint64("entry", u.Revision))
+		slog.String("source", sourceAnswer), slog.Uint64("entry", u.Revision))
 	g.onLeaving()
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -36,7 +36,6 @@
 	FromList      Source = "list"       // a list of the store
 	FromStaleList Source = "stale-list" // a list of the store that may be some seconds old
 	FromPeer      Source = "peer"       // another instance
-	FromExpiry    Source = "expiry"     // the end of a retention
 )
 
 // Origin says who an update is from and when it was received.
--- a/withdrawal/withdrawal.go
+++ b/withdrawal/withdrawal.go
@@ -20,15 +20,6 @@
 // oldest are forgotten.
 const maxRecords = 8192
 
-// Source says how an instance learned of a withdrawal.
-type Source string
-
-// The sources, other than those of a list of upstreams.
-const (
-	FromAnswer Source = "answer" // a response of the upstream
-	FromHealth Source = "health" // the upstream's health page
-)
-
 // record is what an upstream has withdrawn. Upstreams are identified by the hashes of their IDs.
 type record struct {
 	// The runs of the upstream that started at or before leftStart leave, or have left. It is 0
