planner, ingress: the request that an upstream refuses with a pause gets a true Retry-After too

Seen once in a run of all tests beside load (TestPauseSpreadsCallers, callers told to come back after 42 ms, the upstream had asked for 4 s). Cause: the time was taken from the pause only if no upstream was chosen; the request whose own refusal named the pause was told a random 40 to 250 ms. Change: whenever all upstreams that could serve the request have asked for a pause, the time is that of the first that ends. If one wants requests, it is as before.

--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -60,7 +60,7 @@
 
 // retryAfter returns how long the caller of a refused request should wait: not at all during a planned stop
 // that is too short for it, until this instance has room if limits of upstreams refused it, until upstreams
-// want requests again and a random time if they asked for a pause, otherwise a random time of at most a
+// want requests again and a random time if all asked for a pause, otherwise a random time of at most a
 // third of the time left.
 func (x *exchange) retryAfter(now time.Time) time.Duration {
 	if x.ingress.leavesTooSoonFor(x.planReq.Deadline) {
@@ -71,10 +71,8 @@
 			return max(minRetryAfter, at.Sub(now))
 		}
 	}
-	if x.choice.Reason == placement.ReasonPaused {
-		if pause, ok := x.ingress.planner.PauseLeft(&x.planReq); ok {
-			return pause + rand.N(max(maxRetryAfter, time.Duration(pauseSpread*float64(pause))))
-		}
+	if pause, ok := x.ingress.planner.PauseLeft(&x.planReq); ok {
+		return pause + rand.N(max(maxRetryAfter, time.Duration(pauseSpread*float64(pause))))
 	}
 	wait := minRetryAfter + time.Duration(rand.Int64N(int64(maxRetryAfter-minRetryAfter)))
 	return min(wait, max(0, x.planReq.Deadline.Sub(now)/3))
--- a/planner/withdrawal.go
+++ b/planner/withdrawal.go
@@ -19,15 +19,23 @@
 // Left reports whether an upstream leaves or has left.
 func (p *Planner) Left(u *fleet.Upstream) bool { return p.withdrawals.Left(u) }
 
-// PauseLeft returns how long it takes until the first upstream that could serve the request and asked
-// for a pause wants requests again. It returns false if there is none.
+// PauseLeft returns how long it takes until the first upstream that could serve the request wants
+// requests again, if all of them asked for a pause. It returns false if one wants requests now, or if
+// there is none.
 func (p *Planner) PauseLeft(req *Request) (time.Duration, bool) {
+	view := p.View()
+	if view == nil || req.Route == nil {
+		return 0, false
+	}
 	shortest, found := time.Duration(0), false
-	for _, u := range p.View().Service(req.Service) {
-		wait := p.withdrawals.PauseLeft(u)
-		if wait == 0 || p.withdrawals.Left(u) || !req.Route.AllowsRegion(u.Region()) {
+	for _, u := range view.Service(req.Service) {
+		if p.withdrawals.Left(u) || !req.Route.AllowsRegion(u.Region()) {
 			continue
 		}
+		wait := p.withdrawals.PauseLeft(u)
+		if wait == 0 {
+			return 0, false
+		}
 		if !found || wait < shortest {
 			shortest, found = wait, true
 		}
