--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -10,7 +10,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"hickorydrum/event"
 	"hickorydrum/gossip"
 	"hickorydrum/mirror"
 	"hickorydrum/platform"
@@ -252,10 +251,7 @@
 	return origin
 }
 
-var (
-	storeOutages = metrics.GetOrCreateCounter(`hickorydrum_store_outages_total`)
-	storeWatched = metrics.GetOrCreateGauge(`hickorydrum_store_watched`, nil)
-)
+var storeWatched = metrics.GetOrCreateGauge(`hickorydrum_store_watched`, nil)
 
 // missesChange reports whether a peer has reported a change of a kind that is not in the
 // mirror. f.mu must be held.
@@ -263,60 +259,6 @@
 	return f.watches[kind].missingRevision > f.mirrors[kind].Newest()
 }
 
-// storeFailed records a failed call to the store. The first one starts an outage. At the first one,
-// and at the first one of each later try, the other members of the failure domain are notified at
-// once, so that one of them can take over the watch.
-func (f *follower) storeFailed(err error) {
-	f.mu.Lock()
-	f.failedAt = time.Now()
-	first, notify := f.outageSince.IsZero(), !f.refused
-	f.refused = true
-	newest := f.newest()
-	if first {
-		f.outageSince = f.failedAt
-		storeOutages.Inc()
-	}
-	f.mu.Unlock()
-	if first {
-		event.WatchFailed.Log(context.Background(), f.log, slog.String("error", err.Error()))
-	}
-	if notify {
-		f.mesh.SetStoreRefused(true)
-		f.mesh.Announce(newest, false)
-	}
-}
-
-// storeAnswered records that the store answered. At the end of an outage it cancels all
-// watches, since their connections may have lost a response. If entries may have lapsed in the
-// outage, it starts the retention of those that the store no longer has, and asks a peer before the
-// watches begin again: what was removed while the store served that peer is not retained.
-func (f *follower) storeAnswered() {
-	f.mu.Lock()
-	since, now := f.outageSince, time.Now()
-	lapsed := now.Sub(f.answeredAt) >= f.heartbeat
-	f.answeredAt = now
-	if since.IsZero() {
-		f.mu.Unlock()
-		return
-	}
-	f.outageSince, f.failedAt, f.refused = time.Time{}, time.Time{}, false
-	if lapsed {
-		for _, m := range f.mirrors {
-			m.StartRetention(now)
-		}
-	}
-	f.mu.Unlock()
-	if lapsed {
-		f.askAfterOutage()
-	}
-	f.mu.Lock()
-	f.cancelWatches()
-	f.watchCtx, f.cancelWatches = context.WithCancel(context.Background())
-	f.mu.Unlock()
-	f.mesh.SetStoreRefused(false)
-	event.WatchRecovered.Log(context.Background(), f.log, slog.Duration("away", now.Sub(since)))
-}
-
 // newest returns the revision of the last change of each kind, in the order of kinds. f.mu
 // must be held.
 func (f *follower) newest() []uint64 {
@@ -415,15 +357,3 @@
 		f.onChange(kind)
 	}
 }
-
-// scheduleExpiry makes the next retention of an upstream entry end in time. f.mu must be held.
-func (f *follower) scheduleExpiry() {
-	if until, ok := f.mirrors[platform.KindUpstreams].NextExpiry(); ok {
-		f.expiry.Reset(time.Until(until))
-	}
-}
-
-// expire drops upstream entries whose retention is over.
-func (f *follower) expire() {
-	f.applyChange(platform.KindUpstreams, false, func(m *mirror.Mirror) bool { return m.Expire(time.Now()) })
-}
--- /dev/null
+++ b/hosted/outage.go
@@ -0,0 +1,81 @@
+package hosted
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hickorydrum/event"
+	"hickorydrum/mirror"
+	"hickorydrum/platform"
+)
+
+var storeOutages = metrics.GetOrCreateCounter(`hickorydrum_store_outages_total`)
+
+// storeFailed records a failed call to the store. The first one starts an outage. At the first one,
+// and at the first one of each later try, the other members of the failure domain are notified at
+// once, so that one of them can take over the watch.
+func (f *follower) storeFailed(err error) {
+	f.mu.Lock()
+	f.failedAt = time.Now()
+	first, notify := f.outageSince.IsZero(), !f.refused
+	f.refused = true
+	newest := f.newest()
+	if first {
+		f.outageSince = f.failedAt
+		storeOutages.Inc()
+	}
+	f.mu.Unlock()
+	if first {
+		event.WatchFailed.Log(context.Background(), f.log, slog.String("error", err.Error()))
+	}
+	if notify {
+		f.mesh.SetStoreRefused(true)
+		f.mesh.Announce(newest, false)
+	}
+}
+
+// storeAnswered records that the store answered. At the end of an outage it cancels all
+// watches, since their connections may have lost a response. If entries may have lapsed in the
+// outage, it starts the retention of those that the store no longer has, and asks a peer before the
+// watches begin again: what was removed while the store served that peer is not retained.
+func (f *follower) storeAnswered() {
+	f.mu.Lock()
+	since, now := f.outageSince, time.Now()
+	lapsed := now.Sub(f.answeredAt) >= f.heartbeat
+	f.answeredAt = now
+	if since.IsZero() {
+		f.mu.Unlock()
+		return
+	}
+	f.outageSince, f.failedAt, f.refused = time.Time{}, time.Time{}, false
+	if lapsed {
+		for _, m := range f.mirrors {
+			m.StartRetention(now)
+		}
+	}
+	f.mu.Unlock()
+	if lapsed {
+		f.askAfterOutage()
+	}
+	f.mu.Lock()
+	f.cancelWatches()
+	f.watchCtx, f.cancelWatches = context.WithCancel(context.Background())
+	f.mu.Unlock()
+	f.mesh.SetStoreRefused(false)
+	event.WatchRecovered.Log(context.Background(), f.log, slog.Duration("away", now.Sub(since)))
+}
+
+// scheduleExpiry makes the next retention of an upstream entry end in time. f.mu must be held.
+func (f *follower) scheduleExpiry() {
+	if until, ok := f.mirrors[platform.KindUpstreams].NextExpiry(); ok {
+		f.expiry.Reset(time.Until(until))
+	}
+}
+
+// expire drops upstream entries whose retention is over.
+func (f *follower) expire() {
+	f.applyChange(platform.KindUpstreams, false, func(m *mirror.Mirror) bool { return m.Expire(time.Now()) })
+}
