--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -135,7 +135,7 @@
 	outageSince   time.Time            // start of the current outage of the store, zero while it answers
 	answeredAt    time.Time            // time of the last answer of the store
 	failedAt      time.Time            // time of the last failed call to the store, zero after an answer or after failedWatchPause
-	refused       bool                 // the other instances have been told that the store does not serve this one
+	refused       bool                 // the outage was announced to the other instances
 	watchCtx      context.Context      // canceled to end all watches under way, and replaced then
 	cancelWatches context.CancelFunc   // cancels watchCtx
 	current       map[string]time.Time // by kind, a time up to which the mirror had all changes
--- a/hosted/follow_test.go
+++ b/hosted/follow_test.go
@@ -365,14 +365,14 @@
 	_ = group.Wait()
 }
 
-// rankedMesh is the mesh of an instance that watches the store unless it has told the others that the
-// store refuses it. It counts how often it did.
+// rankedMesh is the mesh of an instance that watches the store unless it has announced that the store
+// refuses it. It counts the announcements.
 type rankedMesh struct {
 	soloMesh
 
-	mu      sync.Mutex
-	refused bool
-	told    int
+	mu            sync.Mutex
+	refused       bool
+	announcements int
 }
 
 func (m *rankedMesh) Watches() bool {
@@ -386,13 +386,13 @@
 	defer m.mu.Unlock()
 	m.refused = refused
 	if refused {
-		m.told++
+		m.announcements++
 	}
 }
 
 // TestRefusedAgain guards against an instance that takes the watch back while the store still refuses it,
-// and keeps it: the others of its failure domain must learn of each try that fails, so that one of them
-// watches.
+// and keeps it: each try that fails must be announced to the others of its failure domain, so that one of
+// them watches.
 func TestRefusedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, mesh := &unreachableStore{Store: standin.NewStore()}, &rankedMesh{}
@@ -412,8 +412,8 @@
 		store.setUnreachable(true)
 		time.Sleep(3*failedWatchPause + 5*time.Second)
 		mesh.mu.Lock()
-		if mesh.told < 3 || !mesh.refused {
-			t.Errorf("the others were told %d times that the store refuses the instance, the last word is %t; want 3 times, true", mesh.told, mesh.refused)
+		if mesh.announcements < 3 || !mesh.refused {
+			t.Errorf("the refusal was announced %d times, and is in force: %t; want 3 times, true", mesh.announcements, mesh.refused)
 		}
 		mesh.mu.Unlock()
 		cancel()
--- a/hosted/raw_test.go
+++ b/hosted/raw_test.go
@@ -108,9 +108,9 @@
 	return "HTTP/1.1 503 Service Unavailable\r\n" + name + "Hickorydrum-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 }
 
-// TestEarlierRefusal guards against callers that are told that their request was not run, or get a
-// response that is not theirs, since an upstream writes an earlier refusal once more on a kept
-// connection: before, with, after or in the midst of the true response.
+// TestEarlierRefusal guards against a 503 for a request that was run, and a response that is not that of the
+// request, when an upstream writes an earlier refusal once more on a kept connection: before, with, after
+// or in the midst of the true response.
 func TestEarlierRefusal(t *testing.T) {
 	body := strings.Repeat("the true response ", 20)
 	const pause = 20 * time.Millisecond // so that two writes arrive apart
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -410,8 +410,8 @@
 	}
 }
 
-// TestListedRemovalIsNew guards against peers that never ask for a removal which was found by a list,
-// since the revision of the last change that they are told of did not grow.
+// TestListedRemovalIsNew guards against peers that never ask for a removal which was found by a list: the
+// revision of the last change, which they compare, must grow.
 func TestListedRemovalIsNew(t *testing.T) {
 	for name, retention := range map[string]time.Duration{"dropped": 0, "retained": 2 * time.Second} {
 		t.Run(name, func(t *testing.T) {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -367,8 +367,8 @@
 	}
 }
 
-// TestEarlierRefusal guards against a caller that is told that its request was not run since an upstream
-// wrote an earlier refusal once more on a kept connection.
+// TestEarlierRefusal guards against a refusal of a request that was run, when an upstream writes an earlier
+// refusal once more on a kept connection.
 func TestEarlierRefusal(t *testing.T) {
 	refusal := func(id string) http.Header { return http.Header{"Ran": {"no"}, "Request-Id": {id}} }
 	tests := map[string]struct {
