--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -10,6 +10,7 @@
 	"hickorydrum/fault"
 	"hickorydrum/placement"
 	"hickorydrum/platform"
+	"hickorydrum/withdrawal"
 )
 
 const (
@@ -17,9 +18,6 @@
 	// minRetryAfter is also the shortest wait for a limit.
 	minRetryAfter = 40 * time.Millisecond
 	maxRetryAfter = 250 * time.Millisecond
-	// After a pause that upstreams asked for, callers return within this fraction of it, and within
-	// maxRetryAfter at least.
-	pauseSpread = 0.25
 )
 
 // refuseLate refuses a request that may take longer than the rest of a planned stop, before it is
@@ -72,7 +70,7 @@
 		}
 	}
 	if pause, ok := x.ingress.planner.PauseLeft(&x.planReq); ok {
-		return pause + rand.N(max(maxRetryAfter, time.Duration(pauseSpread*float64(pause))))
+		return withdrawal.ReturnAfter(pause)
 	}
 	wait := minRetryAfter + time.Duration(rand.Int64N(int64(maxRetryAfter-minRetryAfter)))
 	return min(wait, max(0, x.planReq.Deadline.Sub(now)/3))
--- a/upstream/withdraw.go
+++ b/upstream/withdraw.go
@@ -1,18 +1,11 @@
 package upstream
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"hickorydrum/fault"
 	"hickorydrum/fleet"
-)
-
-// pauseSpread is the fraction of a pause within which callers return after it, and minPauseSpread the
-// least time within which they do.
-const (
-	pauseSpread    = 0.25
-	minPauseSpread = 250 * time.Millisecond
+	"hickorydrum/withdrawal"
 )
 
 // run is one run of the upstream at an address.
@@ -94,7 +87,7 @@
 	}
 	at := time.Now().Add(retryDelay)
 	if pause > 0 {
-		at = time.Now().Add(pause + rand.N(max(minPauseSpread, time.Duration(pauseSpread*float64(pause)))))
+		at = time.Now().Add(withdrawal.ReturnAfter(pause))
 	}
 	return notExecuted(fault.Unavailable, "no upstream of the service may be used in the region", "retry after the given time",
 		fault.WithRetryAt(at))
--- a/withdrawal/withdrawal.go
+++ b/withdrawal/withdrawal.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,19 @@
 	"hickorydrum/fleet"
 )
 
+const (
+	// Callers that could not be served in a pause return within returnSpread of it after its end, and
+	// within minReturnSpread at least.
+	returnSpread    = 0.25
+	minReturnSpread = 250 * time.Millisecond
+)
+
+// ReturnAfter returns after how long a caller should return that cannot be served while a pause lasts: a
+// random time after its end, so that not all callers return at once.
+func ReturnAfter(pause time.Duration) time.Duration {
+	return pause + rand.N(max(minReturnSpread, time.Duration(returnSpread*float64(pause))))
+}
+
 // maxRecords bounds the upstreams that a Registry records. Beyond it, those whose records are
 // oldest are forgotten.
 const maxRecords = 8192
