review: the memory case leaves more room to its calm play

Three machines in place of two, and two of them are in the zone that loses power: the third one gets three times its uploads at 69% of its link.

--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -14,9 +14,9 @@
 
 const (
 	uploadSize    = 20_000_000 // bytes; the configuration's maxBodyBytes is 67,108,864
-	uploadEvery   = 350 * time.Millisecond
-	uploadWork    = 1344 * time.Millisecond
-	uploadTimeout = 6 * time.Second
+	uploadEvery   = 700 * time.Millisecond
+	uploadWork    = 2112 * time.Millisecond
+	uploadTimeout = 8 * time.Second
 	uploadWorkers = 16
 	orderWork     = 312 * time.Millisecond
 	orderTimeout  = 1500 * time.Millisecond
@@ -30,9 +30,9 @@
 	maxLost = 3
 )
 
-// playBodies sends each machine three uploads a second. Then the zone of the first machine loses power,
-// and the second one gets the uploads of both. The platform kills a process that holds more memory than its
-// machine has.
+// playBodies sends each of three machines an upload every uploadEvery. Then the zone of two of them loses
+// power, and the third one gets the uploads of all. The platform kills a process that holds more memory than
+// its machine has.
 func playBodies(ctx context.Context, p *play) (int, error) {
 	if err := p.addWorkers("disegni", uploadWorkers, 3, uploadWork); err != nil {
 		return 0, err
@@ -43,27 +43,34 @@
 	config := newConfig("r7",
 		newRoute("r-up", "upload", "/up/", "disegni", int(uploadTimeout.Milliseconds())),
 		newRoute("r-order", "unsafe", "/order/", "commesse", int(orderTimeout.Milliseconds())))
-	if err := p.deploy(ctx, config, places...); err != nil {
+	if err := p.deploy(ctx, config, places[0], places[0], places[1]); err != nil {
 		return 0, err
 	}
-	lost, left := p.machines[0], p.machines[1]
+	lost, left := p.machines[:2], p.machines[2]
 	until := time.Now().Add(calmBefore + zoneLostFor + time.Second)
 	t := &tally{}
 	var group errgroup.Group
 	group.Go(func() error { return p.enforceMemory(left, until) })
 	group.Go(func() error { return p.sendUploads(left, left, until) })
-	group.Go(func() error { return p.sendUploads(lost, left, until) })
+	for _, m := range lost {
+		group.Go(func() error { return p.sendUploads(m, left, until) })
+	}
 	for n := range orderClients {
 		group.Go(func() error { return p.sendOrders(left, n, until, t) })
 	}
 	time.Sleep(calmBefore)
 	if p.trouble {
-		p.record.add("the zone %s loses power", lost.zone)
-		lost.signal(syscall.SIGKILL)
+		p.record.add("the zone %s loses power", places[0].zone)
+		for _, m := range lost {
+			m.signal(syscall.SIGKILL)
+		}
 	}
 	time.Sleep(zoneLostFor)
-	if p.trouble {
-		if err := p.startMachine(lost, false); err != nil {
+	for _, m := range lost {
+		if !p.trouble {
+			break
+		}
+		if err := p.startMachine(m, false); err != nil {
 			return 0, err
 		}
 	}
@@ -71,7 +78,7 @@
 	return p.judgeLost(t), nil
 }
 
-// places are where the two machines of the small deployments stand. All workers stand in the second zone.
+// places are where the machines of the small deployments stand. All workers stand in the second zone.
 var places = []place{{"catania-porto", "catania"}, {"catania-etna", "catania"}}
 
 // addWorkers starts workers of a service that read the whole body and then work for the given time.
