--- a/review/standin/takeover.go
+++ b/review/standin/takeover.go
@@ -13,7 +13,7 @@
 
 const (
 	// settled is how long the machines run before anything happens to them.
-	settled      = 6 * time.Second
+	settled      = 6250 * time.Millisecond
 	darkFor      = 3500 * time.Millisecond
 	configApply  = 2500 * time.Millisecond
 	requestEvery = 20 * time.Millisecond
