--- a/review/4/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Plays the case; see claim.txt. With TROUBLE=0 it leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/hickorydrum ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin takeover review/4/record.txt
+exec target/review-standin takeover review/5/record.txt
--- a/review/standin/takeover.go
+++ b/review/standin/takeover.go
@@ -20,8 +20,8 @@
 	routeWork    = 5 * time.Millisecond
 )
 
-// playTakeover changes the configuration just after the machine that watches the store has lost power, and
-// asks the other machine which configuration it has.
+// playTakeover changes the configuration just after the two machines that watch the store have lost power, and
+// asks the third one which configuration it has.
 func playTakeover(ctx context.Context, p *play) (int, error) {
 	for _, service := range []string{"old", "new"} {
 		if err := p.addWorkers(service, 2, 8, routeWork); err != nil {
@@ -35,17 +35,18 @@
 		}
 		return newConfig(version, newRoute("r-1", "safe", "/a/", service, 1200), newRoute("r-2", "safe", "/b/", idle, 1200))
 	}
-	zone := places[1]
-	if err := p.deploy(ctx, config("r7", "old"), zone, zone); err != nil {
+	if err := p.deploy(ctx, config("r7", "old"), places[0], places[1], places[1]); err != nil {
 		return 0, err
 	}
 	time.Sleep(settled)
-	watcher, other, err := p.findWatcher()
+	watchers, other, err := p.findWatchers()
 	if err != nil {
 		return 0, err
 	}
-	if p.trouble {
-		watcher.signal(syscall.SIGKILL)
+	for _, m := range watchers {
+		if p.trouble {
+			m.signal(syscall.SIGKILL)
+		}
 	}
 	down := time.Now()
 	p.store.put("config", "main", config("r8", "new"))
@@ -63,8 +64,8 @@
 	return held, nil
 }
 
-// findWatcher returns the machine that watches the store, by its metrics, and the other one.
-func (p *play) findWatcher() (watcher, other *machine, err error) {
+// findWatchers returns the machines that watch the store, one in each zone, by their metrics, and the other one.
+func (p *play) findWatchers() (watchers []*machine, other *machine, err error) {
 	for _, m := range p.machines {
 		resp, err := http.Get("http://" + m.address(m.ports.control) + "/metrics")
 		if err != nil {
@@ -76,16 +77,16 @@
 			return nil, nil, err
 		}
 		if strings.Contains(string(text), "hickorydrum_store_watched 1") {
-			watcher = m
+			p.record.add("%s watches the store", m.name)
+			watchers = append(watchers, m)
 		} else {
 			other = m
 		}
 	}
-	if watcher == nil || other == nil {
-		return nil, nil, errors.New("not exactly one of the two machines watches the store")
+	if len(watchers) != 2 || other == nil {
+		return nil, nil, errors.New("not exactly two of the three machines watch the store")
 	}
-	p.record.add("%s watches the store, %s does not", watcher.name, other.name)
-	return watcher, other, nil
+	return watchers, other, nil
 }
 
 // askUntil sends a machine requests for the moved route. It returns when the last one that the old service
