--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -21,7 +21,7 @@
 	orderWork     = 312 * time.Millisecond
 	orderTimeout  = 1500 * time.Millisecond
 	orderWorkers  = 6
-	orderClients  = 8 // at each machine
+	orderClients  = 8 // at the machine that is left
 	calmBefore    = 4 * time.Second
 	zoneLostFor   = 5500 * time.Millisecond
 	// restartDelay is how long after its end the platform starts a process again.
