gossip: instances tell each other up to when their state is current

A confirmation is a small datagram with the revisions of a state and the age of what shows that it is current. An instance sends it to the live members of its failure domain, and to one contact in each other one of its group (at most 16 domains). The view computes the order in which failure domains, and the members of one, ask the store.

Heartbeats are unchanged: an instance of an earlier version rejects the new datagrams and handles all others. The connection and the clock of a mesh can be set, for tests in virtual time.

--- /dev/null
+++ b/gossip/confirm.go
@@ -0,0 +1,195 @@
+package gossip
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// maxCheckGroup bounds the failure domains that confirm the state to each other. It bounds the
+// datagrams that one instance sends to tell all others.
+const maxCheckGroup = 16
+
+// confirmFormat is the format of datagrams with a confirmation. Instances of versions that know
+// none reject them, and handle all other datagrams of this instance.
+const confirmFormat = 102
+
+// Confirmation states that another instance knows its state of the platform's store to be
+// current.
+type Confirmation struct {
+	// From is the instance that sent it.
+	From netip.Addr
+	// SameDomain states that From is in the failure domain of this instance.
+	SameDomain bool
+	// Newest holds the revision of the last change in its state, by kind of entry in the
+	// platform's store.
+	Newest []uint64
+	// At is a time up to which its state has all changes that the store acknowledged.
+	At time.Time
+}
+
+// confirmMessage is a datagram with a confirmation.
+type confirmMessage struct {
+	_      struct{} `cbor:",toarray"`
+	Format int
+	// Domain is the failure domain of the sender, and From its address.
+	Domain string
+	From   netip.Addr
+	Newest []uint64
+	// AgeMillis is the time since Confirmation.At, in milliseconds.
+	AgeMillis int64
+}
+
+// OnConfirmed sets the function that is called with each confirmation that another instance
+// sends. It must be set before Run. f is called without the lock, by the goroutine that receives
+// datagrams, so it must not block.
+func (m *Mesh) OnConfirmed(f func(Confirmation)) { m.onConfirmed = f }
+
+// Confirm sends the live members of the failure domain that the state of this instance, with the
+// revisions newest, has all changes up to an instant. If otherDomains is set, it also sends that
+// to one contact in each other failure domain of the group that confirms together.
+func (m *Mesh) Confirm(newest []uint64, at time.Time, otherDomains bool) {
+	now := m.now()
+	m.mu.Lock()
+	datagrams := m.view.confirm(newest, at, otherDomains, now)
+	m.mu.Unlock()
+	m.send(datagrams)
+}
+
+// CheckPosition returns the position of this instance's failure domain among those that confirm
+// the state together, in the order in which they ask the store. Those that are silent do not count.
+func (m *Mesh) CheckPosition() int {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.checkPosition(now)
+}
+
+// AskPosition returns the position of this instance in the order in which the members of the
+// failure domain ask the store for themselves once nobody confirms the state to them. The one
+// that should watch the store does not count.
+func (m *Mesh) AskPosition() int {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.askPosition(now)
+}
+
+func (m *Mesh) handleConfirmation(data []byte, from netip.Addr) {
+	msg, err := decodeConfirmation(data)
+	if err != nil {
+		unreadable.Inc()
+		return
+	}
+	received.Inc()
+	defer m.contain(from)
+	now := m.now()
+	m.mu.Lock()
+	ok, sameDomain := m.view.accepts(msg.Domain, msg.From, from), msg.Domain == m.view.domain
+	m.mu.Unlock()
+	if ok {
+		at := now.Add(-time.Duration(msg.AgeMillis) * time.Millisecond)
+		m.onConfirmed(Confirmation{From: from, SameDomain: sameDomain, Newest: msg.Newest, At: at})
+	}
+}
+
+// confirm returns the datagrams of one confirmation. It does not count as a heartbeat.
+func (v *view) confirm(newest []uint64, at time.Time, otherDomains bool, now time.Time) []datagram {
+	data := encodeConfirmation(&confirmMessage{
+		Format: confirmFormat, Domain: v.domain, From: v.self.Address, Newest: newest,
+		AgeMillis: min(maxAgeMillis, max(0, now.Sub(at).Milliseconds())),
+	})
+	var out []datagram
+	for _, address := range v.addresses() {
+		if v.others[address].lives(now) {
+			out = append(out, datagram{address, data})
+		}
+	}
+	if !otherDomains {
+		return out
+	}
+	for _, domain := range v.checkGroup() {
+		if contacts := v.contacts[domain]; domain != v.domain && len(contacts) > 0 {
+			out = append(out, datagram{contacts[v.random.IntN(len(contacts))], data})
+		}
+	}
+	return out
+}
+
+// checkGroup returns the failure domains that confirm the state together with this instance's own,
+// which is among them, in the order in which they ask the store: the same at all instances.
+func (v *view) checkGroup() []string {
+	domains := make([]string, 0, len(v.regions))
+	for domain := range v.regions {
+		domains = append(domains, domain)
+	}
+	slices.SortFunc(domains, func(a, b string) int {
+		return cmp.Or(cmp.Compare(domainRank(b, watchKey), domainRank(a, watchKey)), strings.Compare(a, b))
+	})
+	first := max(0, slices.Index(domains, v.domain)) / maxCheckGroup * maxCheckGroup
+	return domains[first:min(len(domains), first+maxCheckGroup)]
+}
+
+func (v *view) checkPosition(now time.Time) int {
+	position := 0
+	for _, domain := range v.checkGroup() {
+		if domain == v.domain {
+			break
+		}
+		if s, ok := v.summaries[domain]; ok && now.Sub(s.madeAt) < freshFor {
+			position++
+		}
+	}
+	return position
+}
+
+func (v *view) askPosition(now time.Time) int {
+	own, higher := rank(v.self.Address, watchKey), 0
+	for _, m := range v.others {
+		if m.lives(now) && m.member.canWatch() && rank(m.member.Address, watchKey) > own {
+			higher++
+		}
+	}
+	return max(0, higher-1)
+}
+
+// confirmPrefix begins every datagram with a confirmation: an array of five elements, of which the
+// first is confirmFormat.
+var confirmPrefix = []byte{0x85, 0x18, confirmFormat}
+
+func isConfirmation(data []byte) bool { return bytes.HasPrefix(data, confirmPrefix) }
+
+// encodeConfirmation returns the encoded message, or nil, which is not sent, if it cannot be
+// encoded. It counts such a message with the unreadable datagrams.
+func encodeConfirmation(m *confirmMessage) []byte {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		unreadable.Inc()
+	}
+	return data
+}
+
+// decodeConfirmation parses a datagram with a confirmation. It checks the format's version, the
+// address and the age; the receiver checks the failure domain of the sender.
+func decodeConfirmation(data []byte) (*confirmMessage, error) {
+	var m confirmMessage
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("the datagram cannot be read: %w", err)
+	}
+	switch {
+	case m.Format != confirmFormat:
+		return nil, fmt.Errorf("the datagram has format %d, not %d", m.Format, confirmFormat)
+	case !m.From.Is4():
+		return nil, errors.New("the sender has no IPv4 address")
+	case m.AgeMillis < 0 || m.AgeMillis > maxAgeMillis:
+		return nil, errors.New("the confirmation has an invalid age")
+	}
+	return &m, nil
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -49,6 +49,8 @@
 	onRevisions   func(RevisionNotice)
 	onLoadReports func([]LoadReport)
 	onLimits      func([]limit.State)
+	onConfirmed   func(Confirmation)
+	now           func() time.Time
 	group         errgroup.Group
 	log           *slog.Logger
 
@@ -65,23 +67,40 @@
 	rejected   = metrics.GetOrCreateCounter(`hickorydrum_gossip_strangers_total`)
 )
 
+// Option configures a Mesh in New.
+type Option func(*Mesh)
+
+// WithConn sets the connection for datagrams. The default is a UDP socket at the address of the
+// instance. The mesh closes it.
+func WithConn(conn net.PacketConn) Option { return func(m *Mesh) { m.conn = conn } }
+
+// WithClock sets the clock. The default is that of package clock.
+func WithClock(now func() time.Time) Option { return func(m *Mesh) { m.now = now } }
+
 // New opens a UDP socket at address, which is the address of this instance. All instances
 // use the same port. regions holds the region of every failure domain.
-func New(address, domain string, regions map[string]string, log *slog.Logger) (*Mesh, error) {
+func New(address, domain string, regions map[string]string, log *slog.Logger, opts ...Option) (*Mesh, error) {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil || !at.Addr().Is4() {
 		return nil, fault.New(fault.Invalid, "the address "+address+" is not usable", "write it such as 10.1.0.4:7600",
 			fault.WithCause(err))
 	}
-	conn, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp4", address)
-	if err != nil {
-		return nil, fault.New(fault.Unavailable, "the port "+address+" cannot be opened", "free the port", fault.WithCause(err))
+	m := &Mesh{
+		port: at.Port(), log: log, now: clock.Now, onRevisions: func(RevisionNotice) {}, onLoadReports: func([]LoadReport) {},
+		onLimits: func([]limit.State) {}, onConfirmed: func(Confirmation) {},
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	if m.conn == nil {
+		if m.conn, err = (&net.ListenConfig{}).ListenPacket(context.Background(), "udp4", address); err != nil {
+			return nil, fault.New(fault.Unavailable, "the port "+address+" cannot be opened", "free the port", fault.WithCause(err))
+		}
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	self := Member{Address: at.Addr(), Run: uint32(time.Now().UnixMilli())}
-	return &Mesh{
-		conn: conn, port: at.Port(), log: log, onRevisions: func(RevisionNotice) {}, onLoadReports: func([]LoadReport) {}, onLimits: func([]limit.State) {}, view: newView(self, domain, regions, random, log, clock.Now()),
-	}, nil
+	m.view = newView(self, domain, regions, random, log, m.now())
+	return m, nil
 }
 
 // OnRevisions sets the function that is called for each accepted datagram of another
@@ -130,7 +149,7 @@
 // members of the failure domain, and if otherDomains is set to one contact in each other
 // failure domain. All others receive them with later heartbeats.
 func (m *Mesh) Announce(newest []uint64, otherDomains bool) {
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	m.view.newest = newest
 	datagrams := m.view.announce(otherDomains, now)
@@ -160,7 +179,7 @@
 // Leave announces to every live member of the failure domain that this instance is about to
 // stop.
 func (m *Mesh) Leave() {
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	m.view.self.Leaving = true
 	datagrams := m.view.announce(false, now)
@@ -171,7 +190,7 @@
 }
 
 func (m *Mesh) heartbeat() {
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	datagrams := m.view.heartbeat(now)
 	m.mu.Unlock()
@@ -219,6 +238,10 @@
 		m.handleLimits(limits, from)
 		return
 	}
+	if isConfirmation(data) {
+		m.handleConfirmation(data, from)
+		return
+	}
 	msg, err := decode(data)
 	if err != nil {
 		unreadable.Inc()
@@ -226,7 +249,7 @@
 	}
 	received.Inc()
 	defer m.contain(from)
-	now := clock.Now()
+	now := m.now()
 	replies, sameDomain, ok := m.apply(msg, from, now)
 	m.send(replies)
 	if ok {
@@ -258,7 +281,7 @@
 // Serving returns the addresses of the instances that callers from a failure domain should
 // use. region is the callers' region; it is used only if the failure domain is not known.
 func (m *Mesh) Serving(domain, region string) []netip.Addr {
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.view.serving(domain, region, now)
@@ -268,7 +291,7 @@
 // younger than demandFor. That of this instance's failure domain, made at the call, is
 // first.
 func (m *Mesh) Summaries() []Summary {
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := []Summary{*m.view.ownSummary(now)}
@@ -283,7 +306,7 @@
 // Peers returns the addresses of other instances that this one may query: first the live
 // members of its failure domain, then contacts in others, then the seeds.
 func (m *Mesh) Peers() []netip.Addr {
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.view.peers(now)
@@ -302,7 +325,7 @@
 // key identifies the upstream and domain is its failure domain. Normally one instance of
 // that failure domain holds the whole right, and the share of all others is 0.
 func (m *Mesh) RightShare(domain string, key uint64) float64 {
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.view.rightShare(domain, key, now)
@@ -311,7 +334,7 @@
 // Watches reports whether this instance is the one that watches the platform's store for
 // its failure domain.
 func (m *Mesh) Watches() bool {
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.view.watches(now)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -276,7 +276,7 @@
 	from.mergeMember(Member{Address: addressOf(1), Run: 1, Heartbeat: 1}, epoch, true)
 	from.loadReports = []LoadReport{{Key: 7, Outstanding: 20, At: epoch.Add(-time.Second)}}
 	var received []LoadReport
-	to := &Mesh{view: newTestView(), conn: nowhere{}, onRevisions: func(RevisionNotice) {}, onLoadReports: func(reports []LoadReport) { received = reports }}
+	to := &Mesh{now: clock.Now, view: newTestView(), conn: nowhere{}, onRevisions: func(RevisionNotice) {}, onLoadReports: func(reports []LoadReport) { received = reports }}
 	for _, d := range from.heartbeat(epoch.Add(100 * time.Millisecond)) {
 		to.handle(d.data, from.self.Address)
 	}
@@ -297,7 +297,7 @@
 		t.Fatal(err)
 	}
 	calls := 0
-	m := &Mesh{view: newTestView(), conn: nowhere{}, log: slog.New(slog.DiscardHandler), onRevisions: func(RevisionNotice) {
+	m := &Mesh{now: clock.Now, view: newTestView(), conn: nowhere{}, log: slog.New(slog.DiscardHandler), onRevisions: func(RevisionNotice) {
 		if calls++; calls == 1 {
 			panic("planted")
 		}
@@ -320,7 +320,7 @@
 // TestNoEmptyDatagram guards against a message that cannot be encoded and is sent as an empty
 // datagram, which every receiver counts as unreadable.
 func TestNoEmptyDatagram(t *testing.T) {
-	m := &Mesh{conn: nowhere{}}
+	m := &Mesh{now: clock.Now, conn: nowhere{}}
 	before := sent.Get()
 	m.send([]datagram{{to: addressOf(2)}, {to: addressOf(2), data: []byte("x")}})
 	if n := sent.Get() - before; n != 1 {
@@ -370,7 +370,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			m := &Mesh{view: newTestView(), conn: nowhere{}, onRevisions: func(RevisionNotice) {}, onLoadReports: func([]LoadReport) {}}
+			m := &Mesh{now: clock.Now, view: newTestView(), conn: nowhere{}, onRevisions: func(RevisionNotice) {}, onLoadReports: func([]LoadReport) {}}
 			m.handle(test.data, test.from)
 			if diff := cmp.Diff(test.accepted, len(m.view.others) > 0); diff != "" {
 				t.Error(diff)
--- a/gossip/limit.go
+++ b/gossip/limit.go
@@ -6,7 +6,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"hickorydrum/clock"
 	"hickorydrum/limit"
 )
 
@@ -26,7 +25,7 @@
 // limit how many requests this one offers. states and demands correspond by index. It
 // returns the states, with the fractions of which this instance is the holder.
 func (m *Mesh) ExchangeLimits(states []limit.State, demands []limit.Demand) []limit.State {
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	datagrams := m.view.exchangeLimits(states, demands, now)
 	m.mu.Unlock()
@@ -43,7 +42,7 @@
 func (m *Mesh) handleLimits(msg *limitMessage, from netip.Addr) {
 	received.Inc()
 	defer m.contain(from)
-	now := clock.Now()
+	now := m.now()
 	m.mu.Lock()
 	datagrams, states := m.view.handleLimits(msg, from, now)
 	m.mu.Unlock()
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -31,6 +31,9 @@
 // serves reports whether callers should use the member.
 func (m *Member) serves() bool { return m.Ready && !m.Leaving }
 
+// canWatch reports whether the member may watch the platform's store for its failure domain.
+func (m *Member) canWatch() bool { return !m.Leaving && !m.StoreRefused }
+
 // memberState is what this instance knows of another member of its failure domain.
 type memberState struct {
 	member Member
--- a/gossip/role.go
+++ b/gossip/role.go
@@ -55,11 +55,10 @@
 // is about to stop does not watch.
 func (v *view) watches(now time.Time) bool {
 	staying := func(m *Member) bool { return !m.Leaving }
-	canWatch := func(m *Member) bool { return staying(m) && !m.StoreRefused }
-	if v.ranksFirst(watchKey, canWatch, now) {
+	if v.ranksFirst(watchKey, (*Member).canWatch, now) {
 		return true
 	}
-	if slices.ContainsFunc(v.members(now), func(m *memberState) bool { return canWatch(&m.member) }) {
+	if slices.ContainsFunc(v.members(now), func(m *memberState) bool { return m.member.canWatch() }) {
 		return false
 	}
 	return v.ranksFirst(watchKey, staying, now)
