hosted: an instance relies on its state only while something shows that it is current

Cause: an instance that does not watch the store took the life of the one that does for a sign that its own state is current. Nothing ended that belief but the silence after which a member counts as dead (3 s). An instance that watches had no better sign either: a watch that hears nothing looks the same as a store without changes, and a peer that has the same revision confirmed it, however old its own state was.

Change: a state is current up to the begin of a call that the store answered, or up to what a peer says in turn of its own. Long polls wait for 20 s now, since checks notice those that have stalled.

TestWatchWait is gone with the function that it tested. The limit of TestOneWatches counts one check for each Budget.Check(0), and long polls of 20 s in place of 5. TestRetentionAfterOutage and others set the clock of their bubble.

--- a/event/event.go
+++ b/event/event.go
@@ -61,6 +61,8 @@
 	UpstreamPaused      = add(315, slog.LevelInfo, "an upstream asks for a pause")
 	PauseInvalid        = add(316, slog.LevelWarn, "an upstream asks for a pause that is not valid")
 	WithdrawnLate       = add(317, slog.LevelWarn, "requests were sent to an upstream that had left")
+	AskBegun            = add(318, slog.LevelInfo, "no instance confirms the state, asking the platform's store")
+	AskEnded            = add(319, slog.LevelInfo, "no longer asking the platform's store for itself")
 	TrafficMoved        = add(400, slog.LevelInfo, "traffic moved")
 	RegionDead          = add(401, slog.LevelWarn, "region does not answer")
 	RegionRecovered     = add(402, slog.LevelInfo, "region answers again")
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -339,11 +339,3 @@
 	defer m.mu.Unlock()
 	return m.view.watches(now)
 }
-
-// Watchers returns an estimate of how many instances watch the platform's store: one for
-// this instance's failure domain and one for each other of which it has a summary.
-func (m *Mesh) Watchers() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.view.watchers()
-}
--- a/gossip/role.go
+++ b/gossip/role.go
@@ -188,11 +188,6 @@
 	return inRegion, all
 }
 
-// watchers returns an estimate of how many instances watch the store: one for this instance's
-// failure domain and one for each other of which it has a summary. It does not count further
-// instances that watch whatever their rank.
-func (v *view) watchers() int { return 1 + len(v.summaries) }
-
 // peers returns the addresses of other instances that this one may query: the live members
 // of its failure domain, then contacts in others, then the seeds. The members and the
 // contacts are each in random order.
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"hickorydrum/clock"
+	"hickorydrum/freshness"
 	"hickorydrum/gossip"
 	"hickorydrum/mirror"
 	"hickorydrum/platform"
@@ -17,22 +21,13 @@
 
 const (
 	// A watch is a long poll: a call of Store.Watch. It has stalled if it does not return a
-	// change that the store has. If those of all instances have stalled, a change is noticed
-	// only when the next watch of its kind starts. watchSpacing is the intended mean time
-	// between such starts, counted over all watching instances. The wait of each watch is
-	// therefore watchSpacing times their number, but at least minWatchWait and at most
-	// maxWatchWait, plus a random time of up to watchJitter, so that the watches of different
-	// instances do not end together.
-	watchSpacing = time.Second
-	minWatchWait = 5 * time.Second
-	maxWatchWait = 20 * time.Second
-	watchJitter  = 2 * time.Second
-	// stallTimeout is how long a change that a peer reports may be missing at an instance that
-	// watches the store before its watch under way counts as stalled and is canceled. The next
-	// watch is then a recheck: it asks the store for the missing change and waits only for
-	// recheckWait.
-	stallTimeout = 400 * time.Millisecond
-	recheckWait  = 50 * time.Millisecond
+	// change that the store has, which keepConfirmed notices. watchWait is how long each waits,
+	// plus a random time of up to watchJitter, so that the watches of different instances do not
+	// end together.
+	watchWait   = 20 * time.Second
+	watchJitter = 2 * time.Second
+	// recheckWait is the wait of a recheck, a watch that only asks the store for a missing change.
+	recheckWait = 50 * time.Millisecond
 	// waitedFor is the time after which a watch that returns changes has waited for them, so that
 	// they were made just before.
 	waitedFor = 30 * time.Millisecond
@@ -67,9 +62,6 @@
 	// staleLoadDelay is how long a starting instance waits for a peer to send its state before
 	// it loads possibly stale lists from the store.
 	staleLoadDelay = 50 * time.Millisecond
-	// behindTimeout is how long a change that a peer reports may be missing at an instance that
-	// does not watch the store before the instance starts to watch it, whatever its rank.
-	behindTimeout = 1200 * time.Millisecond
 	// failedWatchPause is how long after its last failed call to the store an instance leaves
 	// the watch to other instances.
 	failedWatchPause = 5 * time.Second
@@ -96,8 +88,16 @@
 type peerMesh interface {
 	// Watches reports whether this instance has to watch the store for its failure domain.
 	Watches() bool
-	// Watchers returns an estimate of how many instances watch the store.
-	Watchers() int
+	// CheckPosition returns the position of the failure domain in the order in which those that watch
+	// the store ask it for changes.
+	CheckPosition() int
+	// AskPosition returns the position of this instance in the order in which the members of its
+	// failure domain ask the store once nobody confirms their state.
+	AskPosition() int
+	// Confirm tells the other members of the failure domain that the state with the revisions newest
+	// has all changes up to an instant, and if otherDomains is set one instance of each other failure
+	// domain too.
+	Confirm(newest []uint64, at time.Time, otherDomains bool)
 	// Peers returns the addresses of other instances that this one may query, those of its
 	// failure domain first.
 	Peers() []netip.Addr
@@ -126,21 +126,25 @@
 	ranBefore bool          // see withRanBefore
 	heartbeat time.Duration // see withHeartbeat
 	wake      chan struct{} // gets a value when a peer reports changes that are missing here
+	nudged    chan struct{} // see nudge
+	now       func() time.Time
+	bound     atomic.Pointer[freshness.Budget]
+	ages      map[string]*metrics.Gauge // by kind
 
 	mu            sync.Mutex
 	mirrors       map[string]*mirror.Mirror // by kind
 	watches       map[string]*watch         // by kind
 	source        gossip.RevisionNotice     // the last peer that reported changes missing here
 	watching      bool
-	outageSince   time.Time            // start of the current outage of the store, zero while it answers
-	answeredAt    time.Time            // time of the last answer of the store
-	failedAt      time.Time            // time of the last failed call to the store, zero after an answer or after failedWatchPause
-	refused       bool                 // the outage was announced to the other instances
-	watchCtx      context.Context      // canceled to end all watches under way, and replaced then
-	cancelWatches context.CancelFunc   // cancels watchCtx
-	current       map[string]time.Time // by kind, a time up to which the mirror had all changes
-	expiry        *time.Timer          // calls expire when the next retention is over
-	stateCache    map[string][]byte    // encoded states for peers by their cursors, cleared by each change
+	outageSince   time.Time          // start of the current outage of the store, zero while it answers
+	answeredAt    time.Time          // time of the last answer of the store
+	failedAt      time.Time          // time of the last failed call to the store while this instance watches it, else of the first; zero after an answer or after failedWatchPause
+	refused       bool               // the outage was announced to the other instances
+	watchCtx      context.Context    // canceled to end all watches under way, and replaced then
+	cancelWatches context.CancelFunc // cancels watchCtx
+	expiry        *time.Timer        // calls expire when the next retention is over
+	stateCache    map[string][]byte  // encoded states for peers by their cursors, cleared by each change
+	confirming    confirming
 }
 
 // watch is the state of the watch of one kind.
@@ -179,6 +183,26 @@
 	return func(f *follower) { f.heartbeat = interval }
 }
 
+// withBound sets the time within which a change in the store has to be in force. The default is
+// defaultBound.
+func withBound(bound time.Duration) followerOption {
+	return func(f *follower) { f.setBound(bound) }
+}
+
+// withClock sets the clock by which confirmations of the state are dated. The default is that of package
+// clock.
+func withClock(now func() time.Time) followerOption {
+	return func(f *follower) { f.now = now }
+}
+
+// withTransport sets how peers are called. The default is HTTP.
+func withTransport(transport http.RoundTripper) followerOption {
+	return func(f *follower) { f.client.Transport = transport }
+}
+
+// defaultBound is the time within which a change has to be in force if it is not set.
+const defaultBound = 2500 * time.Millisecond
+
 // newFollower returns a follower with empty mirrors. It calls onChange, without holding its
 // lock, after each change of the objects of a kind.
 func newFollower(
@@ -187,14 +211,14 @@
 	f := &follower{
 		store: store, mesh: mesh, port: port, log: log, onChange: onChange, started: time.Now(),
 		mirrors: make(map[string]*mirror.Mirror), watches: make(map[string]*watch), wake: make(chan struct{}, 1),
-		client: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{
-			DisableCompression: true, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
-		current: make(map[string]time.Time), stateCache: make(map[string][]byte),
+		nudged: make(chan struct{}, 1), now: clock.Now, ages: make(map[string]*metrics.Gauge),
+		client: &http.Client{Timeout: peerTimeout}, stateCache: make(map[string][]byte),
 	}
+	f.setBound(defaultBound)
 	for _, kind := range kinds() {
 		f.mirrors[kind] = mirror.New(kind)
 		f.watches[kind] = &watch{cancel: func() {}}
+		f.ages[kind] = metrics.GetOrCreateGauge(fmt.Sprintf(`hickorydrum_state_age_seconds{kind=%q}`, kind), nil)
 	}
 	f.mirrors[platform.KindUpstreams] = mirror.New(platform.KindUpstreams, mirror.WithRetention(entryRetention))
 	f.watchCtx, f.cancelWatches = context.WithCancel(context.Background())
@@ -202,6 +226,10 @@
 	for _, option := range options {
 		option(f)
 	}
+	f.confirming.record = freshness.NewRecord(kinds(), f.now())
+	if f.client.Transport == nil {
+		f.client.Transport = newPeerTransport(f.budget())
+	}
 	return f
 }
 
@@ -223,25 +251,15 @@
 	return objects, loaded
 }
 
-// received returns the origin of an update of a kind that is received now. current is a time up to
-// which the update has all changes, the zero time if that is not known. f.mu must not be held.
-func (f *follower) received(kind string, source mirror.Source, peer string, current time.Time) mirror.Origin {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	origin := mirror.Origin{Source: source, Peer: peer, At: time.Now(), After: f.current[kind]}
-	if current.After(origin.After) {
-		f.current[kind] = current
+// received returns the origin of an update of a kind that is received now. f.mu must not be held.
+func (f *follower) received(kind string, source mirror.Source, peer string) mirror.Origin {
+	origin := mirror.Origin{Source: source, Peer: peer, At: time.Now()}
+	if age, _, ok := f.freshness(kind); ok {
+		origin.After = origin.At.Add(-age)
 	}
 	return origin
 }
 
-// setCurrent records a time up to which the mirror of a kind has all changes.
-func (f *follower) setCurrent(kind string, at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.current[kind] = at
-}
-
 // removal returns the origin of the removal of an object of a kind, the zero origin if it is not
 // recorded.
 func (f *follower) removal(kind, name string) mirror.Origin {
@@ -270,7 +288,7 @@
 }
 
 // handleNotice handles a peer's report of the last changes that it has. If this instance
-// watches the store, its watch may still return a missing change: only after stallTimeout
+// watches the store, its watch may still return a missing change: only after Budget.Missing
 // is the watch treated as stalled and replaced by a recheck. If missing changes have to come
 // from peers, askPeers is woken to fetch them.
 func (f *follower) handleNotice(n gossip.RevisionNotice) {
@@ -280,9 +298,6 @@
 	missing := false
 	for i, kind := range kinds() {
 		w, m := f.watches[kind], f.mirrors[kind]
-		if i < len(n.Newest) && n.Newest[i] == m.Newest() {
-			f.current[kind] = now // as far as the peer knows
-		}
 		if i >= len(n.Newest) || n.Newest[i] <= m.Newest() {
 			continue
 		}
@@ -294,17 +309,14 @@
 			w.missingSince = now
 		}
 		w.missingRevision = max(w.missingRevision, n.Newest[i])
-		if f.watching && m.Cursor() > 0 && now.Sub(w.missingSince) > stallTimeout && !w.recheck {
-			w.missingSince, w.recheck = now, true
-			stalledWatches.Inc()
-			w.cancel()
-		}
+		f.replaceIfStalled(kind, now)
 	}
 	if !missing {
 		return
 	}
 	f.source = n
 	if !f.needsPeers() {
+		f.nudge()
 		return
 	}
 	select {
@@ -346,6 +358,7 @@
 		clear(f.stateCache)
 	}
 	f.scheduleExpiry()
+	f.confirmByPeer()
 	f.mu.Unlock()
 	switch {
 	case newer && announce:
--- a/hosted/follow_test.go
+++ b/hosted/follow_test.go
@@ -94,7 +94,7 @@
 		}
 		for range 3 {
 			f.handleNotice(gossip.RevisionNotice{Newest: newest})
-			time.Sleep(stallTimeout)
+			time.Sleep(f.budget().Missing() + time.Millisecond)
 		}
 		synctest.Wait()
 		if objects, _ := f.objects(platform.KindEvacuations); len(objects) != 2 || changes != 2 {
@@ -109,7 +109,7 @@
 		readsBefore, _ := store.Calls()
 		for range 20 {
 			f.handleNotice(gossip.RevisionNotice{Newest: newest})
-			time.Sleep(stallTimeout)
+			time.Sleep(f.budget().Missing() + time.Millisecond)
 		}
 		if reads, _ := store.Calls(); reads-readsBefore > 6 {
 			t.Errorf("%d calls for a change that is not there", reads-readsBefore)
@@ -119,25 +119,18 @@
 	})
 }
 
-func TestWatchWait(t *testing.T) {
-	for instances, want := range map[int]time.Duration{
-		1: minWatchWait, 3: minWatchWait, 12: 12 * time.Second, 70: maxWatchWait, 6400: maxWatchWait,
-	} {
-		if got := watchWait(instances); got != want {
-			t.Errorf("%d instances: %s, want %s", instances, got, want)
-		}
-	}
-}
-
 // soloMesh is the mesh of an instance without others.
 type soloMesh struct{}
 
 func (*soloMesh) Watches() bool           { return true }
-func (*soloMesh) Watchers() int           { return 1 }
 func (*soloMesh) Peers() []netip.Addr     { return nil }
 func (*soloMesh) SetStoreRefused(bool)    {}
 func (*soloMesh) SetRevisions([]uint64)   {}
 func (*soloMesh) Announce([]uint64, bool) {}
+func (*soloMesh) CheckPosition() int      { return 0 }
+func (*soloMesh) AskPosition() int        { return 0 }
+
+func (*soloMesh) Confirm([]uint64, time.Time, bool) {}
 
 // unreachableStore is a store whose calls fail while it is unreachable, and which counts the
 // calls that are not pings.
@@ -247,7 +240,7 @@
 					t.Fatal(err)
 				}
 				f := newFollower(store, &nonWatchingMesh{}, 1, slog.New(slog.DiscardHandler), func(string) {},
-					withRanBefore(ranBefore))
+					withRanBefore(ranBefore), withClock(time.Now))
 				ctx, cancel := context.WithCancel(t.Context())
 				var group errgroup.Group
 				group.Go(func() error { return f.run(ctx) })
@@ -283,7 +276,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				f := newFollower(store, &soloMesh{}, 1, slog.New(slog.DiscardHandler), func(string) {}, withHeartbeat(heartbeat))
+				f := newFollower(store, &soloMesh{}, 1, slog.New(slog.DiscardHandler), func(string) {}, withHeartbeat(heartbeat), withClock(time.Now))
 				ctx, cancel := context.WithCancel(t.Context())
 				var group errgroup.Group
 				group.Go(func() error { return f.run(ctx) })
@@ -399,7 +392,7 @@
 		if _, err := store.Put(t.Context(), platform.KindUpstreams+"/a", []byte("{}"), 0); err != nil {
 			t.Fatal(err)
 		}
-		f := newFollower(store, mesh, 1, slog.New(slog.DiscardHandler), func(string) {})
+		f := newFollower(store, mesh, 1, slog.New(slog.DiscardHandler), func(string) {}, withClock(time.Now))
 		ctx, cancel := context.WithCancel(t.Context())
 		var group errgroup.Group
 		group.Go(func() error { return f.run(ctx) })
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -104,8 +104,9 @@
 	i.planner = planner.New(location, i.tracker, i.mesh, retryBounds(settings.Bounds))
 	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView))
 	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.apply, withRanBefore(!settings.Bootstrap),
-		withHeartbeat(settings.HeartbeatInterval))
+		withHeartbeat(settings.HeartbeatInterval), withBound(settings.Bounds.Propagation))
 	i.mesh.OnRevisions(i.follower.handleNotice)
+	i.mesh.OnConfirmed(i.follower.handleConfirmation)
 	i.mesh.OnLoadReports(i.receiveLoadReports)
 	i.mesh.OnLimits(i.receiveLimits)
 	return i, i.listen()
@@ -292,6 +293,7 @@
 	}
 	i.bounds.Store(&settings.Bounds)
 	i.planner.SetBounds(retryBounds(settings.Bounds))
+	i.follower.setBound(settings.Bounds.Propagation)
 	i.mesh.SetSeeds(seedAddresses(settings.Seeds))
 	return true
 }
--- a/hosted/outage.go
+++ b/hosted/outage.go
@@ -15,16 +15,18 @@
 var storeOutages = metrics.GetOrCreateCounter(`hickorydrum_store_outages_total`)
 
 // storeFailed records a failed call to the store. The first one starts an outage. At the first one,
-// and at the first one of each later try, the other members of the failure domain are notified at
-// once, so that one of them can take over the watch.
+// and at the first one of each later try, an instance that watches the store notifies the other members
+// of the failure domain at once, so that one of them can take over the watch.
 func (f *follower) storeFailed(err error) {
 	f.mu.Lock()
-	f.failedAt = time.Now()
-	first, notify := f.outageSince.IsZero(), !f.refused
+	first, notify, watching := f.outageSince.IsZero(), !f.refused, f.watching
+	if watching || f.failedAt.IsZero() {
+		f.failedAt = time.Now()
+	}
 	f.refused = true
 	newest := f.newest()
 	if first {
-		f.outageSince = f.failedAt
+		f.outageSince = time.Now()
 		storeOutages.Inc()
 	}
 	f.mu.Unlock()
@@ -33,18 +35,21 @@
 	}
 	if notify {
 		f.mesh.SetStoreRefused(true)
+	}
+	if notify && watching {
 		f.mesh.Announce(newest, false)
 	}
 }
 
 // storeAnswered records that the store answered. At the end of an outage it cancels all
 // watches, since their connections may have lost a response. If entries may have lapsed in the
-// outage, it starts the retention of those that the store no longer has, and asks a peer before the
+// outage, since the store answered neither this instance nor a peer that confirmed the state, it starts the retention of those that the store no longer has, and asks a peer before the
 // watches begin again: what was removed while the store served that peer is not retained.
 func (f *follower) storeAnswered() {
 	f.mu.Lock()
 	since, now := f.outageSince, time.Now()
-	lapsed := now.Sub(f.answeredAt) >= f.heartbeat
+	_, confirmed := f.confirming.record.Oldest()
+	lapsed := now.Sub(f.answeredAt) >= f.heartbeat && f.now().Sub(confirmed.At) >= f.heartbeat
 	f.answeredAt = now
 	if since.IsZero() {
 		f.mu.Unlock()
@@ -63,7 +68,9 @@
 	f.mu.Lock()
 	f.cancelWatches()
 	f.watchCtx, f.cancelWatches = context.WithCancel(context.Background())
+	f.confirming.retryAt = time.Time{}
 	f.mu.Unlock()
+	f.nudge()
 	f.mesh.SetStoreRefused(false)
 	event.WatchRecovered.Log(context.Background(), f.log, slog.Duration("away", now.Sub(since)))
 }
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -18,15 +19,13 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"hickorydrum/event"
+	"hickorydrum/freshness"
 	"hickorydrum/interval"
 	"hickorydrum/mirror"
 	"hickorydrum/platform"
 )
 
 const (
-	// farWait is how long an instance that misses a change, reported by a peer in another failure
-	// domain, waits for the change to arrive from its own failure domain before it asks that peer.
-	farWait = 300 * time.Millisecond
 	// askPause is the pause after a round of calls to peers that left changes missing.
 	askPause   = 100 * time.Millisecond
 	peersAsked = 3 // peers called in one round
@@ -41,6 +40,16 @@
 	minCompressBytes = 16 << 10
 )
 
+// newPeerTransport returns the transport of calls to peers. One that has lost power does not answer at
+// all: it must not use up the time that a change has.
+func newPeerTransport(budget freshness.Budget) *http.Transport {
+	return &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: budget.Peer()}).DialContext,
+		DisableCompression: true, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes,
+		ResponseHeaderTimeout: budget.Peer(),
+	}
+}
+
 // stateMessage is the state that an instance sends to a peer, as encoded in CBOR: the content
 // of its loaded mirrors, or their changes after the peer's cursors.
 type stateMessage struct {
@@ -166,12 +175,13 @@
 
 // catchUp asks the peer that reported the missing changes, and then other peers, in rounds of
 // up to peersAsked until nothing is missing. If that peer is in another failure domain, it
-// first waits for farWait, unless this instance has not loaded every kind yet.
+// first waits for Budget.Missing, for the change to arrive from its own failure domain, unless this
+// instance has not loaded every kind yet.
 func (f *follower) catchUp(ctx context.Context) {
 	f.mu.Lock()
 	sameDomain, loading := f.source.SameDomain, !f.allLoaded()
 	f.mu.Unlock()
-	if !sameDomain && !loading && !interval.Sleep(ctx, farWait) {
+	if !sameDomain && !loading && !interval.Sleep(ctx, f.budget().Missing()) {
 		return
 	}
 	for ctx.Err() == nil && f.behind() {
@@ -239,7 +249,7 @@
 	for i := range s.Kinds {
 		k := &s.Kinds[i]
 		if _, ok := f.mirrors[k.Kind]; ok {
-			from := f.received(k.Kind, mirror.FromPeer, peer.String(), time.Time{})
+			from := f.received(k.Kind, mirror.FromPeer, peer.String())
 			f.applyChange(k.Kind, announce, func(m *mirror.Mirror) bool { return m.Merge(decodeKind(k), from) })
 		}
 	}
--- a/hosted/watch.go
+++ b/hosted/watch.go
@@ -9,6 +9,7 @@
 
 	"hickorydrum/event"
 	"hickorydrum/fault"
+	"hickorydrum/freshness"
 	"hickorydrum/interval"
 	"hickorydrum/mirror"
 )
@@ -18,6 +19,7 @@
 	var group errgroup.Group
 	defer f.expiry.Stop()
 	group.Go(func() error { return f.askPeers(ctx) })
+	group.Go(func() error { return f.keepConfirmed(ctx) })
 	if f.ranBefore {
 		group.Go(func() error { return f.loadStale(ctx) })
 	}
@@ -46,7 +48,7 @@
 		if err != nil {
 			return nil // the watching instances detect and report an outage of the store
 		}
-		from := f.received(kind, mirror.FromStaleList, "", time.Time{})
+		from := f.received(kind, mirror.FromStaleList, "")
 		f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
 	}
 	return nil
@@ -54,14 +56,14 @@
 
 // mustWatch reports whether this instance has to watch the store: by its rank, which counts
 // from roleDelay after its start, or because a reported change has been missing for longer than
-// behindTimeout, or because it has not loaded every kind aloneDelay after its start. If it does
-// not watch, it also clears a failure of the store that is older than failedWatchPause, so that
+// Budget.Behind, or because nobody confirms its state, or because it has not loaded every kind
+// aloneDelay after its start. If it does not watch, it also clears a failure of the store that is older than failedWatchPause, so that
 // its rank counts again.
 func (f *follower) mustWatch(now time.Time) bool {
 	f.mu.Lock()
-	loaded, longBehind := f.allLoaded(), false
+	loaded, longBehind := f.allLoaded(), now.Before(f.confirming.takeoverUntil)
 	for _, kind := range kinds() {
-		longBehind = longBehind || f.missesChange(kind) && now.Sub(f.watches[kind].missingSince) > behindTimeout
+		longBehind = longBehind || f.missesChange(kind) && now.Sub(f.watches[kind].missingSince) > f.budget().Behind()
 	}
 	retry := !f.watching && !f.failedAt.IsZero() && now.Sub(f.failedAt) > failedWatchPause
 	if retry {
@@ -96,6 +98,9 @@
 func (f *follower) setWatching(watching bool) {
 	f.mu.Lock()
 	f.watching = watching
+	if watching {
+		f.endAsk("")
+	}
 	f.mu.Unlock()
 	if watching {
 		storeWatched.Set(1)
@@ -122,7 +127,7 @@
 	w.recheck = false
 	f.mu.Unlock()
 	defer context.AfterFunc(watchCtx, cancel)()
-	wait := watchWait(f.mesh.Watchers()) + time.Duration(rand.Int64N(int64(watchJitter)))
+	wait := watchWait + time.Duration(rand.Int64N(int64(watchJitter)))
 	if recheck {
 		wait = recheckWait
 	}
@@ -139,10 +144,10 @@
 	}
 	f.storeAnswered()
 	if len(page.Objects) > 0 {
+		from := f.received(kind, mirror.FromWatch, "")
 		if time.Since(begun) > waitedFor {
-			f.setCurrent(kind, time.Now()) // the change was made just now
+			from.After = from.At // the change was made just now
 		}
-		from := f.received(kind, mirror.FromWatch, "", time.Now())
 		f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.ApplyEvents(page, from) })
 		interval.Sleep(ctx, batchDelay)
 	}
@@ -168,23 +173,20 @@
 	w.absent, w.absentAt, w.missingRevision = missingRevision, time.Now(), 0
 }
 
-// watchWait returns the wait of a watch, without the jitter, if the given number of instances
-// watch the store.
-func watchWait(instances int) time.Duration {
-	return min(maxWatchWait, max(minWatchWait, time.Duration(instances)*watchSpacing))
-}
-
 // list loads all objects of a kind from the store.
 func (f *follower) list(ctx context.Context, kind string) error {
-	begun := time.Now()
+	begun := f.now()
 	page, err := f.store.List(ctx, kind+"/")
 	if err != nil {
 		f.storeFailedUnlessDone(ctx, err)
 		return err
 	}
 	f.storeAnswered()
-	from := f.received(kind, mirror.FromList, "", begun)
+	from := f.received(kind, mirror.FromList, "")
 	f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
+	f.mu.Lock()
+	f.confirming.record.Confirm(kind, begun, freshness.SourceStore)
+	f.mu.Unlock()
 	return nil
 }
 
@@ -237,10 +239,13 @@
 	}
 }
 
-// pingStore pings the store, so that an outage is detected while the watches wait. It returns nil when
-// the context is done.
+// pingStore pings the store, so that an outage is detected while the watches wait, unless another call
+// was just answered. It returns nil when the context is done.
 func (f *follower) pingStore(ctx context.Context) error {
 	for interval.Sleep(ctx, f.pingWait()) {
+		if f.answeredWithin(pingInterval) {
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 		err := f.store.Ping(callCtx)
 		cancel()
@@ -253,6 +258,13 @@
 	return nil
 }
 
+// answeredWithin reports whether the store answers and did so within the given time.
+func (f *follower) answeredWithin(d time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outageSince.IsZero() && time.Since(f.answeredAt) < d
+}
+
 // pingWait returns the time until the next ping.
 func (f *follower) pingWait() time.Duration {
 	f.mu.Lock()
--- a/hosted/watch_test.go
+++ b/hosted/watch_test.go
@@ -121,8 +121,9 @@
 	for i := range changes {
 		evacuate(c, members, i%2 == 0)
 	}
-	// One watch for each change, and those that ended without a change.
-	most := changes + 1 + len(kinds())*(1+int(time.Since(begun)/minWatchWait))
+	// One watch for each change, those that ended without a change, and the checks of one instance.
+	checks := int(time.Since(begun) / members[0].instance.follower.budget().Check(0))
+	most := changes + 1 + len(kinds())*(1+int(time.Since(begun)/watchWait)) + checks
 	if n := totalCalls() - before; n > most {
 		t.Errorf("%d calls to the store for %d changes, want at most %d", n, changes, most)
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -277,6 +277,23 @@
 	return out
 }
 
+// Revisions returns the revisions after the given one at which the mirror knows objects to have changed or to
+// have been removed: at most one for each of these changes.
+func (m *Mirror) Revisions(after uint64) []uint64 {
+	var out []uint64
+	for _, e := range m.objects {
+		if e.Object.Version > after {
+			out = append(out, e.Object.Version)
+		}
+	}
+	for _, t := range m.tombstones {
+		if t.revision > after {
+			out = append(out, t.revision)
+		}
+	}
+	return out
+}
+
 // Removal returns the origin of the removal of an object, and false if it is not recorded.
 func (m *Mirror) Removal(name string) (Origin, bool) {
 	t, ok := m.tombstones[name]
