hosted: fewer checks while a change is on its way

A confirmation of a peer that already has a further change did not count at all here, so each failure domain asked the store for itself while upstreams registered. It now counts by kind and once the change is here, and defers the next check up to the age at which an instance asks for itself. An instance that has just loaded all kinds compares by their cursors before it asks for each.

TestCheckCalls keeps the calls in calm.

--- a/hosted/confirm.go
+++ b/hosted/confirm.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -38,6 +39,8 @@
 	// followed.
 	minUnexplainedWait = time.Second
 	maxUnexplainedWait = 16 * time.Second
+	// maxReported bounds the confirmations that wait for changes.
+	maxReported = 4
 )
 
 // confirming is what a follower knows of how current its mirrors are. The follower's lock guards it.
@@ -45,9 +48,9 @@
 	record *freshness.Record
 	// checked is the store's revision up to which all mirrors have all changes.
 	checked uint64
-	// reported is the newest confirmation of a peer. It counts once the changes are here that the
-	// peer has.
-	reported gossip.Confirmation
+	// reported are the newest confirmations of peers, from old to new. Each counts once the changes
+	// are here that the peer has.
+	reported []gossip.Confirmation
 	// toldAt is the time of the newest confirmation that the members of the failure domain have.
 	toldAt time.Time
 	// asks counts the calls to the store since a peer confirmed the state, of an instance that does
@@ -127,6 +130,10 @@
 	}
 	_, oldest := c.record.Oldest()
 	due := oldest.At.Add(age)
+	// While a peer has changes that are missing here, they are on their way, and the peer asks the store.
+	if n := len(c.reported); n > 0 {
+		due = later(due, earlier(c.reported[n-1].At.Add(age), oldest.At.Add(askAge)))
+	}
 	if c.retryAt.After(due) {
 		due = c.retryAt
 	}
@@ -272,10 +279,10 @@
 func (f *follower) hasAll(revision uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	checked := f.confirming.checked
-	if !f.allLoaded() || checked == 0 {
+	if !f.allLoaded() {
 		return false
 	}
+	checked := max(f.confirming.checked, f.leastCursor())
 	if checked >= revision {
 		return true
 	}
@@ -295,6 +302,16 @@
 	return n == revision-checked
 }
 
+// leastCursor returns the revision up to which the mirrors of all kinds have all changes by their own
+// cursors. f.mu must be held.
+func (f *follower) leastCursor() uint64 {
+	least := uint64(math.MaxUint64)
+	for _, m := range f.mirrors {
+		least = min(least, m.Cursor())
+	}
+	return least
+}
+
 // explains reports whether some mirror has the change at a revision of the store.
 func (f *follower) explains(revision uint64) bool {
 	f.mu.Lock()
@@ -410,38 +427,64 @@
 		f.mu.Unlock()
 		return // it may have been received during a pause of this process
 	}
-	if c.At.After(f.confirming.reported.At) {
-		f.confirming.reported = c
-	}
+	f.confirming.addReported(c)
 	f.confirmByPeer()
 	f.mu.Unlock()
 	f.handleNotice(gossip.RevisionNotice{From: c.From, SameDomain: c.SameDomain, Newest: c.Newest})
 	f.tellDomain()
 }
 
-// confirmByPeer records the newest confirmation of a peer if this instance has all changes that the peer
-// has. f.mu must be held.
+// addReported adds a confirmation, unless a newer one is known.
+func (c *confirming) addReported(one gossip.Confirmation) {
+	n := len(c.reported)
+	if len(one.Newest) < len(kinds()) || n > 0 && !one.At.After(c.reported[n-1].At) {
+		return
+	}
+	c.reported = append(c.reported, one)
+	c.reported = c.reported[max(0, len(c.reported)-maxReported):]
+}
+
+// confirmByPeer records the newest confirmation of a peer that has no change which is missing here, for each
+// kind. f.mu must be held.
 func (f *follower) confirmByPeer() {
 	c := &f.confirming
-	reported := &c.reported
-	if reported.At.IsZero() || len(reported.Newest) < len(kinds()) || !f.allLoaded() {
+	if !f.allLoaded() {
 		return
 	}
+	done := 0 // of the confirmations, how many count for all kinds
+	for n := range c.reported {
+		if f.confirmBy(&c.reported[n]) {
+			done = n + 1
+		}
+	}
+	c.reported = c.reported[done:]
+}
+
+// confirmBy records one confirmation of a peer for the kinds of which it has no change that is missing here.
+// It reports whether those are all. f.mu must be held.
+func (f *follower) confirmBy(reported *gossip.Confirmation) bool {
+	c, all, confirmed := &f.confirming, true, false
 	for i, kind := range kinds() {
 		if f.mirrors[kind].Newest() < reported.Newest[i] {
-			return
+			all = false
+			continue
 		}
-	}
-	if reported.SameDomain && reported.At.After(c.toldAt) {
-		c.toldAt = reported.At
-	}
-	confirmed := false
-	for _, kind := range kinds() {
 		confirmed = c.record.Confirm(kind, reported.At, reported.From.String()) || confirmed
 	}
-	if confirmed {
+	if all && reported.SameDomain {
+		c.toldAt = later(c.toldAt, reported.At)
+	}
+	if all && confirmed {
 		f.endAsk(reported.From.String())
 	}
+	return all
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // tellDomain passes a peer's confirmation on to the members of the failure domain if they have no
--- a/hosted/current_test.go
+++ b/hosted/current_test.go
@@ -4,12 +4,14 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"hickorydrum/freshness"
 	"hickorydrum/platform"
 )
 
@@ -328,3 +330,36 @@
 		}
 	}
 }
+
+// TestCheckCalls guards against a load on the store that grows with the instances, or with the failure
+// domains for more than their watches and pings: in calm, one of them checks for all.
+func TestCheckCalls(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1, size.bound)
+				w.startAll(size.instances, size.domains)
+				defer w.end()
+				time.Sleep(settleFor)
+				before := w.counted()
+				time.Sleep(time.Minute)
+				after := w.counted()
+				lists, watches := after["list"]-before["list"], after["watch"]-before["watch"]
+				// Lost datagrams cost further checks.
+				if most := int(time.Minute/freshness.NewBudget(size.bound).Check(0)) * 11 / 10; lists > most {
+					t.Errorf("%d checks a minute, want at most %d", lists, most)
+				}
+				if most := size.domains * len(kinds()) * int(1+time.Minute/watchWait); watches > most {
+					t.Errorf("%d watches a minute, want at most %d", watches, most)
+				}
+			})
+		})
+	}
+}
+
+// counted returns the numbers of calls to the store so far, by their names.
+func (w *world) counted() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.calls)
+}
--- a/hosted/world_test.go
+++ b/hosted/world_test.go
@@ -43,7 +43,6 @@
 	instances []*simulated // the running processes, and those that ended and were not started again
 	processes []*simulated // all that were ever started
 	changes   []change
-	bytes     int // of datagrams
 	calls     map[string]int
 }
 
@@ -347,9 +346,6 @@
 func (c *simConn) WriteTo(data []byte, to net.Addr) (int, error) {
 	c.of.awaitRunning()
 	w := c.of.world
-	w.mu.Lock()
-	w.bytes += len(data)
-	w.mu.Unlock()
 	target := w.find(to.(*net.UDPAddr).AddrPort().Addr())
 	if is := c.of.now(); target == nil || is.dead || is.noSend || w.draw() < w.loss {
 		return len(data), nil
