ingress, requestlog: a request says how current its configuration was known to be

The lines about requests (events 501 and 502) have confirmed_ms and confirmed_by, and explain shows them: how long before the request arrived the configuration that served it was known to be current, and whether the store or which peer said so.

--- a/hosted/confirm.go
+++ b/hosted/confirm.go
@@ -513,13 +513,11 @@
 	}
 }
 
-// freshness returns how long ago the state of a kind was last confirmed, and by whom: the store or the
-// address of a peer. It returns false if it never was.
-func (f *follower) freshness(kind string) (age time.Duration, source string, ok bool) {
+// confirmation returns up to when the state of a kind is known to be current, by the clock of package clock.
+func (f *follower) confirmation(kind string) freshness.Confirmation {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c := f.confirming.record.Of(kind)
-	return f.now().Sub(c.At), c.Source, !c.At.IsZero()
+	return f.confirming.record.Of(kind)
 }
 
 // nextStalled returns when the watch of some kind counts as stalled, the zero time if no change is
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -254,8 +254,8 @@
 // received returns the origin of an update of a kind that is received now. f.mu must not be held.
 func (f *follower) received(kind string, source mirror.Source, peer string) mirror.Origin {
 	origin := mirror.Origin{Source: source, Peer: peer, At: time.Now()}
-	if age, _, ok := f.freshness(kind); ok {
-		origin.After = origin.At.Add(-age)
+	if c := f.confirmation(kind); !c.At.IsZero() {
+		origin.After = origin.At.Add(-f.now().Sub(c.At))
 	}
 	return origin
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -20,6 +20,7 @@
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/fleet"
+	"hickorydrum/freshness"
 	"hickorydrum/gossip"
 	"hickorydrum/ingress"
 	"hickorydrum/interval"
@@ -102,9 +103,10 @@
 	i.tracker = load.NewTracker(settings.Domain, settings.Region, regionNames(&settings), i.newDialer)
 	location := planner.Location{Domain: settings.Domain, Region: settings.Region, Regions: regionNames(&settings)}
 	i.planner = planner.New(location, i.tracker, i.mesh, retryBounds(settings.Bounds))
-	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView))
 	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.apply, withRanBefore(!settings.Bootstrap),
 		withHeartbeat(settings.HeartbeatInterval), withBound(settings.Bounds.Propagation))
+	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView),
+		ingress.WithConfirmed(func() freshness.Confirmation { return i.follower.confirmation(platform.KindConfiguration) }))
 	i.mesh.OnRevisions(i.follower.handleNotice)
 	i.mesh.OnConfirmed(i.follower.handleConfirmation)
 	i.mesh.OnLoadReports(i.receiveLoadReports)
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -15,6 +15,7 @@
 	"hickorydrum/dispatch"
 	"hickorydrum/fault"
 	"hickorydrum/fleet"
+	"hickorydrum/freshness"
 	"hickorydrum/load"
 	"hickorydrum/placement"
 	"hickorydrum/planner"
@@ -38,7 +39,9 @@
 	id      string
 	arrived time.Time
 	planReq planner.Request
-	body    []byte
+	// confirmed says up to when the configuration of planReq is known to have been current.
+	confirmed freshness.Confirmation
+	body      []byte
 
 	// sends counts the sends over an open connection, except those answered by another upstream
 	// that has the address now.
@@ -66,7 +69,7 @@
 func newExchange(g *Ingress, w http.ResponseWriter, r *http.Request) *exchange {
 	return &exchange{
 		ingress: g, w: w, r: r, id: platform.RequestID(r.Header), arrived: time.Now(),
-		planReq: planner.Request{Table: g.planner.Table()},
+		planReq: planner.Request{Table: g.planner.Table()}, confirmed: g.confirmed(),
 	}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"hickorydrum/freshness"
 	"hickorydrum/planner"
 	"hickorydrum/server"
 )
@@ -23,6 +24,7 @@
 	// upstreamLines bounds the lines about what upstreams say of themselves.
 	upstreamLines lineCounter
 	onLeaving     func()
+	confirmed     func() freshness.Confirmation
 	// lastDeadline is the latest deadline that a request may have, nil until a planned stop begins.
 	lastDeadline atomic.Pointer[time.Time]
 	sends        context.Context // done when sends to upstreams must end
@@ -36,9 +38,15 @@
 // once for each run of an upstream.
 func WithOnLeaving(onLeaving func()) Option { return func(g *Ingress) { g.onLeaving = onLeaving } }
 
+// WithConfirmed sets a function that returns up to when the configuration in force is known to be current,
+// by the clock of package clock. The lines about requests have it.
+func WithConfirmed(confirmed func() freshness.Confirmation) Option {
+	return func(g *Ingress) { g.confirmed = confirmed }
+}
+
 // New returns a handler that sends requests to the upstreams that the planner chooses.
 func New(p *planner.Planner, log *slog.Logger, opts ...Option) *Ingress {
-	g := &Ingress{planner: p, log: log, limiter: newLogLimiter(), onLeaving: func() {}}
+	g := &Ingress{planner: p, log: log, limiter: newLogLimiter(), onLeaving: func() {}, confirmed: func() freshness.Confirmation { return freshness.Confirmation{} }}
 	for _, opt := range opts {
 		opt(g)
 	}
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"hickorydrum/clock"
 	"hickorydrum/event"
 )
 
@@ -78,6 +79,10 @@
 		attrs = append(attrs, slog.String("route", x.planReq.Route.Name), slog.Uint64("version", x.planReq.Table.Version()),
 			slog.String("service", x.planReq.Service))
 	}
+	if !x.confirmed.At.IsZero() {
+		age := clock.Now().Sub(x.confirmed.At) - now.Sub(x.arrived)
+		attrs = append(attrs, slog.Int64("confirmed_ms", max(0, age.Milliseconds())), slog.String("confirmed_by", x.confirmed.Source))
+	}
 	if x.chosen != nil {
 		attrs = append(attrs, slog.String("upstream", x.chosen.ID), slog.String("domain", x.chosen.Domain),
 			slog.Uint64("entry", x.chosen.Revision), slog.String("source", x.chosen.Source),
--- a/requestlog/requestlog.go
+++ b/requestlog/requestlog.go
@@ -44,6 +44,10 @@
 	Peer     string           `json:"peer"`
 	Known    int64            `json:"known_ms"`
 
+	// ConfirmedBy is who last confirmed the configuration, ConfirmedAge how long before the request arrived.
+	ConfirmedBy  string `json:"confirmed_by"`
+	ConfirmedAge int64  `json:"confirmed_ms"`
+
 	// Fields of the lines about a planned stop.
 	Step     string        `json:"step"`
 	StepTook time.Duration `json:"took"`
--- a/requestlog/story.go
+++ b/requestlog/story.go
@@ -69,6 +69,9 @@
 	if l.Route != "" {
 		w.printf("  route %s of configuration version %d, service %s\n", l.Route, l.Version, l.Service)
 	}
+	if l.ConfirmedBy != "" {
+		w.printf("  the configuration was known to be current %d ms before the request arrived, from %s\n", l.ConfirmedAge, l.ConfirmedBy)
+	}
 	if l.Upstream != "" {
 		w.printf("  last upstream: %s in %s; sent to %d in all\n", l.Upstream, l.Domain, l.Sends)
 	}
--- a/requestlog/story_test.go
+++ b/requestlog/story_test.go
@@ -76,6 +76,15 @@
   the line about its end takes that for the caller's close
   whether it ran: no upstream ran it
 ` + storyStop + storyStopped + "12 lines about requests were left out of this log\n",
+		},
+		"served by a configuration that a peer had confirmed": {
+			log: `front-1 {"time":"2026-01-01T00:00:02.6Z","event":501,"id":"abc","outcome":"answered","status":200,"took_ms":10,"limit_ms":900,"sends":1,"route":"r-1","version":7,"service":"old","confirmed_ms":640,"confirmed_by":"10.0.0.4"}
+`,
+			want: `2026-01-01T00:00:02.6Z front-1
+  request abc: answered, status 200 after 10 ms of 900
+  route r-1 of configuration version 7, service old
+  the configuration was known to be current 640 ms before the request arrived, from 10.0.0.4
+`,
 		},
 		"answered, not delivered whole": {
 			log: logStop + logStopped + logLost +
