platform: an entry whose values are out of range names no upstream

An entry with a port such as 99999, a host name, slots of 4e18 or a start in the year 2100 was taken for an upstream here: requests were offered to an address that cannot be dialled, shares between regions followed the slots, and a later entry with the true start counted as that of an earlier run, which had left. An id with a line break would have ended up in a header.

Lines about such entries (event 307) are bounded in rate and length, hickorydrum_upstream_entries_skipped counts them, and the removal of one is not told as that of an upstream.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -64,6 +64,8 @@
 	refresh  chan struct{}                   // see refreshView
 	// withdrawalLines bounds the lines about upstreams that leave or are gone.
 	withdrawalLines *event.Limiter
+	// entryLines bounds those about entries that are not usable.
+	entryLines *event.Limiter
 
 	mu                sync.Mutex                 // held while objects from the store are applied; guards the fields below
 	evacuated         map[string]bool            // failure domains under evacuation in the last view
@@ -82,6 +84,7 @@
 		file: file, settings: settings, log: log, store: platform.New("http://" + settings.Store),
 		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream), refresh: make(chan struct{}, 1),
 		withdrawalLines: event.NewLimiter(event.LinesPerSecond(maxWithdrawalLines)),
+		entryLines:      event.NewLimiter(event.LinesPerSecond(maxEntryLines)),
 	}
 	i.bounds.Store(&settings.Bounds)
 	control, err := netip.ParseAddrPort(settings.Control)
--- a/hosted/upstreams.go
+++ b/hosted/upstreams.go
@@ -5,8 +5,12 @@
 	"log/slog"
 	"strconv"
 	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"hickorydrum/event"
+	"hickorydrum/fault"
 	"hickorydrum/fleet"
 	"hickorydrum/mirror"
 	"hickorydrum/platform"
@@ -37,8 +41,9 @@
 			upstreams = append(upstreams, d.upstream)
 		}
 	}
-	for key := range i.decoded {
-		if _, ok := decoded[key]; !ok {
+	entriesSkipped.Set(float64(len(decoded) - len(upstreams)))
+	for key, old := range i.decoded {
+		if _, ok := decoded[key]; !ok && old.usable {
 			name := strings.TrimPrefix(key, platform.KindUpstreams+"/")
 			changes.addRemoval(name, i.follower.removal(platform.KindUpstreams, name))
 		}
@@ -47,18 +52,56 @@
 	return upstreams, changes
 }
 
+const (
+	// maxEntryLines bounds the lines a second about entries that are not usable, and maxEntryText the text of
+	// the error in each, in bytes: it may cite what the entry says.
+	maxEntryLines = 20
+	maxEntryText  = 300
+	// maxClockDifference bounds how far the start of an upstream may be in the future.
+	maxClockDifference = time.Hour
+)
+
+var entriesSkipped = metrics.GetOrCreateGauge(`hickorydrum_upstream_entries_skipped`, nil)
+
 // decodeEntry decodes one entry, and logs it if it is not usable.
 func (i *Instance) decodeEntry(e *mirror.Entry) decodedUpstream {
 	u, err := platform.DecodeUpstream(e.Object)
+	if err == nil && time.UnixMilli(u.StartMillis).Sub(time.Now()) > maxClockDifference {
+		err = fault.New(fault.Invalid, "the entry "+e.Object.Key+" has a start in the future", "correct the program that writes it")
+	}
 	if err != nil {
-		event.EntryRefused.Log(context.Background(), i.log, slog.String("error", err.Error()))
+		u = fleet.Upstream{}
+		i.logUnusable(e.Object.Key, err)
 	}
 	u.Source, u.Peer, u.LearnedAt = string(e.Origin.Source), e.Origin.Peer, e.Origin.At
 	return decodedUpstream{revision: e.Object.Version, upstream: u, usable: err == nil}
 }
 
-// maxChangesLogged bounds the changes that the line about a view has of each sort.
-const maxChangesLogged = 8
+// logUnusable logs an entry that is not usable.
+func (i *Instance) logUnusable(key string, err error) {
+	now := time.Now()
+	omitted := i.entryLines.Omitted(now)
+	if !i.entryLines.Allow(now) {
+		return
+	}
+	event.EntryRefused.Log(context.Background(), i.log, slog.String("object", shorten(key, maxNameShown)),
+		slog.String("error", shorten(err.Error(), maxEntryText)), slog.Int("omitted", omitted))
+}
+
+// shorten cuts a text to a number of bytes.
+func shorten(text string, most int) string {
+	if len(text) <= most {
+		return text
+	}
+	return text[:most] + "..."
+}
+
+const (
+	// maxChangesLogged bounds the changes that the line about a view has of each sort.
+	maxChangesLogged = 8
+	// maxNameShown bounds what lines show of a name that another program wrote, in bytes.
+	maxNameShown = 80
+)
 
 // viewChanges is what changed from one view of the upstreams to the next: one text for each change,
 // with the upstream's ID, the revision, the source and the peer.
@@ -98,7 +141,7 @@
 
 // describe returns the text of one change. A revision of 0 is left out, and so is an empty source or peer.
 func describe(name string, revision uint64, source, peer string) string {
-	parts := []string{name}
+	parts := []string{shorten(name, maxNameShown)}
 	if revision > 0 {
 		parts = append(parts, "@"+strconv.FormatUint(revision, 10))
 	}
--- a/load/load.go
+++ b/load/load.go
@@ -149,7 +149,7 @@
 	if initial {
 		// The clocks of the two machines may differ, which makes the age wrong by seconds
 		// at most.
-		age := max(0, time.Duration(now.UnixMilli()-u.StartMillis)*time.Millisecond)
+		age := time.Duration(max(0, now.UnixMilli()-u.StartMillis)) * time.Millisecond
 		s.markCold(now.Add(coldPeriod - age))
 	}
 	if u.ColdRemainingMillis > 0 {
