platform: one object nested deeply does not hide the others

Package encoding/json rejects a document that is nested to 10,000 levels, and a page was decoded as one document.

TestOddEntries plays seven odd entries at four instances, before they start and while they run, one of them with its state from a peer.

--- /dev/null
+++ b/hosted/odd_test.go
@@ -0,0 +1,95 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"hickorydrum/platform"
+)
+
+// oddObjects returns objects that a stranger may have written among those of the upstreams.
+func oddObjects() []string {
+	good := `{"address":"127.0.0.1:%s","born":%s,"info":{"service":"list","zone":"one-a","slots":4},"status":{"state":"ready","coldRemainingMs":0}}`
+	born := fmt.Sprint(time.Now().Add(-time.Minute).UnixMilli())
+	specs := map[string]string{
+		"odd-1":          strings.Repeat("[", 400_000) + strings.Repeat("]", 400_000),
+		"odd-2":          fmt.Sprintf(good, "99999", born),
+		"odd-3":          fmt.Sprintf(good, "80", "1e400"),
+		"odd-4":          fmt.Sprintf(good, "80", fmt.Sprint(time.Now().Add(48*time.Hour).UnixMilli())),
+		"odd-5":          `null`,
+		"odd-6":          `"` + strings.Repeat("x", platform.MaxValue-10) + `"`,
+		`odd\r\nHost: x`: fmt.Sprintf(good, "80", born),
+	}
+	var out []string
+	for name, spec := range specs {
+		out = append(out, fmt.Sprintf(`{"metadata":{"name":"%s","revision":1,"createdRev":1,"finalizers":[]},"spec":%s,"status":null}`, name, spec))
+	}
+	return out
+}
+
+// withOddObjects returns a handler that adds odd objects to each list and watch of upstreams.
+func withOddObjects(h http.Handler) http.Handler {
+	items := strings.Join(oddObjects(), ",")
+	var events []string
+	for _, o := range oddObjects() {
+		events = append(events, `{"deleted":false,"object":`+o+`}`)
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet || r.URL.Path != "/objects/"+platform.KindUpstreams {
+			h.ServeHTTP(w, r)
+			return
+		}
+		answer := httptest.NewRecorder()
+		h.ServeHTTP(answer, r)
+		text := answer.Body.String()
+		text = strings.Replace(text, `"items":[{`, `"items":[`+items+`,{`, 1)
+		text = strings.Replace(text, `"events":[{`, `"events":[`+strings.Join(events, ",")+`,{`, 1)
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write([]byte(text))
+	})
+}
+
+// TestOddEntries guards against instances that do not start, or follow the upstreams no more, since a stranger wrote
+// odd entries among theirs: good ones that are added, changed and removed are in force at all instances, also at one
+// that has its state from a peer, and the odd ones are logged within bounds.
+func TestOddEntries(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.configure(reads)
+	first := c.worker("list", "one-a", nil)
+	store := httptest.NewServer(withOddObjects(c.api.Config.Handler))
+	t.Cleanup(func() {
+		store.CloseClientConnections()
+		store.Close()
+	})
+	address := strings.TrimPrefix(store.URL, "http://")
+	a := c.startWith("a", "one-a", address, nil)
+	seeds := []string{fmt.Sprintf("%s:%d", a.ip, controlPort)}
+	members := []*member{a, c.startWith("b", "one-a", address, seeds), c.startWith("c", "one-b", address, seeds)}
+	for _, m := range members {
+		c.ready(m, 1)
+	}
+	second := c.worker("list", "one-a", nil)
+	for _, m := range members {
+		c.ready(m, 2)
+	}
+	c.register(first, "list", "one-a", "draining")
+	for _, m := range members {
+		c.await("an upstream that drains", func() bool { return len(m.instance.planner.View().Service("list")) == 1 })
+	}
+	c.remove(platform.KindUpstreams + "/" + second.ID())
+	for _, m := range members {
+		c.ready(m, 1)
+		lines := strings.Count(m.logs.String(), "names no upstream")
+		if lines == 0 || lines > 3*maxEntryLines || len(m.logs.String()) > 1<<20 {
+			t.Errorf("%d lines about odd entries, %d bytes of log", lines, len(m.logs.String()))
+		}
+	}
+	// An instance that starts later.
+	late := c.startWith("d", "one-b", address, seeds)
+	c.ready(late, 1)
+}
