--- a/hosted/current_test.go
+++ b/hosted/current_test.go
@@ -206,8 +206,11 @@
 }
 
 var sizes = []size{
-	{3, 2, 2500 * time.Millisecond}, {12, 6, 2500 * time.Millisecond}, {30, 6, 3 * time.Second},
-	{70, 9, 3 * time.Second}, {200, 9, 4 * time.Second},
+	{3, 2, 2500 * time.Millisecond},
+	{12, 6, 2500 * time.Millisecond},
+	{30, 6, 3 * time.Second},
+	{70, 9, 3 * time.Second},
+	{200, 9, 4 * time.Second},
 }
 
 // play plays one seed: two disruptions in series and three changes around them. It returns the time that
--- a/hosted/upstreams.go
+++ b/hosted/upstreams.go
@@ -66,7 +66,7 @@
 // decodeEntry decodes one entry, and logs it if it is not usable.
 func (i *Instance) decodeEntry(e *mirror.Entry) decodedUpstream {
 	u, err := platform.DecodeUpstream(e.Object)
-	if err == nil && time.UnixMilli(u.StartMillis).Sub(time.Now()) > maxClockDifference {
+	if err == nil && time.Until(time.UnixMilli(u.StartMillis)) > maxClockDifference {
 		err = fault.New(fault.Invalid, "the entry "+e.Object.Key+" has a start in the future", "correct the program that writes it")
 	}
 	if err != nil {
