hosted: a confirmation counts only for the same objects

What would have been seen: while all other instances start again, an upstream is removed. The one that went on had missed the event, and kept sending to the upstream for as long as nobody asked the store again.

Cause: instances compared their states by the revision of the last change that each knows. One that loads a list after a removal does not know that there was one, so its last change is an older one: the same as that of an instance which still has the removed object. Its confirmation then counted there.

Change: a confirmation carries a digest of the names and versions of the objects by kind, without those that are retained, and counts only if it is the same here.

--- a/gossip/confirm.go
+++ b/gossip/confirm.go
@@ -31,6 +31,9 @@
 	// Newest holds the revision of the last change in its state, by kind of entry in the
 	// platform's store.
 	Newest []uint64
+	// Digests holds a digest of its state, by kind. Two states that have the same last change may differ: one
+	// that was loaded as a whole does not show what was removed before.
+	Digests []uint32
 	// At is a time up to which its state has all changes that the store acknowledged.
 	At time.Time
 }
@@ -43,6 +46,8 @@
 	Domain string
 	From   netip.Addr
 	Newest []uint64
+	// Digests are those of Confirmation.
+	Digests []uint32
 	// AgeMillis is the time since Confirmation.At, in milliseconds.
 	AgeMillis int64
 }
@@ -52,13 +57,13 @@
 // datagrams, so it must not block.
 func (m *Mesh) OnConfirmed(f func(Confirmation)) { m.onConfirmed = f }
 
-// Confirm sends the live members of the failure domain that the state of this instance, with the
-// revisions newest, has all changes up to an instant. If otherDomains is set, it also sends that
-// to one contact in each other failure domain of the group that confirms together.
-func (m *Mesh) Confirm(newest []uint64, at time.Time, otherDomains bool) {
+// Confirm sends a confirmation of this instance to the live members of the failure domain. If
+// otherDomains is set, it also sends it to one contact in each other failure domain of the group that
+// confirms together. From and SameDomain of the confirmation are not used.
+func (m *Mesh) Confirm(c Confirmation, otherDomains bool) {
 	now := m.now()
 	m.mu.Lock()
-	datagrams := m.view.confirm(newest, at, otherDomains, now)
+	datagrams := m.view.confirm(&c, otherDomains, now)
 	m.mu.Unlock()
 	m.send(datagrams)
 }
@@ -96,15 +101,15 @@
 	m.mu.Unlock()
 	if ok {
 		at := now.Add(-time.Duration(msg.AgeMillis) * time.Millisecond)
-		m.onConfirmed(Confirmation{From: from, SameDomain: sameDomain, Newest: msg.Newest, At: at})
+		m.onConfirmed(Confirmation{From: from, SameDomain: sameDomain, Newest: msg.Newest, Digests: msg.Digests, At: at})
 	}
 }
 
 // confirm returns the datagrams of one confirmation. It does not count as a heartbeat.
-func (v *view) confirm(newest []uint64, at time.Time, otherDomains bool, now time.Time) []datagram {
+func (v *view) confirm(c *Confirmation, otherDomains bool, now time.Time) []datagram {
 	data := encodeConfirmation(&confirmMessage{
-		Format: confirmFormat, Domain: v.domain, From: v.self.Address, Newest: newest,
-		AgeMillis: min(maxAgeMillis, max(0, now.Sub(at).Milliseconds())),
+		Format: confirmFormat, Domain: v.domain, From: v.self.Address, Newest: c.Newest, Digests: c.Digests,
+		AgeMillis: min(maxAgeMillis, max(0, now.Sub(c.At).Milliseconds())),
 	})
 	var out []datagram
 	for _, address := range v.addresses() {
@@ -160,9 +165,9 @@
 	return max(0, higher-1)
 }
 
-// confirmPrefix begins every datagram with a confirmation: an array of five elements, of which the
+// confirmPrefix begins every datagram with a confirmation: an array of six elements, of which the
 // first is confirmFormat.
-var confirmPrefix = []byte{0x85, 0x18, confirmFormat}
+var confirmPrefix = []byte{0x86, 0x18, confirmFormat}
 
 func isConfirmation(data []byte) bool { return bytes.HasPrefix(data, confirmPrefix) }
 
--- a/hosted/confirm.go
+++ b/hosted/confirm.go
@@ -48,8 +48,8 @@
 	record *freshness.Record
 	// checked is the store's revision up to which all mirrors have all changes.
 	checked uint64
-	// reported are the newest confirmations of peers, from old to new. Each counts once the changes
-	// are here that the peer has.
+	// reported are the newest confirmations of peers, from old to new. Each counts once this instance
+	// has the same objects as the peer.
 	reported []gossip.Confirmation
 	// toldAt is the time of the newest confirmation that the members of the failure domain have.
 	toldAt time.Time
@@ -395,10 +395,10 @@
 		c.record.Confirm(kind, begun, freshness.SourceStore)
 	}
 	c.toldAt = begun
-	newest := f.newest()
+	own := f.ownConfirmation(begun)
 	f.showAges()
 	f.mu.Unlock()
-	f.mesh.Confirm(newest, begun, true)
+	f.mesh.Confirm(own, true)
 }
 
 // checkFailed records a failed check. An instance that watches the store leaves the next try to
@@ -419,7 +419,7 @@
 }
 
 // handleConfirmation handles a peer's statement that its state is current. It counts for this instance
-// if that has all changes that the peer has; else these are fetched as after any other notice.
+// if that has the same objects; changes that only the peer has are fetched as after any other notice.
 func (f *follower) handleConfirmation(c gossip.Confirmation) {
 	f.mu.Lock()
 	wakeAt := f.confirming.wakeAt
@@ -437,14 +437,14 @@
 // addReported adds a confirmation, unless a newer one is known.
 func (c *confirming) addReported(one gossip.Confirmation) {
 	n := len(c.reported)
-	if len(one.Newest) < len(kinds()) || n > 0 && !one.At.After(c.reported[n-1].At) {
+	if len(one.Newest) < len(kinds()) || len(one.Digests) < len(kinds()) || n > 0 && !one.At.After(c.reported[n-1].At) {
 		return
 	}
 	c.reported = append(c.reported, one)
 	c.reported = c.reported[max(0, len(c.reported)-maxReported):]
 }
 
-// confirmByPeer records the newest confirmation of a peer that has no change which is missing here, for each
+// confirmByPeer records the newest confirmation of a peer that has the same objects as this instance, for each
 // kind. f.mu must be held.
 func (f *follower) confirmByPeer() {
 	c := &f.confirming
@@ -460,12 +460,11 @@
 	c.reported = c.reported[done:]
 }
 
-// confirmBy records one confirmation of a peer for the kinds of which it has no change that is missing here.
-// It reports whether those are all. f.mu must be held.
+// confirmBy records one confirmation of a peer for the kinds of which it has the same objects. It reports whether those are all. f.mu must be held.
 func (f *follower) confirmBy(reported *gossip.Confirmation) bool {
 	c, all, confirmed := &f.confirming, true, false
 	for i, kind := range kinds() {
-		if f.mirrors[kind].Newest() < reported.Newest[i] {
+		if f.mirrors[kind].Digest() != reported.Digests[i] {
 			all = false
 			continue
 		}
@@ -498,9 +497,19 @@
 		return
 	}
 	c.toldAt = oldest.At
-	newest := f.newest()
+	own := f.ownConfirmation(oldest.At)
 	f.mu.Unlock()
-	f.mesh.Confirm(newest, oldest.At, false)
+	f.mesh.Confirm(own, false)
+}
+
+// ownConfirmation returns the statement that the state of this instance has all changes up to an instant. f.mu
+// must be held.
+func (f *follower) ownConfirmation(at time.Time) gossip.Confirmation {
+	c := gossip.Confirmation{Newest: f.newest(), At: at}
+	for _, kind := range kinds() {
+		c.Digests = append(c.Digests, f.mirrors[kind].Digest())
+	}
+	return c
 }
 
 // showAges sets the metrics of how long ago the state of each kind was last confirmed. f.mu must be held.
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -94,10 +94,9 @@
 	// AskPosition returns the position of this instance in the order in which the members of its
 	// failure domain ask the store once nobody confirms their state.
 	AskPosition() int
-	// Confirm tells the other members of the failure domain that the state with the revisions newest
-	// has all changes up to an instant, and if otherDomains is set one instance of each other failure
-	// domain too.
-	Confirm(newest []uint64, at time.Time, otherDomains bool)
+	// Confirm tells the other members of the failure domain that the state of this instance is current,
+	// and if otherDomains is set one instance of each other failure domain too.
+	Confirm(c gossip.Confirmation, otherDomains bool)
 	// Peers returns the addresses of other instances that this one may query, those of its
 	// failure domain first.
 	Peers() []netip.Addr
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -4,10 +4,13 @@
 package mirror
 
 import (
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hickorydrum/platform"
 )
 
@@ -19,6 +22,8 @@
 	retainedUntil map[string]time.Time // by name, the end of the retention of a missing object
 	cursor        uint64               // see Cursor
 	newest        uint64               // see Newest
+	digest        uint32               // see Digest; valid if digested is set
+	digested      bool
 
 	retentionEnd time.Time // objects that go missing before this time are retained until then
 	// tombstones holds, by name, the objects that were removed after the revision
@@ -108,6 +113,29 @@
 // The cursor may be higher, since it also advances with changes of other kinds.
 func (m *Mirror) Newest() uint64 { return m.newest }
 
+// Digest returns a digest of the names and versions of the objects, without those that are retained. Mirrors
+// with the same digest have the same objects, but for a chance of one in 2^32. Those with the same Newest may
+// differ: one that was loaded by a list does not know of objects that were removed before.
+func (m *Mirror) Digest() uint32 {
+	if m.digested {
+		return m.digest
+	}
+	sum := uint64(0) // of hashes, so that the order does not matter
+	var version [8]byte
+	for name, e := range m.objects {
+		if _, retained := m.retainedUntil[name]; retained {
+			continue
+		}
+		binary.LittleEndian.PutUint64(version[:], e.Object.Version)
+		hash := xxhash.New()
+		_, _ = hash.WriteString(name) // it never fails
+		_, _ = hash.Write(version[:])
+		sum += hash.Sum64()
+	}
+	m.digest, m.digested = uint32(sum>>32), true
+	return m.digest
+}
+
 // StartRetention starts the retention of missing objects. It is called when the platform
 // answers again after an outage. It does nothing in a mirror without a retention, or
 // before the first list or full state is applied.
@@ -186,6 +214,7 @@
 	if ok && old.Object.Version > o.Version {
 		return false
 	}
+	m.digested = false
 	_, wasRetained := m.retainedUntil[name]
 	delete(m.retainedUntil, name)
 	delete(m.tombstones, name)
@@ -214,6 +243,7 @@
 	if !ok {
 		return false
 	}
+	m.digested = false
 	if from.At.Before(m.retentionEnd) {
 		if _, retained := m.retainedUntil[name]; !retained {
 			m.retainedUntil[name] = m.retentionEnd
@@ -239,6 +269,7 @@
 
 // drop deletes an object and the end of its retention.
 func (m *Mirror) drop(name string) {
+	m.digested = false
 	delete(m.objects, name)
 	delete(m.retainedUntil, name)
 }
