rollout: a hello confirms a revision only as far as it was confirmed to its sender

The instances that watch the platform (two in a failure domain) are cut off from the others just before a revision. The others did not get it within 5 s, nor later: each hello of a peer with the same revision counted as a confirmation made just now, so instances that do not watch confirmed an old revision to each other without end, and none watched the platform for itself.

Change: a hello says how long ago the revision of its sender was confirmed, and confirms it here as of then. A relay tells its share of the failure domain after each answer of the platform, every 4 s, and an instance watches the platform itself from 4.3 s on without a confirmation, checked every 0.25 s instead of every second.

--- a/rollout/exchange.go
+++ b/rollout/exchange.go
@@ -84,23 +84,36 @@
 
 // ownHello returns the hello of this instance in its present state.
 func (f *Follower) ownHello() helloMessage {
-	return helloMessage{
+	hello := helloMessage{
 		From: f.roster.Self(), Revision: f.state.Revision(), Roster: f.roster.View().Digest(), List: f.listVersion(),
 	}
+	if at := f.state.ConfirmedAt(); !at.IsZero() {
+		age := max(0, time.Since(at).Milliseconds())
+		hello.ConfirmedMillis = &age
+	}
+	return hello
+}
+
+// confirmBy takes a peer's hello for a confirmation of the revision in force, if the peer has the same one. It is
+// as old as what confirmed it to the peer.
+func (f *Follower) confirmBy(theirs *helloMessage) {
+	if theirs.Revision != f.state.Revision() || theirs.Revision == 0 || theirs.ConfirmedMillis == nil {
+		return
+	}
+	if age := *theirs.ConfirmedMillis; age >= 0 && age < time.Hour.Milliseconds() {
+		f.state.Confirm(time.Now().Add(-time.Duration(age) * time.Millisecond))
+	}
 }
 
 // reconcile compares the hello of a peer with the state of this instance. It
-// fetches a higher revision and a later list of instances, takes an equal revision as
-// a confirmation, and exchanges members if the rosters differ.
+// fetches a higher revision and a later list of instances, takes an equal revision that
+// was confirmed to the peer as a confirmation, and exchanges members if the rosters differ.
 func (f *Follower) reconcile(ctx context.Context, theirs helloMessage) {
 	f.roster.Merge([]roster.Member{theirs.From})
-	if theirs.Revision <= f.state.Revision() {
-		if theirs.Revision == f.state.Revision() && theirs.Revision > 0 {
-			f.state.Confirm(time.Now())
-		}
-	} else {
+	if theirs.Revision > f.state.Revision() {
 		f.fetch(ctx, theirs.From)
 	}
+	f.confirmBy(&theirs)
 	if theirs.List > f.listVersion() {
 		f.fetchList(ctx, theirs.From)
 	}
@@ -189,9 +202,8 @@
 	f.roster.Merge([]roster.Member{theirs.From})
 	if theirs.Revision > f.state.Revision() {
 		f.fetch(ctx, theirs.From)
-	} else if theirs.Revision == f.state.Revision() && theirs.Revision > 0 {
-		f.state.Confirm(time.Now())
 	}
+	f.confirmBy(&theirs)
 	if theirs.List > f.listVersion() {
 		f.fetchList(ctx, theirs.From)
 	}
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -35,15 +35,18 @@
 	// InstanceListKey is the key of the object that stores the InstanceList.
 	InstanceListKey = roster.WatchPrefix + "instances"
 
-	// watchWait bounds one watch call at the platform. An instance whose revision
-	// has not been confirmed for longer than this watches the platform itself.
-	watchWait          = 4 * time.Second
+	// watchWait bounds one watch call at the platform. At each end of one, a relay tells its
+	// share of the failure domain that the revision is current.
+	watchWait = 4 * time.Second
+	// unconfirmedAfter is the age of the last confirmation of its revision from which an
+	// instance watches the platform itself.
+	unconfirmedAfter   = watchWait + 300*time.Millisecond
 	helloInterval      = 2 * time.Second
 	callTimeout        = 2 * time.Second
-	relayCheckInterval = time.Second      // between checks of an instance that is no relay
-	updateTimeout      = 10 * time.Second // for all parts of an update
-	relaysPerDomain    = 2                // instances of a failure domain that watch the platform
-	helloNeighbours    = 2                // members of the own region that get each hello
+	relayCheckInterval = 250 * time.Millisecond // between checks of an instance that is no relay
+	updateTimeout      = 10 * time.Second       // for all parts of an update
+	relaysPerDomain    = 2                      // instances of a failure domain that watch the platform
+	helloNeighbours    = 2                      // members of the own region that get each hello
 )
 
 // helloMessage is the request and the response of CallHello.
@@ -53,6 +56,9 @@
 	Roster   uint64        `cbor:"3,keyasint"` // digest of the sender's roster
 	// List is the version of the platform's list of instances at the sender, 0 if it has none.
 	List uint64 `cbor:"4,keyasint,omitempty"`
+	// ConfirmedMillis is how many milliseconds ago the sender's revision was confirmed, by the platform or by
+	// peers in turn. It is nil if it never was, or if the sender is of a version that does not say.
+	ConfirmedMillis *int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // updateRequest is the request of CallUpdate.
@@ -156,10 +162,10 @@
 
 // isRelay reports whether this instance watches the platform. The first
 // relaysPerDomain members of its failure domain do, and so does an instance whose
-// revision neither the platform nor a peer has confirmed within watchWait.
+// revision neither the platform nor a peer has confirmed within unconfirmedAfter.
 func (f *Follower) isRelay(now time.Time) bool {
 	rank := f.relayRank()
-	return rank < relaysPerDomain || now.Sub(f.state.ConfirmedAt()) > watchWait
+	return rank < relaysPerDomain || now.Sub(f.state.ConfirmedAt()) > unconfirmedAfter
 }
 
 // relayRank returns the position of this instance among the live members of its
@@ -226,6 +232,7 @@
 		return 0, err
 	}
 	f.state.Confirm(time.Now())
+	f.scheduleNotify()
 	return page.Cursor, nil
 }
 
@@ -312,8 +319,8 @@
 	}
 }
 
-// notifyLoop sends a hello to the neighbours after each change. A relay also sends
-// one to its share of the members of its failure domain.
+// notifyLoop sends a hello to the neighbours after each change and each answer of the platform. A relay
+// also sends one to its share of the members of its failure domain.
 func (f *Follower) notifyLoop(ctx context.Context) error {
 	for {
 		select {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -314,6 +314,52 @@
 	}
 }
 
+// TestRelaysLost guards against instances that go on with an old revision since they confirm it to each other: those that
+// watch the platform are cut off from them, at each tenth of the time between two watches, just before a new one.
+func TestRelaysLost(t *testing.T) {
+	const perDomain, domains, tenths = 6, 3, 10
+	for tenth := range tenths {
+		synctest.Test(t, func(t *testing.T) {
+			s := standin.NewStore()
+			n := &network{nodes: make(map[string]*testNode)}
+			for d := range domains {
+				for k := range perDomain {
+					n.add(t, s, fmt.Sprintf("d%d-%d", d, k), "one", fmt.Sprintf("d%d", d))
+				}
+			}
+			n.introduce()
+			first, err := Apply(t.Context(), s, testSet(t, 1), 0, "ada", time.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var group errgroup.Group
+			for _, node := range n.nodes {
+				group.Go(func() error { return node.follower.Run(ctx) })
+			}
+			time.Sleep(20*time.Second + time.Duration(tenth)*watchWait/tenths)
+			for name, node := range n.nodes {
+				if node.follower.relayRank() < relaysPerDomain {
+					n.down.Store(name, true)
+				}
+			}
+			revision, err := Apply(ctx, s, testSet(t, 2), first, "ada", time.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(inForceBound)
+			for name, node := range n.nodes {
+				if got := node.state.Revision(); got != revision && !n.cut(name) {
+					t.Errorf("%d tenths after a watch: %s has revision %d, want %d", tenth, name, got, revision)
+				}
+			}
+			cancel()
+			_ = group.Wait() // the followers end with their context
+		})
+	}
+}
+
 // silentAsker is a peer that has a higher revision and does not answer when asked for it.
 type silentAsker struct{ from roster.Member }
 
