--- a/hosted/cluster_test.go
+++ b/hosted/cluster_test.go
@@ -78,19 +78,23 @@
 	t.Helper()
 	c := &cluster{t: t, store: standin.NewStore(), version: 2, grace: 2}
 	c.api = httptest.NewServer(standin.PlatformHandler(c.store))
-	t.Cleanup(func() {
-		for _, m := range c.instances {
-			m.stop()
-		}
-		for _, m := range c.instances {
-			_ = m.group.Wait()
-		}
-		c.api.CloseClientConnections()
-		c.api.Close()
-	})
+	t.Cleanup(func() { c.closeAfterStop(c.api) })
 	return c
 }
 
+// closeAfterStop stops all instances and closes a server that they call. A call that begins after the connections of the
+// server are closed would hold it for as long as a watch waits.
+func (c *cluster) closeAfterStop(server *httptest.Server) {
+	for _, m := range c.instances {
+		m.stop()
+	}
+	for _, m := range c.instances {
+		_ = m.group.Wait()
+	}
+	server.CloseClientConnections()
+	server.Close()
+}
+
 // Ports of the instances. They are the same for all, since each has an address of its own.
 const (
 	frontPort, readyPort, directoryPort, controlPort, gossipPort = 18100, 18101, 18102, 18103, 18110
--- a/hosted/current_test.go
+++ b/hosted/current_test.go
@@ -214,7 +214,8 @@
 	{200, 9, 4 * time.Second},
 }
 
-// play plays one seed: two disruptions in series and three changes around them. It returns the time that
+// play plays one seed: two or three disruptions in series, so that those that take over are hit too, and changes
+// around them. It returns the time that
 // each instance in touch took to know each change, and what was played.
 func (w *world) play() []time.Duration {
 	time.Sleep(settleFor + time.Duration(w.random.Int64N(int64(time.Second))))
@@ -231,7 +232,7 @@
 		changes = append(changes, w.drawChange(kind))
 		w.tell("%s changes", kind)
 	}
-	for range 2 {
+	for range 2 + w.random.IntN(2) {
 		d, name := all[w.random.IntN(len(all))], names[w.random.IntN(len(names))]
 		before := w.random.IntN(4) == 0
 		if before {
--- a/hosted/odd_test.go
+++ b/hosted/odd_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hickorydrum/platform"
+	"hickorydrum/standin"
 )
 
 // oddObjects returns objects that a stranger may have written among those of the upstreams.
@@ -62,10 +63,7 @@
 	c.configure(reads)
 	first := c.worker("list", "one-a", nil)
 	store := httptest.NewServer(withOddObjects(c.api.Config.Handler))
-	t.Cleanup(func() {
-		store.CloseClientConnections()
-		store.Close()
-	})
+	t.Cleanup(func() { c.closeAfterStop(store) })
 	address := strings.TrimPrefix(store.URL, "http://")
 	a := c.startWith("a", "one-a", address, nil)
 	seeds := []string{fmt.Sprintf("%s:%d", a.ip, controlPort)}
@@ -93,3 +91,37 @@
 	late := c.startWith("d", "one-b", address, seeds)
 	c.ready(late, 1)
 }
+
+// TestManyOddEntries guards against instances that a stranger with many entries slows down: of ten thousand odd ones, each
+// instance still has a change of a good one in force within the bound, and logs a bounded number of lines.
+func TestManyOddEntries(t *testing.T) {
+	const odd, good = 10_000, 10
+	c := newCluster(t)
+	c.configure(reads)
+	for i := range odd {
+		c.put(fmt.Sprintf("%s/odd-%d", platform.KindUpstreams, i), []byte(`{"address":"127.0.0.1:0"}`))
+	}
+	var first *standin.Worker
+	for i := range good {
+		if w := c.worker("list", "one-a", nil); i == 0 {
+			first = w
+		}
+	}
+	members := []*member{c.start("a", "one-a"), c.start("b", "one-a"), c.start("c", "one-b")}
+	for _, m := range members {
+		c.ready(m, good)
+	}
+	begun := time.Now()
+	c.register(first, "list", "one-a", "draining")
+	for _, m := range members {
+		c.await("an upstream that drains", func() bool { return len(m.instance.planner.View().Service("list")) == good-1 })
+	}
+	if took := time.Since(begun); took > inForce {
+		t.Errorf("a change is in force after %s, want at most %s", took, inForce)
+	}
+	for _, m := range members {
+		if lines := strings.Count(m.logs.String(), "names no upstream"); lines == 0 || lines > 10*maxEntryLines {
+			t.Errorf("%d lines about odd entries", lines)
+		}
+	}
+}
--- a/hosted/watch_test.go
+++ b/hosted/watch_test.go
@@ -42,10 +42,7 @@
 		}
 		proxy.ServeHTTP(w, r)
 	}))
-	c.t.Cleanup(func() {
-		p.server.CloseClientConnections()
-		p.server.Close()
-	})
+	c.t.Cleanup(func() { c.closeAfterStop(p.server) })
 	return p
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -484,3 +484,27 @@
 		t.Error(diff)
 	}
 }
+
+// TestDigest guards against two mirrors that are taken for the same since they have the same last change: one that
+// was loaded after a removal does not know of it.
+func TestDigest(t *testing.T) {
+	one, two := platform.Object{Key: "k/a", Version: 1}, platform.Object{Key: "k/b", Version: 2}
+	loaded := func(cursor uint64, objects ...platform.Object) *Mirror {
+		m := New("k", WithRetention(time.Second))
+		m.List(platform.Page{Cursor: cursor, Objects: objects}, Origin{})
+		return m
+	}
+	both, later := loaded(2, one, two), loaded(3, two)
+	if both.Newest() != later.Newest() || both.Digest() == later.Digest() {
+		t.Errorf("last changes %d and %d, digests %d and %d", both.Newest(), later.Newest(), both.Digest(), later.Digest())
+	}
+	if other := loaded(9, two, one); other.Digest() != both.Digest() {
+		t.Error("the same objects in another order have another digest")
+	}
+	at := time.Unix(100, 0)
+	both.StartRetention(at)
+	both.ApplyEvents(platform.Page{Cursor: 3, Objects: []platform.Object{{Key: "k/a", Version: 3, Deleted: true}}}, Origin{At: at})
+	if len(both.Entries()) != 2 || both.Digest() != later.Digest() {
+		t.Errorf("%d objects; a retained one counts in the digest", len(both.Entries()))
+	}
+}
