hosted, rollout: a file for what asks the store; one set-up of a test network

The checks, and what is about stalled watches, stand in files of their own; the count of known changes is a function. Nothing that they do is changed.

--- /dev/null
+++ b/hosted/check.go
@@ -0,0 +1,313 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/event"
+	"hickorydrum/fault"
+	"hickorydrum/freshness"
+	"hickorydrum/mirror"
+	"hickorydrum/platform"
+)
+
+const (
+	// minAskDelay and maxAskDelay bound the exponential delay after a failed call of an instance that
+	// does not watch the store. Those that watch it ping it, and tell the others when it answers.
+	minAskDelay = 500 * time.Millisecond
+	maxAskDelay = 3 * time.Second
+	// takeoverAfter is how many times in a row an instance asks the store for itself before it watches
+	// it, and takeoverFor for how long it then does, whatever its rank: long enough for the members
+	// that rank before it to count as dead if they are.
+	takeoverAfter = 2
+	takeoverFor   = 4 * time.Second
+	// minUnexplainedWait and maxUnexplainedWait bound the exponential delay after lists of all objects
+	// that did not show the change at the store's revision, such as one of an object that is not
+	// followed.
+	minUnexplainedWait = time.Second
+	maxUnexplainedWait = 16 * time.Second
+)
+
+// check asks the store whether it has changes that are missing here, loads them, and tells peers that
+// the state is current. It costs one call if the store's revision is the same as at the last check.
+func (f *follower) check(ctx context.Context) {
+	begun := f.now()
+	f.beginAsk(begun)
+	callCtx, cancel := context.WithTimeout(ctx, f.budget().Call())
+	defer cancel()
+	revision, err := f.loadChanges(callCtx)
+	f.mu.Lock()
+	if took := f.now().Sub(begun); took > f.budget().Call()+pausedAfter {
+		f.confirming.record.Age(took)
+	}
+	f.mu.Unlock()
+	f.endCheck(ctx, begun, revision, err)
+}
+
+// loadChanges loads the changes that are missing here from the store and returns its revision. After a
+// failure it pings the store first, which costs that little.
+func (f *follower) loadChanges(ctx context.Context) (revision uint64, err error) {
+	f.mu.Lock()
+	failures := f.confirming.failures
+	f.mu.Unlock()
+	if failures > 0 {
+		if err := f.store.Ping(ctx); err != nil {
+			return 0, err
+		}
+	}
+	page, err := f.store.List(ctx, platform.KindEvacuations+"/")
+	if err != nil {
+		return 0, err
+	}
+	f.storeAnswered()
+	from := f.received(platform.KindEvacuations, mirror.FromList, "")
+	f.applyChange(platform.KindEvacuations, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
+	return page.Cursor, f.checkKinds(ctx, page.Cursor)
+}
+
+// checkKinds loads the changes up to a revision of the store of all kinds but that of evacuations.
+func (f *follower) checkKinds(ctx context.Context, revision uint64) error {
+	if f.hasAll(revision) {
+		return nil
+	}
+	changed, err := f.forKinds(func(kind string) (bool, error) { return f.recheck(ctx, kind, revision) })
+	if err != nil || changed || f.explains(revision) || !f.allowUnexplained() {
+		return err
+	}
+	// The watches of this instance may be stalled, those of the rechecks too.
+	changed, err = f.forKinds(func(kind string) (bool, error) { return f.relist(ctx, kind) })
+	f.endUnexplained(changed)
+	return err
+}
+
+// forKinds calls check for each kind but that of evacuations at the same time. It reports whether one
+// of the calls did, and returns one of their errors.
+func (f *follower) forKinds(check func(kind string) (bool, error)) (bool, error) {
+	var group errgroup.Group
+	changed := make([]bool, len(kinds()))
+	for i, kind := range kinds() {
+		if kind == platform.KindEvacuations {
+			continue
+		}
+		group.Go(func() error {
+			var err error
+			changed[i], err = check(kind)
+			return err
+		})
+	}
+	err := group.Wait()
+	for _, one := range changed {
+		if one {
+			return true, err
+		}
+	}
+	return false, err
+}
+
+// recheck loads the changes of a kind by a watch that does not wait for further ones, unless the mirror
+// has all up to the revision. It reports whether there were any.
+func (f *follower) recheck(ctx context.Context, kind string, revision uint64) (bool, error) {
+	f.mu.Lock()
+	cursor, loaded := f.mirrors[kind].Cursor(), f.mirrors[kind].Cursor() > 0
+	f.mu.Unlock()
+	if cursor >= revision {
+		return false, nil
+	}
+	if !loaded {
+		return f.relist(ctx, kind)
+	}
+	page, err := f.store.Watch(ctx, kind+"/", cursor, recheckWait)
+	if fault.KindOf(err) == fault.Conflict {
+		return f.relist(ctx, kind)
+	}
+	if err != nil || len(page.Objects) == 0 {
+		return false, err
+	}
+	from := f.received(kind, mirror.FromWatch, "")
+	f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.ApplyEvents(page, from) })
+	f.restartWatch(kind)
+	return true, nil
+}
+
+// relist lists a kind and reports whether the mirror has a newer change than before.
+func (f *follower) relist(ctx context.Context, kind string) (bool, error) {
+	before := f.newestOf(kind)
+	if err := f.list(ctx, kind); err != nil {
+		return false, err
+	}
+	if f.newestOf(kind) == before {
+		return false, nil
+	}
+	f.restartWatch(kind)
+	return true, nil
+}
+
+func (f *follower) newestOf(kind string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirrors[kind].Newest()
+}
+
+// restartWatch cancels the watch of a kind under way if there is one: it has not returned a change that
+// the store has.
+func (f *follower) restartWatch(kind string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.watching {
+		stalledWatches.Inc()
+		f.watches[kind].cancel()
+	}
+}
+
+// hasAll reports whether the mirrors of all kinds are known to have all changes up to a revision of the
+// store.
+func (f *follower) hasAll(revision uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.allLoaded() {
+		return false
+	}
+	checked := max(f.confirming.checked, f.leastCursor())
+	if checked >= revision {
+		return true
+	}
+	// Each change has a revision of its own.
+	return f.knownChanges(checked, revision) == revision-checked
+}
+
+// knownChanges counts the revisions after one and up to another that are those of changes known here. f.mu must be
+// held.
+func (f *follower) knownChanges(after, upTo uint64) uint64 {
+	known := make(map[uint64]bool)
+	for _, m := range f.mirrors {
+		for _, revision := range m.Revisions(after) {
+			if revision <= upTo {
+				known[revision] = true
+			}
+		}
+	}
+	return uint64(len(known))
+}
+
+// leastCursor returns the revision up to which the mirrors of all kinds have all changes by their own
+// cursors. f.mu must be held.
+func (f *follower) leastCursor() uint64 {
+	least := uint64(math.MaxUint64)
+	for _, m := range f.mirrors {
+		least = min(least, m.Cursor())
+	}
+	return least
+}
+
+// explains reports whether some mirror has the change at a revision of the store.
+func (f *follower) explains(revision uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.mirrors {
+		if m.Newest() >= revision {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *follower) allowUnexplained() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.now().Before(f.confirming.unexplainedAt)
+}
+
+// endUnexplained records whether lists showed a change that no watch had shown.
+func (f *follower) endUnexplained(changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &f.confirming
+	if changed {
+		c.unexplainedWait, c.unexplainedAt = 0, time.Time{}
+		return
+	}
+	c.unexplainedWait = min(maxUnexplainedWait, max(minUnexplainedWait, 2*c.unexplainedWait))
+	c.unexplainedAt = f.now().Add(c.unexplainedWait)
+}
+
+// beginAsk logs the first call of an instance that nobody confirms the state to, although it does not
+// watch the store.
+func (f *follower) beginAsk(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &f.confirming
+	if f.watching {
+		return
+	}
+	c.asks++
+	if c.asks > 1 {
+		return
+	}
+	c.askedAt = now
+	kind, oldest := c.record.Oldest()
+	event.AskBegun.Log(context.Background(), f.log, slog.String("kind", kind),
+		slog.Int64("age_ms", now.Sub(oldest.At).Milliseconds()), slog.String("source", oldest.Source))
+}
+
+// endAsk logs that the instance needs not ask the store for itself any more, and who confirms the state
+// now. f.mu must be held.
+func (f *follower) endAsk(source string) {
+	c := &f.confirming
+	if c.asks == 0 {
+		return
+	}
+	event.AskEnded.Log(context.Background(), f.log, slog.String("source", source), slog.Int("asks", c.asks),
+		slog.Int64("lasted_ms", f.now().Sub(c.askedAt).Milliseconds()))
+	c.asks, c.failures = 0, 0
+}
+
+// endCheck records the result of a check that began at an instant and got a revision of the store.
+func (f *follower) endCheck(ctx context.Context, begun time.Time, revision uint64, err error) {
+	f.mu.Lock()
+	watching := f.watching
+	f.mu.Unlock()
+	if err != nil {
+		countCheck(watching, "failed")
+		f.checkFailed(ctx, err)
+		return
+	}
+	countCheck(watching, "answered")
+	f.mu.Lock()
+	c := &f.confirming
+	c.checked, c.failures, c.retryAt = max(c.checked, revision), 0, time.Time{}
+	if c.asks >= takeoverAfter {
+		c.takeoverUntil = time.Now().Add(takeoverFor)
+	}
+	for _, kind := range kinds() {
+		c.record.Confirm(kind, begun, freshness.SourceStore)
+	}
+	c.toldAt = begun
+	own := f.ownConfirmation(begun)
+	f.showAges()
+	f.mu.Unlock()
+	f.mesh.Confirm(own, true)
+}
+
+// checkFailed records a failed check. An instance that watches the store leaves the next try to
+// pingStore.
+func (f *follower) checkFailed(ctx context.Context, err error) {
+	f.storeFailedUnlessDone(ctx, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &f.confirming
+	wait := min(maxAskDelay, minAskDelay<<min(c.failures, maxDoublings))
+	c.failures++
+	c.retryAt = f.now().Add(wait/2 + rand.N(wait))
+}
+
+// countCheck counts a check by its outcome and by whether the instance watches the store.
+func countCheck(watching bool, outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`hickorydrum_store_checks_total{watching="%t",outcome=%q}`, watching, outcome)).Inc()
+}
--- a/hosted/watch.go
+++ b/hosted/watch.go
@@ -274,3 +274,43 @@
 	}
 	return outagePingInterval
 }
+
+// nextStalled returns when the watch of some kind counts as stalled, the zero time if no change is
+// missing. f.mu must be held.
+func (f *follower) nextStalled() time.Time {
+	var next time.Time
+	for _, kind := range kinds() {
+		w := f.watches[kind]
+		if !f.watching || w.recheck || !f.missesChange(kind) || f.mirrors[kind].Cursor() == 0 {
+			continue
+		}
+		at := f.now().Add(f.budget().Missing() - time.Since(w.missingSince))
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// replaceStalledWatches replaces the watches that have not returned changes which a peer has.
+func (f *follower) replaceStalledWatches() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, kind := range kinds() {
+		if f.missesChange(kind) {
+			f.replaceIfStalled(kind, time.Now())
+		}
+	}
+}
+
+// replaceIfStalled cancels the watch under way of a kind if a change is missing for too long. The next
+// one is a recheck. f.mu must be held.
+func (f *follower) replaceIfStalled(kind string, now time.Time) {
+	w := f.watches[kind]
+	if !f.watching || w.recheck || f.mirrors[kind].Cursor() == 0 || now.Sub(w.missingSince) <= f.budget().Missing() {
+		return
+	}
+	w.missingSince, w.recheck = now, true
+	stalledWatches.Inc()
+	w.cancel()
+}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -198,18 +198,25 @@
 	}
 }
 
+// newNetwork returns a network of nodes that know each other, in failure domains of one region.
+func newNetwork(t *testing.T, store Store, domains, perDomain int) *network {
+	t.Helper()
+	n := &network{nodes: make(map[string]*testNode)}
+	for d := range domains {
+		for k := range perDomain {
+			n.add(t, store, fmt.Sprintf("d%d-%d", d, k), "one", fmt.Sprintf("d%d", d))
+		}
+	}
+	n.introduce()
+	return n
+}
+
 // TestListEverywhere guards against instances that never learn which upstreams the platform lists as
 // leaving since they do not watch it, and against an older list that takes that back.
 func TestListEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
-		n := &network{nodes: make(map[string]*testNode)}
-		for d := range 2 {
-			for k := range 5 {
-				n.add(t, s, fmt.Sprintf("d%d-%d", d, k), "one", fmt.Sprintf("d%d", d))
-			}
-		}
-		n.introduce()
+		n := newNetwork(t, s, 2, 5)
 		ctx, cancel := context.WithCancel(t.Context())
 		var group errgroup.Group
 		for _, node := range n.nodes {
@@ -273,13 +280,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := standin.NewStore()
-				n := &network{nodes: make(map[string]*testNode)}
-				for d := range domains {
-					for k := range perDomain {
-						n.add(t, s, fmt.Sprintf("d%d-%d", d, k), "one", fmt.Sprintf("d%d", d))
-					}
-				}
-				n.introduce()
+				n := newNetwork(t, s, domains, perDomain)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				var group errgroup.Group
@@ -321,13 +322,7 @@
 	for tenth := range tenths {
 		synctest.Test(t, func(t *testing.T) {
 			s := standin.NewStore()
-			n := &network{nodes: make(map[string]*testNode)}
-			for d := range domains {
-				for k := range perDomain {
-					n.add(t, s, fmt.Sprintf("d%d-%d", d, k), "one", fmt.Sprintf("d%d", d))
-				}
-			}
-			n.introduce()
+			n := newNetwork(t, s, domains, perDomain)
 			first, err := Apply(t.Context(), s, testSet(t, 1), 0, "ada", time.Now())
 			if err != nil {
 				t.Fatal(err)
