--- a/hosted/check.go
+++ b/hosted/check.go
@@ -55,7 +55,7 @@
 }
 
 // loadChanges loads the changes that are missing here from the store and returns its revision. After a
-// failure it pings the store first, which costs that little.
+// failure it pings the store first, which costs less than a list.
 func (f *follower) loadChanges(ctx context.Context) (revision uint64, err error) {
 	f.mu.Lock()
 	failures := f.confirming.failures
--- a/hosted/confirm.go
+++ b/hosted/confirm.go
@@ -107,7 +107,7 @@
 	}
 	_, oldest := c.record.Oldest()
 	due := oldest.At.Add(age)
-	// While a peer has changes that are missing here, they are on their way, and the peer asks the store.
+	// While a peer has changes that are missing here, it asks the store for both, and the changes are on their way.
 	if n := len(c.reported); n > 0 {
 		due = later(due, earlier(c.reported[n-1].At.Add(age), oldest.At.Add(askAge)))
 	}
@@ -162,7 +162,8 @@
 	c.reported = c.reported[done:]
 }
 
-// confirmBy records one confirmation of a peer for the kinds of which it has the same objects. It reports whether those are all. f.mu must be held.
+// confirmBy records one confirmation of a peer for the kinds of which it has the same objects as this instance. It
+// reports whether those are all kinds. f.mu must be held.
 func (f *follower) confirmBy(reported *gossip.Confirmation) bool {
 	c, all, confirmed := &f.confirming, true, false
 	for i, kind := range kinds() {
