--- a/hosted/current_test.go
+++ b/hosted/current_test.go
@@ -49,7 +49,7 @@
 			c := w.drawChange(platform.KindConfiguration)
 			time.Sleep(w.bound)
 			for _, s := range w.all() {
-				if s.now().dead {
+				if s.condition().dead {
 					continue
 				}
 				if at, ok := s.knows(&c); !ok || at.Sub(c.at) > w.most() {
@@ -243,7 +243,7 @@
 		hit := selections[name](w, w.random)
 		w.tell("%s, %d: %s", name, len(hit), d.name)
 		for _, s := range hit {
-			if s.now().dead {
+			if s.condition().dead {
 				continue
 			}
 			if end := d.begin(w, s, w.random); end != nil {
--- a/hosted/world_test.go
+++ b/hosted/world_test.go
@@ -84,7 +84,8 @@
 	change(&s.is)
 }
 
-func (s *simulated) now() condition {
+// condition returns what happens to the instance now.
+func (s *simulated) condition() condition {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.is
@@ -92,7 +93,7 @@
 
 // awaitRunning waits for the end of a pause.
 func (s *simulated) awaitRunning() {
-	for until := s.now().pausedUntil; time.Now().Before(until); until = s.now().pausedUntil {
+	for until := s.condition().pausedUntil; time.Now().Before(until); until = s.condition().pausedUntil {
 		time.Sleep(time.Until(until))
 	}
 }
@@ -283,7 +284,7 @@
 		s.follower.mu.Lock()
 		watching := s.follower.watching
 		s.follower.mu.Unlock()
-		if watching && !s.now().dead {
+		if watching && !s.condition().dead {
 			out = append(out, s)
 		}
 	}
@@ -351,12 +352,12 @@
 	c.of.awaitRunning()
 	w := c.of.world
 	target := w.find(to.(*net.UDPAddr).AddrPort().Addr())
-	if is := c.of.now(); target == nil || is.dead || is.noSend || w.draw() < w.loss {
+	if is := c.of.condition(); target == nil || is.dead || is.noSend || w.draw() < w.loss {
 		return len(data), nil
 	}
 	p := packet{append([]byte(nil), data...), c.of.address}
 	time.AfterFunc(w.delay(c.of, target), func() {
-		if is := target.now(); is.dead || is.noReceive {
+		if is := target.condition(); is.dead || is.noReceive {
 			return
 		}
 		select {
@@ -386,10 +387,10 @@
 	}
 	target := w.find(at.Addr())
 	silent := func(from, to *simulated) bool {
-		return target == nil || from.now().dead || to.now().dead || from.now().noSend || to.now().noReceive ||
-			from.now().noReceive || to.now().noSend
+		return target == nil || from.condition().dead || to.condition().dead || from.condition().noSend || to.condition().noReceive ||
+			from.condition().noReceive || to.condition().noSend
 	}
-	if silent(t.of, target) || time.Now().Before(target.now().pausedUntil) {
+	if silent(t.of, target) || time.Now().Before(target.condition().pausedUntil) {
 		timer := time.NewTimer(t.of.follower.budget().Peer())
 		defer timer.Stop()
 		select {
@@ -426,15 +427,15 @@
 		oneWay = otherRegion
 	}
 	unavailable := fault.New(fault.Unavailable, "the store does not answer", "", fault.WithExecution(fault.NotExecuted))
-	silent := func() bool { is := s.of.now(); return is.dead || is.noStore }
+	silent := func() bool { is := s.of.condition(); return is.dead || is.noStore }
 	if silent() {
 		silentCtx, cancel := context.WithTimeout(ctx, silentFor)
 		defer cancel()
 		<-silentCtx.Done()
 		return platform.Page{}, unavailable
 	}
-	time.Sleep(oneWay + 4*time.Millisecond + s.of.now().slow)
-	if s.of.now().refused {
+	time.Sleep(oneWay + 4*time.Millisecond + s.of.condition().slow)
+	if s.of.condition().refused {
 		time.Sleep(oneWay)
 		return platform.Page{}, unavailable
 	}
@@ -470,9 +471,9 @@
 func (s *simStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Page, error) {
 	return s.call(ctx, "watch", wait+time.Second, func(ctx context.Context) (platform.Page, error) {
 		deadline := time.Now().Add(wait)
-		if !s.of.now().deaf {
+		if !s.of.condition().deaf {
 			page, err := s.of.world.store.Watch(ctx, prefix, cursor, wait)
-			if !s.of.now().deaf {
+			if !s.of.condition().deaf {
 				return page, err
 			}
 		}
