freshness, hosted: requests do not wait for the lock of the follower

Cause: each request reads up to when the configuration is known to be current, for its log line, and took the lock of the follower for that. The lock is held while a state is encoded and compressed for a peer, so requests waited for it.

Change: the record of confirmations has a lock of its own, held for moments only. Found by reading; no run showed a delay. Tests of hosted and freshness pass with the race detector.

--- a/freshness/record.go
+++ b/freshness/record.go
@@ -1,6 +1,9 @@
 package freshness
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Confirmation says up to when a copy of the objects of one kind is known to have all changes.
 type Confirmation struct {
@@ -13,10 +16,13 @@
 // SourceStore is the source of a confirmation by the store.
 const SourceStore = "store"
 
-// Record holds the newest confirmation of each kind. It is not safe for concurrent use.
+// Record holds the newest confirmation of each kind. It is safe for concurrent use; its lock is held
+// only for moments, so that it can be read for each request.
 type Record struct {
 	started time.Time
-	kinds   map[string]Confirmation
+
+	mu    sync.Mutex
+	kinds map[string]Confirmation
 }
 
 // NewRecord returns a record of kinds that nobody has confirmed since the start of the instance.
@@ -31,6 +37,8 @@
 // Confirm records that the copy of a kind has all changes up to an instant, unless a newer one is
 // recorded. It reports whether it was recorded.
 func (r *Record) Confirm(kind string, at time.Time, source string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if !at.After(r.kinds[kind].At) {
 		return false
 	}
@@ -39,11 +47,17 @@
 }
 
 // Of returns the newest confirmation of a kind, the zero value if there is none.
-func (r *Record) Of(kind string) Confirmation { return r.kinds[kind] }
+func (r *Record) Of(kind string) Confirmation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.kinds[kind]
+}
 
 // Oldest returns the kind whose newest confirmation is the oldest, and that confirmation. Until a kind
 // is confirmed, its time is that of the start.
 func (r *Record) Oldest() (string, Confirmation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	oldestKind, oldest := "", Confirmation{}
 	for kind, c := range r.kinds {
 		if c.At.IsZero() {
@@ -59,6 +73,8 @@
 // Age makes all confirmations by peers older. It is called after the instance was paused: what
 // reached it then may have been received long after it was sent.
 func (r *Record) Age(by time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for kind, c := range r.kinds {
 		if c.Source != SourceStore && !c.At.IsZero() {
 			c.At = c.At.Add(-by)
--- a/hosted/check.go
+++ b/hosted/check.go
@@ -46,11 +46,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, f.budget().Call())
 	defer cancel()
 	revision, err := f.loadChanges(callCtx)
-	f.mu.Lock()
 	if took := f.now().Sub(begun); took > f.budget().Call()+pausedAfter {
 		f.confirming.record.Age(took)
 	}
-	f.mu.Unlock()
 	f.endCheck(ctx, begun, revision, err)
 }
 
--- a/hosted/confirm.go
+++ b/hosted/confirm.go
@@ -18,9 +18,10 @@
 	maxReported = 4
 )
 
-// confirming is what a follower knows of how current its mirrors are. The follower's lock guards it.
+// confirming is what a follower knows of how current its mirrors are. The follower's lock guards it, but for the
+// record.
 type confirming struct {
-	record *freshness.Record
+	record *freshness.Record // never replaced
 	// checked is the store's revision up to which all mirrors have all changes.
 	checked uint64
 	// seen holds the revisions after it of changes that the store has returned.
@@ -225,10 +226,9 @@
 	}
 }
 
-// confirmation returns up to when the state of a kind is known to be current, by the clock of package clock.
+// confirmation returns up to when the state of a kind is known to be current, by the clock of package clock. It
+// does not take f.mu, which is held while a state is encoded for a peer: it is called for each request.
 func (f *follower) confirmation(kind string) freshness.Confirmation {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	return f.confirming.record.Of(kind)
 }
 
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -250,7 +250,7 @@
 	return objects, loaded
 }
 
-// received returns the origin of an update of a kind that is received now. f.mu must not be held.
+// received returns the origin of an update of a kind that is received now.
 func (f *follower) received(kind string, source mirror.Source, peer string) mirror.Origin {
 	origin := mirror.Origin{Source: source, Peer: peer, At: time.Now()}
 	if c := f.confirmation(kind); !c.At.IsZero() {
--- a/hosted/watch.go
+++ b/hosted/watch.go
@@ -185,9 +185,7 @@
 	f.storeAnswered()
 	from := f.received(kind, mirror.FromList, "")
 	f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
-	f.mu.Lock()
 	f.confirming.record.Confirm(kind, begun, freshness.SourceStore)
-	f.mu.Unlock()
 	return nil
 }
 
