gossip: one way to reach all members, a contact, and to encode a datagram

Confirmations had copies of what announcements and limits do: the datagrams for all live members, the random contact in a failure domain (there four times now), the encoding that counts a failure, and the age in milliseconds. They use the same functions now. The order of failure domains, which follows from the settings, is computed once at the start and not at each wake-up and confirmation.

--- a/gossip/confirm.go
+++ b/gossip/confirm.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -107,44 +108,35 @@
 
 // confirm returns the datagrams of one confirmation. It does not count as a heartbeat.
 func (v *view) confirm(c *Confirmation, otherDomains bool, now time.Time) []datagram {
-	data := encodeConfirmation(&confirmMessage{
+	data := encodeDatagram(&confirmMessage{
 		Format: confirmFormat, Domain: v.domain, From: v.self.Address, Newest: c.Newest, Digests: c.Digests,
-		AgeMillis: min(maxAgeMillis, max(0, now.Sub(c.At).Milliseconds())),
+		AgeMillis: min(maxAgeMillis, int64(encodeMillis(c.At, now))),
 	})
-	var out []datagram
-	for _, address := range v.addresses() {
-		if v.others[address].lives(now) {
-			out = append(out, datagram{address, data})
-		}
-	}
+	out := v.toMembers(data, now)
 	if !otherDomains {
 		return out
 	}
-	for _, domain := range v.checkGroup() {
-		if contacts := v.contacts[domain]; domain != v.domain && len(contacts) > 0 {
-			out = append(out, datagram{contacts[v.random.IntN(len(contacts))], data})
+	for _, domain := range v.checkGroup {
+		if to, ok := v.contact(domain); ok {
+			out = append(out, datagram{to, data})
 		}
 	}
 	return out
 }
 
-// checkGroup returns the failure domains that confirm the state together with this instance's own,
-// which is among them, in the order in which they ask the store: the same at all instances.
-func (v *view) checkGroup() []string {
-	domains := make([]string, 0, len(v.regions))
-	for domain := range v.regions {
-		domains = append(domains, domain)
-	}
-	slices.SortFunc(domains, func(a, b string) int {
+// checkGroup returns the failure domains that confirm the state together with the given one, which is among
+// them, in the order in which they ask the store: the same at all instances.
+func checkGroup(own string, regions map[string]string) []string {
+	domains := slices.SortedFunc(maps.Keys(regions), func(a, b string) int {
 		return cmp.Or(cmp.Compare(domainRank(b, watchKey), domainRank(a, watchKey)), strings.Compare(a, b))
 	})
-	first := max(0, slices.Index(domains, v.domain)) / maxCheckGroup * maxCheckGroup
+	first := max(0, slices.Index(domains, own)) / maxCheckGroup * maxCheckGroup
 	return domains[first:min(len(domains), first+maxCheckGroup)]
 }
 
 func (v *view) checkPosition(now time.Time) int {
 	position := 0
-	for _, domain := range v.checkGroup() {
+	for _, domain := range v.checkGroup {
 		if domain == v.domain {
 			break
 		}
@@ -171,16 +163,6 @@
 
 func isConfirmation(data []byte) bool { return bytes.HasPrefix(data, confirmPrefix) }
 
-// encodeConfirmation returns the encoded message, or nil, which is not sent, if it cannot be
-// encoded. It counts such a message with the unreadable datagrams.
-func encodeConfirmation(m *confirmMessage) []byte {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		unreadable.Inc()
-	}
-	return data
-}
-
 // decodeConfirmation parses a datagram with a confirmation. It checks the format's version, the
 // address and the age; the receiver checks the failure domain of the sender.
 func decodeConfirmation(data []byte) (*confirmMessage, error) {
--- a/gossip/limit.go
+++ b/gossip/limit.go
@@ -4,8 +4,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"hickorydrum/limit"
 )
 
@@ -79,7 +77,7 @@
 	}
 	var out []datagram
 	for to, m := range reports {
-		out = append(out, datagram{to, encodeLimits(m)})
+		out = append(out, datagram{to, encodeDatagram(m)})
 	}
 	return append(out, v.spreadLimits(states, now)...)
 }
@@ -91,7 +89,7 @@
 	for i := range states {
 		m.addState(&states[i], now)
 	}
-	data := encodeLimits(m)
+	data := encodeDatagram(m)
 	var out []datagram
 	members := v.members(now)
 	for range min(limitFanout, len(members)) {
@@ -109,16 +107,6 @@
 	return &limitMessage{Format: limitFormat, Domain: v.domain, From: v.self.Address, Origin: origin}
 }
 
-// encodeLimits returns the encoded message, or nil, which is sent as an empty datagram, if it
-// cannot be encoded. It counts such a message with the unreadable datagrams.
-func encodeLimits(m *limitMessage) []byte {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		unreadable.Inc()
-	}
-	return data
-}
-
 // limitHolder returns the instance to which this one reports its offers to an upstream: the
 // holder of its limit, or if that is in another failure domain a contact there, which passes
 // the report on.
@@ -127,11 +115,7 @@
 	if owner == v.domain {
 		return v.first(key, (*Member).serves, now), true
 	}
-	contacts := v.contacts[owner]
-	if len(contacts) == 0 {
-		return netip.Addr{}, false
-	}
-	return contacts[v.random.IntN(len(contacts))], true
+	return v.contact(owner)
 }
 
 // recordDemand records, as the holder, the offers that an instance reports, and returns the
@@ -179,10 +163,10 @@
 	}
 	var out []datagram
 	if len(reply.States) > 0 {
-		out = append(out, datagram{m.Origin, encodeLimits(reply)})
+		out = append(out, datagram{m.Origin, encodeDatagram(reply)})
 	}
 	for to, one := range passOn {
-		out = append(out, datagram{to, encodeLimits(one)})
+		out = append(out, datagram{to, encodeDatagram(one)})
 	}
 	return out, states
 }
--- a/gossip/limit_test.go
+++ b/gossip/limit_test.go
@@ -135,7 +135,7 @@
 	m := v.newLimitMessage(addressOf(1))
 	m.addState(&want, now)
 	m.addDemand(&limit.Demand{ID: want.ID, Domain: "two", Offers: limit.Rates{Mean: 2, Recent: 3}})
-	data := encodeLimits(m)
+	data := encodeDatagram(m)
 	if !isLimits(data) {
 		t.Errorf("the datagram begins with % x", data[:3])
 	}
@@ -161,7 +161,7 @@
 	m := v.newLimitMessage(addressOf(1))
 	m.addState(&limit.State{ID: limit.ID{Key: 1}, Domain: "two", InForce: true}, epoch)
 	m.addDemand(&limit.Demand{ID: limit.ID{Key: 1}, Domain: "two"})
-	f.Add(encodeLimits(m))
+	f.Add(encodeDatagram(m))
 	bad, err := cbor.Marshal(limitMessage{Format: limitFormat, From: addressOf(2), Origin: addressOf(2), States: []limitStateRecord{{Domain: 7}}})
 	if err != nil {
 		f.Fatal(err)
--- a/gossip/target.go
+++ b/gossip/target.go
@@ -12,20 +12,38 @@
 func (v *view) announce(otherDomains bool, now time.Time) []datagram {
 	v.self.Heartbeat++
 	data := v.encode(&message{}, nil, nil, now)
+	out := v.toMembers(data, now)
+	if !otherDomains {
+		return out
+	}
+	for domain := range v.contacts {
+		if to, ok := v.contact(domain); ok {
+			out = append(out, datagram{to, data})
+		}
+	}
+	return out
+}
+
+// toMembers returns datagrams with the same data for every other live member of the failure domain.
+func (v *view) toMembers(data []byte, now time.Time) []datagram {
 	var out []datagram
 	for _, address := range v.addresses() {
 		if v.others[address].lives(now) {
 			out = append(out, datagram{address, data})
 		}
 	}
-	for _, contacts := range v.contacts {
-		if otherDomains && len(contacts) > 0 {
-			out = append(out, datagram{contacts[v.random.IntN(len(contacts))], data})
-		}
-	}
 	return out
 }
 
+// contact returns a random contact in another failure domain. It returns false if none is known.
+func (v *view) contact(domain string) (netip.Addr, bool) {
+	contacts := v.contacts[domain]
+	if len(contacts) == 0 {
+		return netip.Addr{}, false
+	}
+	return contacts[v.random.IntN(len(contacts))], true
+}
+
 // domainTargets returns up to fanout live members of the failure domain to send the next
 // heartbeat to. Successive calls visit all members in a random order, which is drawn again
 // after every member has had its turn.
@@ -102,8 +120,7 @@
 		return netip.Addr{}, false
 	}
 	slices.Sort(domains)
-	contacts := v.contacts[domains[v.random.IntN(len(domains))]]
-	return contacts[v.random.IntN(len(contacts))], true
+	return v.contact(domains[v.random.IntN(len(domains))])
 }
 
 // joinTargets returns the seeds to query: all of them while this instance has found no
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -85,6 +85,10 @@
 	log     *slog.Logger
 	random  *rand.Rand
 
+	// checkGroup are the failure domains that confirm the state together with this one, in the order in which they
+	// ask the store.
+	checkGroup []string
+
 	self        Member
 	newest      []uint64                    // revision of the last change that this instance has, by kind of entry in the store
 	loadReports []LoadReport                // sent to the members of the failure domain
@@ -101,7 +105,7 @@
 
 func newView(self Member, domain string, regions map[string]string, random *rand.Rand, log *slog.Logger, now time.Time) *view {
 	return &view{
-		domain: domain, regions: regions, log: log, random: random, self: self,
+		domain: domain, regions: regions, log: log, random: random, self: self, checkGroup: checkGroup(domain, regions),
 		others: make(map[netip.Addr]*memberState), summaries: make(map[string]*Summary), contacts: make(map[string][]netip.Addr),
 		holder: limit.NewHolder(self.Address), lastPresent: make(map[string]int),
 		settledAt: now.Add(settleTime), heartbeatAt: now,
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -202,6 +202,16 @@
 	return cbor.Marshal(m)
 }
 
+// encodeDatagram returns an encoded message of another format than that of message, or nil, which is not sent, if it
+// cannot be encoded. It counts such a message with the unreadable datagrams.
+func encodeDatagram(m any) []byte {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		unreadable.Inc()
+	}
+	return data
+}
+
 // decode parses a datagram. It checks the format's version, all addresses, and the counts,
 // ages and demands for invalid values; the receiver checks the failure domains.
 func decode(data []byte) (*message, error) {
