hosted: the checks use the list, the events and the stall test that stand already

The first call of a check was a copy of list; it calls list, which returns the store's revision for that. A recheck and a watch apply events by one function, and whether a watch has stalled is decided in one place for the one that waits for it and the one that replaces it. What no caller read any more is gone: whether a recheck found changes. The takeover has a name of its own in mustWatch.

No behaviour changes. Two calls in TestStalledStore take the further result of list; no assertion changed. TestCurrent, TestCheckCalls and the tests of watches, stalls, outages and odd entries pass.

--- a/hosted/check.go
+++ b/hosted/check.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,7 +16,6 @@
 	"hickorydrum/event"
 	"hickorydrum/fault"
 	"hickorydrum/freshness"
-	"hickorydrum/mirror"
 	"hickorydrum/platform"
 )
 
@@ -63,14 +63,11 @@
 			return 0, err
 		}
 	}
-	page, err := f.store.List(ctx, platform.KindEvacuations+"/")
+	revision, err = f.list(ctx, platform.KindEvacuations)
 	if err != nil {
 		return 0, err
 	}
-	f.storeAnswered()
-	from := f.received(platform.KindEvacuations, mirror.FromList, "")
-	f.applyChange(platform.KindEvacuations, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
-	return page.Cursor, f.checkKinds(ctx, page.Cursor)
+	return revision, f.checkKinds(ctx, revision)
 }
 
 // checkKinds loads the changes up to a revision of the store of all kinds but that of evacuations.
@@ -78,70 +75,64 @@
 	if f.hasAll(revision) {
 		return nil
 	}
-	_, err := f.forKinds(func(kind string) (bool, error) { return f.recheck(ctx, kind, revision) })
+	err := f.forKinds(func(kind string) error { return f.recheck(ctx, kind, revision) })
 	if err != nil || f.hasAll(revision) || !f.allowUnexplained() {
 		return err
 	}
 	// The watches of this instance may be stalled, those of the rechecks too.
-	changed, err := f.forKinds(func(kind string) (bool, error) { return f.relist(ctx, kind) })
-	f.endUnexplained(changed)
+	var changed atomic.Bool
+	err = f.forKinds(func(kind string) error {
+		newer, err := f.relist(ctx, kind)
+		if newer {
+			changed.Store(true)
+		}
+		return err
+	})
+	f.endUnexplained(changed.Load())
 	return err
 }
 
-// forKinds calls check for each kind but that of evacuations at the same time. It reports whether one
-// of the calls did, and returns one of their errors.
-func (f *follower) forKinds(check func(kind string) (bool, error)) (bool, error) {
+// forKinds calls load for each kind but that of evacuations at the same time, and returns one of their errors.
+func (f *follower) forKinds(load func(kind string) error) error {
 	var group errgroup.Group
-	changed := make([]bool, len(kinds()))
-	for i, kind := range kinds() {
-		if kind == platform.KindEvacuations {
-			continue
-		}
-		group.Go(func() error {
-			var err error
-			changed[i], err = check(kind)
-			return err
-		})
-	}
-	err := group.Wait()
-	for _, one := range changed {
-		if one {
-			return true, err
+	for _, kind := range kinds() {
+		if kind != platform.KindEvacuations {
+			group.Go(func() error { return load(kind) })
 		}
 	}
-	return false, err
+	return group.Wait()
 }
 
 // recheck loads the changes of a kind by a watch that does not wait for further ones, unless the mirror
-// has all up to the revision. It reports whether there were any.
-func (f *follower) recheck(ctx context.Context, kind string, revision uint64) (bool, error) {
+// has all up to the revision.
+func (f *follower) recheck(ctx context.Context, kind string, revision uint64) error {
 	f.mu.Lock()
-	cursor, loaded := f.mirrors[kind].Cursor(), f.mirrors[kind].Cursor() > 0
+	cursor := f.mirrors[kind].Cursor()
 	f.mu.Unlock()
 	if cursor >= revision {
-		return false, nil
+		return nil
 	}
-	if !loaded {
-		return f.relist(ctx, kind)
+	if cursor == 0 { // it is not loaded
+		_, err := f.relist(ctx, kind)
+		return err
 	}
 	page, err := f.store.Watch(ctx, kind+"/", cursor, recheckWait)
 	if fault.KindOf(err) == fault.Conflict {
-		return f.relist(ctx, kind)
+		_, err := f.relist(ctx, kind)
+		return err
 	}
 	if err != nil || len(page.Objects) == 0 {
-		return false, err
+		return err
 	}
-	f.noteSeen(page.Objects)
-	from := f.received(kind, mirror.FromWatch, "")
-	f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.ApplyEvents(page, from) })
+	f.applyEvents(kind, page, time.Time{})
 	f.restartWatch(kind)
-	return true, nil
+	return nil
 }
 
 // relist lists a kind and reports whether the mirror has a newer change than before.
-func (f *follower) relist(ctx context.Context, kind string) (bool, error) {
+func (f *follower) relist(ctx context.Context, kind string) (newer bool, err error) {
 	before := f.newestOf(kind)
-	if err := f.list(ctx, kind); err != nil {
+	if _, err := f.list(ctx, kind); err != nil {
 		return false, err
 	}
 	if f.newestOf(kind) == before {
--- a/hosted/confirm.go
+++ b/hosted/confirm.go
@@ -112,13 +112,14 @@
 	if n := len(c.reported); n > 0 {
 		due = later(due, earlier(c.reported[n-1].At.Add(age), oldest.At.Add(askAge)))
 	}
-	if c.retryAt.After(due) {
-		due = c.retryAt
-	}
-	if missing := f.nextStalled(); !missing.IsZero() && missing.Before(due) {
-		due = missing
+	due = later(due, c.retryAt)
+	wait := due.Sub(now)
+	for _, kind := range kinds() {
+		if at, ok := f.stalledAt(kind); ok {
+			wait = min(wait, time.Until(at))
+		}
 	}
-	return due.Sub(now)
+	return wait
 }
 
 // handleConfirmation handles a peer's statement that its state is current. It counts for this instance
--- a/hosted/follow_test.go
+++ b/hosted/follow_test.go
@@ -330,7 +330,7 @@
 	for _, one := range []*follower{f, peer} {
 		one.setWatching(true)
 		for _, kind := range kinds() {
-			if err := one.list(ctx, kind); err != nil {
+			if _, err := one.list(ctx, kind); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -340,7 +340,7 @@
 	put(platform.KindEvacuations + "/b")
 	acknowledged := time.Now()
 	for _, kind := range kinds() {
-		if err := peer.list(ctx, kind); err != nil {
+		if _, err := peer.list(ctx, kind); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/hosted/outage.go
+++ b/hosted/outage.go
@@ -43,8 +43,9 @@
 
 // storeAnswered records that the store answered. At the end of an outage it cancels all
 // watches, since their connections may have lost a response. If entries may have lapsed in the
-// outage, since the store answered neither this instance nor a peer that confirmed the state, it starts the retention of those that the store no longer has, and asks a peer before the
-// watches begin again: what was removed while the store served that peer is not retained.
+// outage, since the store answered neither this instance nor a peer that confirmed the state, it
+// starts the retention of those that the store no longer has, and asks a peer before the watches
+// begin again: what was removed while the store served that peer is not retained.
 func (f *follower) storeAnswered() {
 	f.mu.Lock()
 	since, now := f.outageSince, time.Now()
--- a/hosted/watch.go
+++ b/hosted/watch.go
@@ -12,6 +12,7 @@
 	"hickorydrum/freshness"
 	"hickorydrum/interval"
 	"hickorydrum/mirror"
+	"hickorydrum/platform"
 )
 
 // run keeps the mirrors up to date until the context is done.
@@ -56,12 +57,12 @@
 
 // mustWatch reports whether this instance has to watch the store: by its rank, which counts
 // from roleDelay after its start, or because a reported change has been missing for longer than
-// Budget.Behind, or because nobody confirms its state, or because it has not loaded every kind
-// aloneDelay after its start. If it does not watch, it also clears a failure of the store that is older than failedWatchPause, so that
-// its rank counts again.
+// Budget.Behind, or because no peer confirms its state, or because it has not loaded every kind
+// aloneDelay after its start. If it does not watch, it also clears a failure of the store that is
+// older than failedWatchPause, so that its rank counts again.
 func (f *follower) mustWatch(now time.Time) bool {
 	f.mu.Lock()
-	loaded, longBehind := f.allLoaded(), now.Before(f.confirming.takeoverUntil)
+	loaded, takesOver, longBehind := f.allLoaded(), now.Before(f.confirming.takeoverUntil), false
 	for _, kind := range kinds() {
 		longBehind = longBehind || f.missesChange(kind) && now.Sub(f.watches[kind].missingSince) > f.budget().Behind()
 	}
@@ -74,7 +75,7 @@
 		f.mesh.SetStoreRefused(false)
 	}
 	age := now.Sub(f.started)
-	return age > roleDelay && f.mesh.Watches() || longBehind || !loaded && age > aloneDelay
+	return age > roleDelay && f.mesh.Watches() || takesOver || longBehind || !loaded && age > aloneDelay
 }
 
 // watchStore watches the store for as long as mustWatch says so.
@@ -144,12 +145,11 @@
 	}
 	f.storeAnswered()
 	if len(page.Objects) > 0 {
-		f.noteSeen(page.Objects)
-		from := f.received(kind, mirror.FromWatch, "")
+		madeAfter := time.Time{}
 		if time.Since(begun) > waitedFor {
-			from.After = from.At // the change was made just now
+			madeAfter = time.Now() // the change was made just now
 		}
-		f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.ApplyEvents(page, from) })
+		f.applyEvents(kind, page, madeAfter)
 		interval.Sleep(ctx, batchDelay)
 	}
 	if recheck {
@@ -158,6 +158,17 @@
 	return nil
 }
 
+// applyEvents applies the changes that a watch returned. madeAfter is a time after which the store acknowledged them,
+// the zero time if that is only known from the last confirmation of the kind.
+func (f *follower) applyEvents(kind string, page platform.Page, madeAfter time.Time) {
+	f.noteSeen(page.Objects)
+	from := f.received(kind, mirror.FromWatch, "")
+	if !madeAfter.IsZero() {
+		from.After = madeAfter
+	}
+	f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.ApplyEvents(page, from) })
+}
+
 // endRecheck ends a recheck of the store for a change that a peer reported. If the store did not
 // return the change, the peer is asked for it once; then its revision counts as absent.
 func (f *follower) endRecheck(ctx context.Context, kind string, missingRevision uint64) {
@@ -174,19 +185,19 @@
 	w.absent, w.absentAt, w.missingRevision = missingRevision, time.Now(), 0
 }
 
-// list loads all objects of a kind from the store.
-func (f *follower) list(ctx context.Context, kind string) error {
+// list loads all objects of a kind from the store and returns the store's revision.
+func (f *follower) list(ctx context.Context, kind string) (revision uint64, err error) {
 	begun := f.now()
 	page, err := f.store.List(ctx, kind+"/")
 	if err != nil {
 		f.storeFailedUnlessDone(ctx, err)
-		return err
+		return 0, err
 	}
 	f.storeAnswered()
 	from := f.received(kind, mirror.FromList, "")
 	f.applyChange(kind, true, func(m *mirror.Mirror) bool { return m.List(page, from) })
 	f.confirming.record.Confirm(kind, begun, freshness.SourceStore)
-	return nil
+	return page.Cursor, nil
 }
 
 // follow keeps the mirror of one kind up to date from the store until the context is done.
@@ -200,7 +211,7 @@
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
-			err = f.list(ctx, kind)
+			_, err = f.list(ctx, kind)
 			listed = err == nil
 		} else {
 			err = f.watch(ctx, kind)
@@ -274,21 +285,14 @@
 	return outagePingInterval
 }
 
-// nextStalled returns when the watch of some kind counts as stalled, the zero time if no change is
-// missing. f.mu must be held.
-func (f *follower) nextStalled() time.Time {
-	var next time.Time
-	for _, kind := range kinds() {
-		w := f.watches[kind]
-		if !f.watching || w.recheck || !f.missesChange(kind) || f.mirrors[kind].Cursor() == 0 {
-			continue
-		}
-		at := f.now().Add(f.budget().Missing() - time.Since(w.missingSince))
-		if next.IsZero() || at.Before(next) {
-			next = at
-		}
+// stalledAt returns when the watch under way of a kind counts as stalled, and false if no change is missing or a
+// recheck is due already. f.mu must be held.
+func (f *follower) stalledAt(kind string) (time.Time, bool) {
+	w := f.watches[kind]
+	if !f.watching || w.recheck || !f.missesChange(kind) || f.mirrors[kind].Cursor() == 0 {
+		return time.Time{}, false
 	}
-	return next
+	return w.missingSince.Add(f.budget().Missing()), true
 }
 
 // replaceStalledWatches replaces the watches that have not returned changes which a peer has.
@@ -296,19 +300,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, kind := range kinds() {
-		if f.missesChange(kind) {
-			f.replaceIfStalled(kind, time.Now())
-		}
+		f.replaceIfStalled(kind, time.Now())
 	}
 }
 
-// replaceIfStalled cancels the watch under way of a kind if a change is missing for too long. The next
-// one is a recheck. f.mu must be held.
+// replaceIfStalled cancels the watch under way of a kind if it has stalled. The next one is a recheck. f.mu must be
+// held.
 func (f *follower) replaceIfStalled(kind string, now time.Time) {
-	w := f.watches[kind]
-	if !f.watching || w.recheck || f.mirrors[kind].Cursor() == 0 || now.Sub(w.missingSince) <= f.budget().Missing() {
+	if at, ok := f.stalledAt(kind); !ok || !now.After(at) {
 		return
 	}
+	w := f.watches[kind]
 	w.missingSince, w.recheck = now, true
 	stalledWatches.Inc()
 	w.cancel()
