freshness, hosted, gossip: plainer words in comments

Comments of the checks and confirmations said "tells", "nobody" and "hears" where the code says confirmation, peer and stalled. A field of the model is named likewise.

--- a/freshness/budget.go
+++ b/freshness/budget.go
@@ -1,7 +1,7 @@
 // Package freshness decides how long an instance may rely on its copy of the platform's objects
-// before it asks for changes. That nothing is heard of a change may mean that there is none, or that
-// nobody tells of it: only an answer of the platform's store shows that the copy is current, or a
-// peer that got one.
+// before it asks for changes. An instance that receives no change cannot conclude that there is none:
+// only a response of the platform's store shows that the copy is current, or a peer that has received
+// one.
 package freshness
 
 import "time"
@@ -12,7 +12,7 @@
 const (
 	// checkShare is the age of its state at which an instance that watches the store asks it. All
 	// but those of the first failure domain wait for another secondShare, and from the third on for
-	// one checkStep more each, so that normally one asks and tells the others.
+	// one checkStep more each, so that normally one asks and confirms the state to the others.
 	checkShare  = 0.20
 	secondShare = 0.10
 	checkStep   = 0.05
--- a/gossip/confirm_test.go
+++ b/gossip/confirm_test.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// TestCheckOrder guards against failure domains that all ask the store at the same time, or none: in a
-// group all compute the same order, and each has a position of its own while all are heard.
+// TestCheckOrder guards against failure domains that all ask the store at the same time, or none: all
+// failure domains of a group compute the same order, and each has a position of its own while none is silent.
 func TestCheckOrder(t *testing.T) {
 	for _, domains := range []int{1, 2, 6, 9, 40} {
 		t.Run(fmt.Sprint(domains), func(t *testing.T) {
--- a/hosted/check.go
+++ b/hosted/check.go
@@ -38,8 +38,8 @@
 	maxSeen = 4096
 )
 
-// check asks the store whether it has changes that are missing here, loads them, and tells peers that
-// the state is current. It costs one call if the store's revision is the same as at the last check.
+// check asks the store whether it has changes that are missing here, loads them, and confirms the state to
+// peers. It costs one call if the store's revision is the same as at the last check.
 func (f *follower) check(ctx context.Context) {
 	begun := f.now()
 	f.beginAsk(begun)
@@ -238,8 +238,8 @@
 	c.unexplainedAt = f.now().Add(c.unexplainedWait)
 }
 
-// beginAsk logs the first call of an instance that nobody confirms the state to, although it does not
-// watch the store.
+// beginAsk counts a check of an instance that does not watch the store, and logs the first one since a peer
+// last confirmed its state.
 func (f *follower) beginAsk(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -257,7 +257,7 @@
 		slog.Int64("age_ms", now.Sub(oldest.At).Milliseconds()), slog.String("source", oldest.Source))
 }
 
-// endAsk logs that the instance needs not ask the store for itself any more, and who confirms the state
+// endAsk logs that the instance no longer has to ask the store for itself, and which peer confirms the state
 // now. f.mu must be held.
 func (f *follower) endAsk(source string) {
 	c := &f.confirming
--- a/hosted/current_test.go
+++ b/hosted/current_test.go
@@ -158,7 +158,7 @@
 		lasting("not heard", false, func(c *condition) { c.noSend = true }, func(c *condition) { c.noSend = false }),
 		lasting("does not hear", false, func(c *condition) { c.noReceive = true }, func(c *condition) { c.noReceive = false }),
 		lasting("slow answers", false, func(c *condition) { c.slow = 200 * time.Millisecond }, func(c *condition) { c.slow = 0 }),
-		lasting("watches hear nothing", false, func(c *condition) { c.deaf = true }, func(c *condition) { c.deaf = false }),
+		lasting("watches hear nothing", false, func(c *condition) { c.stalled = true }, func(c *condition) { c.stalled = false }),
 	}
 }
 
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -94,8 +94,8 @@
 	// AskPosition returns the position of this instance in the order in which the members of its
 	// failure domain ask the store once nobody confirms their state.
 	AskPosition() int
-	// Confirm tells the other members of the failure domain that the state of this instance is current,
-	// and if otherDomains is set one instance of each other failure domain too.
+	// Confirm sends a confirmation of this instance's state to the other members of the failure domain,
+	// and if otherDomains is set to one instance of each other failure domain too.
 	Confirm(c gossip.Confirmation, otherDomains bool)
 	// Peers returns the addresses of other instances that this one may query, those of its
 	// failure domain first.
--- a/hosted/world_test.go
+++ b/hosted/world_test.go
@@ -55,7 +55,7 @@
 
 // condition is what happens to an instance.
 type condition struct {
-	dead, noStore, refused, deaf, noSend, noReceive bool
+	dead, noStore, refused, stalled, noSend, noReceive bool
 
 	pausedUntil time.Time
 	slow        time.Duration // of the store's answers
@@ -467,13 +467,13 @@
 	return err
 }
 
-// Watch hears nothing if the instance is deaf at its start or becomes so.
+// Watch returns no events if the watches of the instance are stalled at its start or stall meanwhile.
 func (s *simStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Page, error) {
 	return s.call(ctx, "watch", wait+time.Second, func(ctx context.Context) (platform.Page, error) {
 		deadline := time.Now().Add(wait)
-		if !s.of.condition().deaf {
+		if !s.of.condition().stalled {
 			page, err := s.of.world.store.Watch(ctx, prefix, cursor, wait)
-			if !s.of.condition().deaf {
+			if !s.of.condition().stalled {
 				return page, err
 			}
 		}
