gossip: a failure domain is not silent while its summary is on the way

In calm one failure domain checks the store for all. The next ones wait longer, by their position among those that are not silent. A failure domain counted as silent once its summary was 3 s old. With 22 or 65 members a summary takes 1.8 or 2.2 s to reach the one that watches (median), up to 4.4 s, so that the second one kept taking the first for silent and asked the store beside it, and told all members once more.

A trace of each check with its position and the ages of all summaries showed position 0 beside summaries of 3 to 4.4 s and nothing else but lost datagrams.

A failure domain now counts as silent after demandFor, 10 s, the age that TestFleet asks of every summary. The position only decides who asks first; the bound on the age of a state holds at any position.

TestCheckOrder took failure domains for silent after 2*freshFor, which is the fault; it now asks that they count until demandFor and no longer from then on.

--- a/gossip/confirm.go
+++ b/gossip/confirm.go
@@ -140,7 +140,7 @@
 		if domain == v.domain {
 			break
 		}
-		if s, ok := v.summaries[domain]; ok && now.Sub(s.madeAt) < freshFor {
+		if s, ok := v.summaries[domain]; ok && now.Sub(s.madeAt) < demandFor {
 			position++
 		}
 	}
--- a/gossip/confirm_test.go
+++ b/gossip/confirm_test.go
@@ -63,7 +63,10 @@
 					v.mergeSummary(&Summary{Domain: other, madeAt: epoch})
 				}
 				positions[v.checkPosition(epoch)]++
-				if silent := epoch.Add(2 * freshFor); v.checkPosition(silent) != 0 {
+				if slow := epoch.Add(demandFor - 1); v.checkPosition(slow) != v.checkPosition(epoch) {
+					t.Errorf("%s takes failure domains for silent whose summaries are on their way", domainName(d))
+				}
+				if silent := epoch.Add(demandFor); v.checkPosition(silent) != 0 {
 					t.Errorf("%s waits for failure domains that are silent", domainName(d))
 				}
 			}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -54,7 +54,9 @@
 	// freshFor is the age up to which the contacts in a summary are given to callers and
 	// the summary is passed on.
 	freshFor = 3 * time.Second
-	// demandFor is the age up to which the demand in a summary is used.
+	// demandFor is the age up to which the demand in a summary is used, and up to which its failure
+	// domain does not count as silent. In a large failure domain a summary takes seconds to reach all
+	// members.
 	demandFor = 10 * time.Second
 	// settleTime is how long an instance needs to learn of the others after a start or a
 	// pause.
--- a/hosted/world_test.go
+++ b/hosted/world_test.go
@@ -311,10 +311,18 @@
 	return otherRegion
 }
 
-func (w *world) draw() float64 {
+// endLoss ends the loss of datagrams.
+func (w *world) endLoss() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.links.Float64()
+	w.loss = 0
+}
+
+// loses draws whether a datagram is lost.
+func (w *world) loses() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.links.Float64() < w.loss
 }
 
 func (w *world) count(call string) {
@@ -352,7 +360,7 @@
 	c.of.awaitRunning()
 	w := c.of.world
 	target := w.find(to.(*net.UDPAddr).AddrPort().Addr())
-	if is := c.of.condition(); target == nil || is.dead || is.noSend || w.draw() < w.loss {
+	if is := c.of.condition(); target == nil || is.dead || is.noSend || w.loses() {
 		return len(data), nil
 	}
 	p := packet{append([]byte(nil), data...), c.of.address}
