hosted: a fuzz target for the state that a peer sends

readState and the merge of what it returns had none, unlike every other decoder of what another instance sends.

--- a/hosted/odd_test.go
+++ b/hosted/odd_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -8,6 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"hickorydrum/mirror"
 	"hickorydrum/platform"
 	"hickorydrum/standin"
 )
@@ -125,3 +129,45 @@
 		}
 	}
 }
+
+// FuzzReadState checks that no state from a peer ends the process, whatever its objects hold.
+func FuzzReadState(f *testing.F) {
+	var m stateMessage
+	for _, kind := range kinds() {
+		k := kindMessage{Kind: kind, Cursor: 9, Newest: 7, Full: true, RetentionMillis: 5}
+		for i, odd := range []string{"", "null", "{", strings.Repeat("[", 100), `{"address":"127.0.0.1:0"}`, "\xff\x00"} {
+			k.Objects = append(k.Objects, objectMessage{Key: fmt.Sprintf("%s/odd-%d", kind, i), Version: uint64(i), Value: []byte(odd), Deleted: i == 0})
+		}
+		k.Objects = append(k.Objects, objectMessage{Key: kind, Version: 1<<64 - 1}, objectMessage{})
+		m.Kinds = append(m.Kinds, k)
+	}
+	plain, err := cbor.Marshal(m)
+	if err != nil {
+		f.Fatal(err)
+	}
+	compressed, err := compress(plain)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, data := range [][]byte{plain, compressed, plain[:len(plain)/2], compressed[:len(compressed)/2], {0x1f, 0x8b}, {}} {
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := readState(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		mirrors := map[string]*mirror.Mirror{
+			platform.KindUpstreams:   mirror.New(platform.KindUpstreams, mirror.WithRetention(entryRetention)),
+			platform.KindEvacuations: mirror.New(platform.KindEvacuations), platform.KindConfiguration: mirror.New(platform.KindConfiguration),
+		}
+		for range 2 {
+			for i := range s.Kinds {
+				if m, ok := mirrors[s.Kinds[i].Kind]; ok {
+					m.Merge(decodeKind(&s.Kinds[i]), mirror.Origin{Source: mirror.FromPeer, At: time.Now()})
+					_ = m.Digest()
+				}
+			}
+		}
+	})
+}
