account, route, platform, ingress: client accounts

Cause: the configuration's client accounts were ignored. Requests without a valid key were served, and the key went on to the upstream, which got no name of an account. Change: package account finds the account of a key by a digest; an unknown key gets 401, unless the route allows anonymous requests; the upstream gets the account's name in place of the key; the home regions of route and account both bind. Without accounts in the configuration nothing changes.

--- a/hosted/cluster_test.go
+++ b/hosted/cluster_test.go
@@ -238,18 +238,41 @@
 	prefix, kind, service string
 	attempts, timeout     int      // timeout in ms; 0 means 1000
 	homes                 []string // home regions
+	anonymous             bool     // needs no key
+}
+
+// testAccount is a client account of the configuration.
+type testAccount struct {
+	name  string
+	keys  []string
+	homes []string // home regions
+	rate  float64  // quota, in requests a second
+	burst float64
 }
 
 // configure writes the next version of the configuration, with the routes for h.example.
 func (c *cluster) configure(routes ...testRoute) {
 	c.t.Helper()
+	c.configureAccounts(nil, routes...)
+}
+
+// configureAccounts writes the next version of the configuration, with client accounts.
+func (c *cluster) configureAccounts(accounts []testAccount, routes ...testRoute) {
+	c.t.Helper()
+	var tenants []map[string]any
+	for _, a := range accounts {
+		tenants = append(tenants, map[string]any{
+			"name": a.name, "apiKeys": a.keys, "priority": 1, "ratePerS": a.rate, "burst": a.burst, "homeRegions": append([]string{}, a.homes...),
+		})
+	}
 	var listed []map[string]any
 	services := map[string]bool{}
 	for _, r := range routes {
 		services[r.service] = true
 		listed = append(listed, map[string]any{
 			"name": "r" + r.prefix, "kind": r.kind, "targetLatencyMs": 200, "priority": 1, "stickySessions": true,
-			"match": map[string]any{"pathPrefix": r.prefix},
+			"allowAnonymous": r.anonymous,
+			"match":          map[string]any{"pathPrefix": r.prefix},
 			"action": map[string]any{
 				"service": r.service, "timeoutMs": cmp.Or(r.timeout, 1000),
 				"maxAttempts": max(1, r.attempts), "homeRegions": append([]string{}, r.homes...),
@@ -264,7 +287,7 @@
 	text, err := json.Marshal(map[string]any{
 		"version":   fmt.Sprintf("r%d", c.version),
 		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"listeners": []any{map[string]any{"host": "h.example", "rules": listed}}, "clusters": clusters,
+		"listeners": []any{map[string]any{"host": "h.example", "rules": listed}}, "clusters": clusters, "tenants": tenants,
 	})
 	if err != nil {
 		c.t.Fatal(err)
@@ -296,6 +319,7 @@
 	method, path, id, object, body string
 	remaining                      int // of the deadline, in ms; 0 means 900
 	chunked                        bool
+	header                         map[string]string // further headers
 }
 
 // reply is the response as the caller sees it.
@@ -330,6 +354,9 @@
 	}
 	r.Header.Set("Hickorydrum-Deadline-Remaining", fmt.Sprint(remaining))
 	r.Header.Set("Accept-Encoding", "identity")
+	for name, value := range q.header {
+		r.Header.Set(name, value)
+	}
 	if q.object != "" {
 		r.Header.Set("Cookie", "Hickorydrum-Affinity-Key="+q.object)
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -92,6 +92,9 @@
 	}
 	x.planReq.Route = match
 	x.planReq.Deadline = x.deadline()
+	if !x.authenticate() {
+		return
+	}
 	if x.refuseLate() || !x.readBody() {
 		return
 	}
@@ -237,6 +240,7 @@
 func (x *exchange) request() *dispatch.Request {
 	header := x.r.Header.Clone()
 	dispatch.StripHop(header)
+	x.setAccount(header)
 	length := int64(len(x.body))
 	return &dispatch.Request{
 		ID: x.id, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: header, Length: length,
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"hickorydrum/account"
 	"hickorydrum/budget"
 	"hickorydrum/dispatch"
 	"hickorydrum/fleet"
@@ -139,6 +140,7 @@
 type Request struct {
 	Table     *route.Table
 	Route     *route.Route
+	Account   *account.Account // client account of the caller, nil if there is none
 	Service   string
 	Object    uint64 // hash of the object that the request is about
 	Sticky    bool   // the request names an object
@@ -154,6 +156,26 @@
 	firstHeldBack string
 }
 
+// AllowsRegion reports whether a region may serve the request: both the route and the client account
+// may name home regions.
+func (r *Request) AllowsRegion(region string) bool {
+	return r.Route.AllowsRegion(region) && (r.Account == nil || r.Account.AllowsRegion(region))
+}
+
+// homed reports whether only some regions may serve the request.
+func (r *Request) homed() bool {
+	return len(r.Route.HomeRegions) > 0 || r.Account != nil && len(r.Account.HomeRegions) > 0
+}
+
+// Priority returns the priority of the request, 0 being the highest: that of the client account, else
+// that of the route.
+func (r *Request) Priority() int {
+	if r.Account != nil {
+		return r.Account.Priority
+	}
+	return r.Route.Priority
+}
+
 // StartRequest counts a new request and sets req.Service, the service that serves it.
 func (p *Planner) StartRequest(req *Request, now time.Time) {
 	req.Service = p.splitter.Choose(req.Route, req.Object, now)
@@ -171,12 +193,12 @@
 		Service: req.Service, Object: req.Object, Sticky: req.Sticky, Tried: req.Tried, Unlimited: unlimited,
 		Cold: func(u *fleet.Upstream) load.ColdShare { return p.coldShare(req.Table, u) },
 		Allows: func(u *fleet.Upstream) bool {
-			return req.Route.AllowsRegion(u.Region()) && !req.heldBack[u.ID] && p.withdrawals.Allows(u)
+			return req.AllowsRegion(u.Region()) && !req.heldBack[u.ID] && p.withdrawals.Allows(u)
 		},
 	}
 	candidates, upstreams := p.tracker.Candidates(&request, p.View().Service(req.Service), now)
 	warm, cold := p.tracker.ServiceTimes(req.Service, req.Route.Class())
-	region := p.shares.region(req.Service, req.Object, req.Route)
+	region := p.shares.region(req)
 	choice := p.choose(placement.Request{
 		Bytes: req.BodyBytes + assumedResponseBytes + assumedHeaderBytes, TimeLeft: req.Deadline.Sub(now),
 		Objective: req.Route.Objective, WarmTime: warm, ColdTime: cold,
--- a/planner/shares.go
+++ b/planner/shares.go
@@ -110,26 +110,26 @@
 	svc.bodyBytes += size
 }
 
-// region returns the number of the region that should serve an object: this instance's region
-// while there are no shares, and -1 if the home regions of the route have no share, so that any
-// region that the route allows may serve it.
-func (s *shares) region(service string, object uint64, r *route.Route) int {
+// region returns the number of the region that should serve the object of a request: this instance's
+// region while there are no shares, and -1 if the home regions of the request have no share, so that any
+// region that the request allows may serve it.
+func (s *shares) region(req *Request) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	svc, ok := s.services[service]
+	svc, ok := s.services[req.Service]
 	if !ok || len(svc.regionShares) == 0 {
 		return s.ownRegion
 	}
 	row := svc.regionShares
-	if len(r.HomeRegions) > 0 {
+	if req.homed() {
 		row = slices.Clone(row)
 		for i, name := range s.location.Regions {
-			if !r.AllowsRegion(name) {
+			if !req.AllowsRegion(name) {
 				row[i] = 0
 			}
 		}
 	}
-	return placement.Region(object, row)
+	return placement.Region(req.Object, row)
 }
 
 // measure ends an interval and returns the demand of this instance. slotTime returns
--- a/planner/shares_test.go
+++ b/planner/shares_test.go
@@ -113,11 +113,11 @@
 	s.update(nil, view, []int{4, 4, 4})
 	bound := &route.Route{HomeRegions: []string{"b"}}
 	for i := range uint64(200) {
-		if got := s.region("list", i*0x9e3779b97f4a7c15, bound); got != 1 {
+		if got := s.region(&Request{Service: "list", Object: i * 0x9e3779b97f4a7c15, Route: bound}); got != 1 {
 			t.Fatalf("an object is served in region %d", got)
 		}
 	}
-	if got := s.region("list", 1, &route.Route{HomeRegions: []string{"nowhere"}}); got != -1 {
+	if got := s.region(&Request{Service: "list", Object: 1, Route: &route.Route{HomeRegions: []string{"nowhere"}}}); got != -1 {
 		t.Errorf("an object of no region is served in region %d", got)
 	}
 }
--- a/planner/withdrawal.go
+++ b/planner/withdrawal.go
@@ -29,7 +29,7 @@
 	}
 	shortest, found := time.Duration(0), false
 	for _, u := range view.Service(req.Service) {
-		if p.withdrawals.Left(u) || !req.Route.AllowsRegion(u.Region()) {
+		if p.withdrawals.Left(u) || !req.AllowsRegion(u.Region()) {
 			continue
 		}
 		wait := p.withdrawals.PauseLeft(u)
--- a/route/route.go
+++ b/route/route.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"hickorydrum/account"
 )
 
 // Target is a service that gets a part of a route's requests, by its weight.
@@ -39,7 +41,9 @@
 	MaxAttempts int
 	// HomeRegions are the regions that may serve the route; if there are none, all may.
 	HomeRegions []string
-	Targets     []Target
+	// AllowAnonymous states that requests need no key of a client account.
+	AllowAnonymous bool
+	Targets        []Target
 }
 
 // AllowsRegion reports whether a region may serve the route.
@@ -97,10 +101,17 @@
 	services map[string]Service
 	count    int
 	longest  time.Duration // longest timeout of a route
+	accounts *account.Directory
 }
 
+// TableOption configures a Table in NewTable.
+type TableOption func(*Table)
+
+// WithAccounts sets the client accounts. Without them requests need no key.
+func WithAccounts(d *account.Directory) TableOption { return func(t *Table) { t.accounts = d } }
+
 // NewTable returns the table of a version.
-func NewTable(version uint64, limits Limits, routes []*Route, services []Service) *Table {
+func NewTable(version uint64, limits Limits, routes []*Route, services []Service, opts ...TableOption) *Table {
 	t := &Table{
 		version: version, limits: limits, count: len(routes),
 		byHost: make(map[string][]*Route), services: make(map[string]Service, len(services)),
@@ -116,6 +127,9 @@
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
+	for _, opt := range opts {
+		opt(t)
+	}
 	return t
 }
 
@@ -125,6 +139,9 @@
 // Limits returns the bounds on what callers may send.
 func (t *Table) Limits() Limits { return t.limits }
 
+// Accounts returns the client accounts, nil if requests need no key.
+func (t *Table) Accounts() *account.Directory { return t.accounts }
+
 // LongestTimeout returns the longest timeout of a route.
 func (t *Table) LongestTimeout() time.Duration { return t.longest }
 
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -70,6 +70,7 @@
 	warm     map[string]bool
 	runs     map[string]int
 	bodies   map[string]string
+	headers  map[string]http.Header
 	arrivals int
 	aborted  int // requests whose connection ended while they ran
 	faults   map[WorkerFault]int
@@ -93,7 +94,8 @@
 	w := &Worker{
 		config: config, listener: listener, slots: make(chan struct{}, config.Slots),
 		warm: make(map[string]bool), runs: make(map[string]int), bodies: make(map[string]string),
-		faults: make(map[WorkerFault]int), conns: make(map[net.Conn]bool),
+		headers: make(map[string]http.Header),
+		faults:  make(map[WorkerFault]int), conns: make(map[net.Conn]bool),
 	}
 	w.group.Go(w.accept)
 	return w, nil
@@ -142,6 +144,13 @@
 	return w.bodies[id]
 }
 
+// Header returns the headers of the last request with the id that was run, nil if none was.
+func (w *Worker) Header(id string) http.Header {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.headers[id]
+}
+
 // Arrivals returns how many requests asked for a slot, with those that were refused one.
 func (w *Worker) Arrivals() int {
 	w.mu.Lock()
@@ -258,7 +267,7 @@
 		return w.reply(c, req, 503, "Hickorydrum-Not-Executed: 1\r\n", "")
 	}
 	defer w.releaseSlot()
-	w.recordRun(req.Header.Get("Hickorydrum-Attempt-Id"), string(body))
+	w.recordRun(req, string(body))
 	if !w.simulateWork(r, c, req) {
 		return false
 	}
@@ -291,11 +300,13 @@
 	w.mu.Unlock()
 }
 
-func (w *Worker) recordRun(id, body string) {
+func (w *Worker) recordRun(req *http.Request, body string) {
+	id := req.Header.Get("Hickorydrum-Attempt-Id")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.runs[id]++
 	w.bodies[id] = body
+	w.headers[id] = req.Header
 }
 
 // simulateWork waits for the service time. It returns false if the connection ends before.
