platform, load, ingress: reports of load with a pace

Cause: a report of load with more than three figures was dropped as a whole and without a line, so that no load of the upstream was known. The slow spells of shared machines were learned as objects for which an upstream is not warm. Change: platform decodes three or more figures, the fourth as the pace; what is not valid is counted and logged (event 320). load/pace.go decides what a pace means: the expected service time grows by it for at most the rest of a spell of 600 ms, and the times of responses are corrected by it before anything is learned.

--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,7 @@
 	WithdrawnLate       = add(317, slog.LevelWarn, "requests were sent to an upstream that had left")
 	AskBegun            = add(318, slog.LevelInfo, "no instance confirms the state, asking the platform's store")
 	AskEnded            = add(319, slog.LevelInfo, "no longer asking the platform's store for itself")
+	LoadInvalid         = add(320, slog.LevelWarn, "an upstream reports a load that is not valid")
 	TrafficMoved        = add(400, slog.LevelInfo, "traffic moved")
 	RegionDead          = add(401, slog.LevelWarn, "region does not answer")
 	RegionRecovered     = add(402, slog.LevelInfo, "region answers again")
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -184,7 +184,7 @@
 	defer func() {
 		ended := time.Now()
 		g.planner.End(&x.planReq, &load.Result{
-			Upstream: u, Outcome: outcome, Took: ended.Sub(now), Position: x.choice.Position, Waited: reports.waited,
+			Upstream: u, Outcome: outcome, Took: ended.Sub(now), Position: x.choice.Position, Waited: reports.waited, Pace: reports.pace,
 		}, ended)
 	}()
 	ctx, cancel := x.sendContext()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -86,6 +86,8 @@
 	// that upstreams asked for.
 	withdrawn = metrics.GetOrCreateCounter(`hickorydrum_withdrawals_total{source="answer"}`)
 	pauses    = metrics.GetOrCreateCounter(`hickorydrum_pauses_total`)
+	// invalidLoads counts the reports of load that are not valid, or whose pace is not.
+	invalidLoads = metrics.GetOrCreateCounter(`hickorydrum_load_reports_invalid_total`)
 
 	limitLinesOmitted = metrics.GetOrCreateCounter(`hickorydrum_limit_lines_omitted_total`)
 )
--- a/ingress/upstream.go
+++ b/ingress/upstream.go
@@ -21,12 +21,24 @@
 	upstream *fleet.Upstream
 	sentAt   time.Time
 	waited   bool // requests were waiting at the upstream
+	pace     int  // of the upstream's machine, in percent; 0 if the response does not say
 }
 
 // ReportLoad records the load of the upstream.
 func (r *upstreamReports) ReportLoad(l platform.Load) {
 	r.waited = l.Waiting > 0
-	r.ingress.planner.RecordLoad(r.upstream, l.Running, l.Waiting, time.Now())
+	now := time.Now()
+	r.ingress.planner.RecordLoad(r.upstream, l.Running, l.Waiting, now)
+	if l.Pace != 0 {
+		r.pace = l.Pace
+		r.ingress.planner.RecordPace(r.upstream, l.Pace, now)
+	}
+}
+
+// ReportLoadError counts and logs that a report of the upstream's load is not valid.
+func (r *upstreamReports) ReportLoadError(err error) {
+	invalidLoads.Inc()
+	r.ingress.logUpstream(event.LoadInvalid, r.upstream.ID, slog.String("error", err.Error()))
 }
 
 // ReportLimit records the limit that the upstream names, or that it names none, and logs
--- a/load/load.go
+++ b/load/load.go
@@ -80,6 +80,7 @@
 	avoidUntil  time.Time            // until then it is avoided, after failed connections
 	objects     map[uint64]time.Time // when the upstream last answered a request for each object
 	gate        *limit.Gate
+	pace        pace // how long work takes on its machine
 }
 
 // Tracker holds the load state of all upstreams. Its methods are safe for concurrent use.
@@ -162,6 +163,7 @@
 	Service string
 	Object  uint64 // hash of the object that the request is about
 	Sticky  bool   // the request names an object
+	Class   route.Class
 	// Tried holds the IDs of upstreams that were chosen for the request already and must
 	// not be chosen again.
 	Tried map[string]bool
@@ -221,6 +223,9 @@
 		Region: tr.regionNumber(u.Region()),
 	}
 	c.Slowdown, c.FailureRate = s.decayedHealth(now)
+	if !s.pace.usual() {
+		c.Slowdown *= s.pace.slowdown(tr.slotTime(r.Service, r.Class), now)
+	}
 	if now.Before(s.fullUntil) {
 		// A full upstream counts as having a queue of at least twice its slots.
 		c.Outstanding = max(c.Outstanding, float64(3*u.Slots))
@@ -318,6 +323,9 @@
 	// Waited states that requests were waiting at the upstream for a slot, probably this
 	// one too, so that Took does not measure the service time.
 	Waited bool
+	// Pace is how long work took on the upstream's machine at the end of the response, in percent of
+	// the usual time; 0 if the response does not say.
+	Pace int
 	// ColdPeriod is how long an upstream of the service counts as cold after a start.
 	ColdPeriod time.Duration
 }
@@ -360,7 +368,7 @@
 	if r.Waited {
 		return
 	}
-	took := max(0, r.Took-tr.roundTrip(r.Upstream))
+	took := newPace(r.Pace, now).correct(max(0, r.Took-tr.roundTrip(r.Upstream)))
 	times := tr.serviceTimes(r.Upstream.Service, r.Class)
 	times.note(s.id, took, now)
 	if r.Sticky && !times.tooFew() && !times.fits(now) {
--- a/load/times.go
+++ b/load/times.go
@@ -283,6 +283,11 @@
 func (tr *Tracker) SlotTime(service string, class route.Class) time.Duration {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
+	return tr.slotTime(service, class)
+}
+
+// slotTime implements SlotTime. tr.mu must be held.
+func (tr *Tracker) slotTime(service string, class route.Class) time.Duration {
 	t := tr.serviceTimes(service, class)
 	warm, cold := t.means()
 	switch {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -190,7 +190,8 @@
 // have a limit.
 func (p *Planner) chooseOnce(req *Request, unlimited bool, now time.Time) (placement.Choice, *fleet.Upstream) {
 	request := load.Request{
-		Service: req.Service, Object: req.Object, Sticky: req.Sticky, Tried: req.Tried, Unlimited: unlimited,
+		Service: req.Service, Object: req.Object, Sticky: req.Sticky, Class: req.Route.Class(),
+		Tried: req.Tried, Unlimited: unlimited,
 		Cold: func(u *fleet.Upstream) load.ColdShare { return p.coldShare(req.Table, u) },
 		Allows: func(u *fleet.Upstream) bool {
 			return req.AllowsRegion(u.Region()) && !req.heldBack[u.ID] && p.withdrawals.Allows(u)
@@ -242,6 +243,12 @@
 	p.tracker.RecordLoad(u.ID, running, waiting, now)
 }
 
+// RecordPace records how long work takes on the machine of an upstream, in percent of the usual
+// time.
+func (p *Planner) RecordPace(u *fleet.Upstream, percents int, now time.Time) {
+	p.tracker.RecordPace(u.ID, percents, now)
+}
+
 // SpendRetry takes one retry from the budget of a service and reports whether it is
 // allowed.
 func (p *Planner) SpendRetry(service string, now time.Time) bool {
--- a/simulation/call.go
+++ b/simulation/call.go
@@ -78,12 +78,13 @@
 	c.refuse()
 }
 
-// receiveResponse handles the response to an attempt, and the load that the upstream
+// receiveResponse handles the response to an attempt, and the load and pace that the upstream
 // reports with it.
-func (c *call) receiveResponse(a *attempt, outcome load.Outcome, running, waiting int) {
+func (c *call) receiveResponse(a *attempt, outcome load.Outcome, running, waiting, pace int) {
 	c.instance.planner.RecordLoad(a.upstream.entry, running, waiting, c.simulator.now)
+	c.recordPace(a, pace)
 	c.recordLimit(a, outcome)
-	c.endAttempt(a, outcome, waiting > 0)
+	c.endAttempt(a, outcome, waiting > 0, pace)
 	if c.ended {
 		return
 	}
@@ -98,9 +99,9 @@
 }
 
 // endAttempt reports the outcome of an attempt to the planner.
-func (c *call) endAttempt(a *attempt, outcome load.Outcome, waited bool) {
+func (c *call) endAttempt(a *attempt, outcome load.Outcome, waited bool, pace int) {
 	c.instance.planner.End(&c.request, &load.Result{
-		Upstream: a.upstream.entry, Outcome: outcome, Took: c.simulator.now.Sub(a.sentAt), Position: a.position, Waited: waited,
+		Upstream: a.upstream.entry, Outcome: outcome, Took: c.simulator.now.Sub(a.sentAt), Position: a.position, Waited: waited, Pace: pace,
 	}, c.simulator.now)
 }
 
@@ -112,7 +113,7 @@
 	}
 	if a := c.current; a != nil && a.state != stateDone {
 		c.simulator.after(a.delay, func() { a.upstream.cancel(a) })
-		c.endAttempt(a, load.Failed, false)
+		c.endAttempt(a, load.Failed, false, 0)
 		c.current = nil
 	}
 	c.complete(failed)
--- a/simulation/pattern.go
+++ b/simulation/pattern.go
@@ -87,6 +87,7 @@
 	// Load multiplies the rates of all kinds.
 	Load        float64
 	Disruptions []Disruption
+	Spells      Spells
 	// InDomain, CrossDomain, CrossRegion and ToCaller are one-way delays.
 	InDomain, CrossDomain, CrossRegion, ToCaller time.Duration
 	// RetryRatio, RetrySlack and RetryWindow bound the retries, as in planner.RetryBounds.
--- a/simulation/patterns.go
+++ b/simulation/patterns.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -97,6 +98,50 @@
 	return p
 }
 
+// SharedMachines returns the pattern of a deployment of 33 instances and 232 upstreams whose machines
+// other work slows down for some 600 ms at a time, 15% of the time.
+func SharedMachines() *Pattern {
+	p := &Pattern{
+		Name: "shared", Length: 24 * time.Second, Load: 1, Wave: Wave{Amplitude: 0.55, Period: wavePeriod},
+		InDomain: 100 * time.Microsecond, CrossDomain: time.Millisecond, CrossRegion: 20 * time.Millisecond,
+		ToCaller: 5 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 230, RetryWindow: 10 * time.Second,
+		Spells: Spells{Length: 600 * time.Millisecond, Share: 0.15, Factor: 2.5, Reported: true},
+		Services: []Service{
+			{Name: "prices", Slots: 4, Queue: 12, CacheSize: 30, Upstreams: make(map[string]int)},
+			{Name: "packs", Slots: 4, Queue: 12, CacheSize: 30, Upstreams: make(map[string]int)},
+			{Name: "sales", Slots: 4, Queue: 12, CacheSize: 20, Upstreams: make(map[string]int)},
+		},
+		Kinds: []RequestKind{
+			{
+				Name: "check", Service: "prices", Idempotent: true, Priority: 1, PerSecond: 900, Objects: 500,
+				ServiceTime: 400 * time.Millisecond, WarmGain: 0.7, Objective: 250 * time.Millisecond, Worth: 1, Late: 0.2,
+				Timeout: 800 * time.Millisecond, Patience: 2 * time.Second, MaxAttempts: 2,
+			},
+			{
+				Name: "pull", Service: "packs", Idempotent: true, Priority: 2, PerSecond: 800, Objects: 450,
+				ServiceTime: 360 * time.Millisecond, WarmGain: 0.7, Objective: 300 * time.Millisecond, Worth: 1, Late: 0.2,
+				Timeout: 800 * time.Millisecond, Patience: 2 * time.Second, MaxAttempts: 2,
+			},
+			{
+				Name: "purchase", Service: "sales", Priority: 1, PerSecond: 300, Objects: 150,
+				ServiceTime: 480 * time.Millisecond, WarmGain: 0.7, Objective: 400 * time.Millisecond, Worth: 2, Late: 0.4,
+				Timeout: time.Second, Patience: 2500 * time.Millisecond, Bytes: 300, MaxAttempts: 2,
+			},
+		},
+	}
+	upstreams := map[string][]int{"a": {20, 16, 8}, "b": {44, 36, 16}, "c": {42, 34, 16}}
+	for _, region := range []string{"a", "b", "c"} {
+		for number, instances := range []int{6, 5} {
+			name := fmt.Sprintf("%s-%d", region, number+1)
+			p.Domains = append(p.Domains, Domain{Name: name, Region: region, Instances: instances})
+			for i, n := range upstreams[region] {
+				p.Services[i].Upstreams[name] = n / 2
+			}
+		}
+	}
+	return p
+}
+
 // Find returns the pattern with the given name, and whether there is one.
 func Find(name string) (*Pattern, bool) {
 	for _, p := range Patterns() {
--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -218,3 +218,64 @@
 		})
 	}
 }
+
+// TestSharedMachines guards against paces by which requests are served worse than without: by leaving
+// the home of their object for an upstream that is not warm, or by wrong service times.
+func TestSharedMachines(t *testing.T) {
+	t.Parallel()
+	const tolerated = 0.02
+	worthOf := func(reported bool) float64 {
+		p := SharedMachines()
+		p.Length, p.Spells.Reported = 10*time.Second, reported
+		return worth([]*Report{Run(p, 1)}, 0, p.Length)
+	}
+	with, without := worthOf(true), worthOf(false)
+	if with < without-tolerated {
+		t.Errorf("worth %.3f with paces, %.3f without", with, without)
+	}
+}
+
+// TestSpells guards against work that a spell slows down by more or less than its part in the spell.
+func TestSpells(t *testing.T) {
+	p := &Pattern{Spells: Spells{Factor: 2.5}}
+	spells := []span{{100 * time.Millisecond, 350 * time.Millisecond}}
+	tests := map[string]struct{ from, work, want time.Duration }{
+		"before":  {0, 50 * time.Millisecond, 50 * time.Millisecond},
+		"into":    {50 * time.Millisecond, 100 * time.Millisecond, 175 * time.Millisecond},
+		"within":  {100 * time.Millisecond, 40 * time.Millisecond, 100 * time.Millisecond},
+		"out of":  {300 * time.Millisecond, 50 * time.Millisecond, 80 * time.Millisecond},
+		"through": {50 * time.Millisecond, 200 * time.Millisecond, 350 * time.Millisecond},
+		"after":   {350 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			u := &upstream{simulator: &simulator{pattern: p, now: epoch.Add(test.from)}, spells: spells}
+			if got := u.lasts(test.work); got != test.want {
+				t.Errorf("lasts %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// BenchmarkSharedPace reports the worth of requests after the first seconds with paces that are not
+// reported, only known to the instance that got them, and shared with all others after a delay. It is
+// the measurement in docs/design/pace.md.
+func BenchmarkSharedPace(b *testing.B) {
+	const from = 6 * time.Second
+	tests := map[string]Spells{
+		"not reported": {},
+		"reported":     {Reported: true},
+		"after 1ms":    {Reported: true, SharedAfter: time.Millisecond},
+		"after 250ms":  {Reported: true, SharedAfter: 250 * time.Millisecond},
+		"after 750ms":  {Reported: true, SharedAfter: 750 * time.Millisecond},
+	}
+	for name, test := range tests {
+		b.Run(name, func(b *testing.B) {
+			p := SharedMachines()
+			p.Spells.Reported, p.Spells.SharedAfter = test.Reported, test.SharedAfter
+			for b.Loop() {
+				b.ReportMetric(worth(runSeeds(p), from, p.Length), "worth")
+			}
+		})
+	}
+}
--- a/simulation/simulator.go
+++ b/simulation/simulator.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hickorydrum/dispatch"
 	"hickorydrum/fleet"
 	"hickorydrum/limit"
@@ -23,6 +25,8 @@
 	tick          = 10 * time.Millisecond
 	// gossipDelay is how long a load report takes to reach all instances of the failure domain.
 	gossipDelay = 750 * time.Millisecond
+	// spellsAfter is how long after the last request slow spells still begin.
+	spellsAfter = 10 * time.Second
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -96,6 +100,7 @@
 	pattern *Pattern
 	regions []string // a caller's region is an index into it
 	options []planner.Option
+	seed    uint64
 	random  *rand.Rand
 	now     time.Time
 	queue   events
@@ -114,7 +119,7 @@
 // all planners, so that policies can be compared. The same seed gives the same report.
 func Run(p *Pattern, seed uint64, opts ...planner.Option) *Report {
 	s := &simulator{
-		pattern: p, regions: p.regions(), options: opts, random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
+		pattern: p, regions: p.regions(), options: opts, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
 		routes: make(map[string]*route.Route), upstreams: make(map[string]*upstream), report: newReport(p),
 		holder: limit.NewHolder(instanceAddress(0)),
 	}
@@ -185,7 +190,9 @@
 		for range svc.Upstreams[d.Name] {
 			id := fmt.Sprintf("%s-%d", svc.Name, len(out))
 			rank := (float64(ranks[len(out)]) + 0.5) / float64(total)
-			s.upstreams[id] = &upstream{simulator: s, service: svc, domain: d, rank: rank}
+			// The spells have a random source of their own, so that they are the same with every policy.
+			spells := s.pattern.Spells.draw(s.pattern.Length+spellsAfter, rand.New(rand.NewPCG(s.seed, xxhash.Sum64String(id))))
+			s.upstreams[id] = &upstream{simulator: s, service: svc, domain: d, rank: rank, spells: spells}
 			out = append(out, fleet.Upstream{ID: id, Service: svc.Name, Address: id, Domain: d.Name, Slots: svc.Slots, StartMillis: 1})
 		}
 	}
--- a/simulation/upstream.go
+++ b/simulation/upstream.go
@@ -19,6 +19,7 @@
 	entry     *fleet.Upstream
 	rank      float64 // in (0, 1), random; a disruption with a larger Share affects the upstream
 
+	spells  []span
 	running []*attempt
 	waiting []*attempt
 	cached  []uint64 // objects, the least recently used first
@@ -73,7 +74,7 @@
 		serviceTime *= 1 - kind.WarmGain
 	}
 	serviceTime *= u.simulator.pattern.disruptionFactor(Slow, u.simulator.elapsed(), u.service.Name, u.rank)
-	u.simulator.after(time.Duration(serviceTime), func() {
+	u.simulator.after(u.lasts(time.Duration(serviceTime)), func() {
 		if a.state == stateRunning {
 			u.cacheObject(a.call.request.Object)
 			u.release(a)
@@ -116,13 +117,14 @@
 	}
 }
 
-// reply sends the outcome of a request to the instance, with the current load.
+// reply sends the outcome of a request to the instance, with the current load
+// and pace.
 func (u *upstream) reply(a *attempt, outcome load.Outcome) {
-	running, waiting := len(u.running), len(u.waiting)
+	running, waiting, pace := len(u.running), len(u.waiting), u.pace()
 	u.simulator.after(a.delay, func() {
 		if a.state != stateDone {
 			a.state = stateDone
-			a.call.receiveResponse(a, outcome, running, waiting)
+			a.call.receiveResponse(a, outcome, running, waiting, pace)
 		}
 	})
 }
