admission, placement, planner: bounds of the wait by urgency and client account

Cause: a request was rejected by the same waits whatever its priority. Where several priorities share a service, the less urgent requests filled the queues and the urgent ones were rejected as often or oftener; one hot client account filled them for all others. Change: package admission sets the bounds of each request. Among the priorities seen at a service in the last 5 s, the most urgent keeps the bounds as they were, the least urgent gets 0.4 of them, and less if its objective is longer than that of a more urgent one. An account that holds more than its fair part of the requests in progress gets shorter bounds; the parts are in proportion to the quotas. A priority or account that is admitted less than 0.4 times as often as all gets the default bounds. Where several priorities are present, waits count the mean service time of all requests in the queues. Package simulation plays client accounts, bursts of one kind or account, impatient callers and upstreams that reject though slots are free.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -67,6 +67,10 @@
 	// WarmTime and ColdTime are the mean service times at an upstream that is warm for the
 	// object, and at one that is not.
 	WarmTime, ColdTime time.Duration
+	// QueueWarmTime and QueueColdTime are the mean service times of all requests that share the
+	// queues, for which WarmTime and ColdTime stand if they are 0. Requests that take long make
+	// others wait long in a short queue.
+	QueueWarmTime, QueueColdTime time.Duration
 	// TimesAssumed states that these times are not measured yet. The real ones may be
 	// shorter by a factor of up to assumedTimeFactor.
 	TimesAssumed bool
@@ -82,6 +86,8 @@
 	// KeepInDomain states that the object should be served within the failure domain of
 	// this instance.
 	KeepInDomain bool
+	// Bounds are those of the wait; the zero value stands for DefaultBounds.
+	Bounds Bounds
 
 	utilization float64       // fraction of the candidates' slots in use
 	meanWait    time.Duration // mean wait in the candidates' queues
@@ -100,8 +106,8 @@
 	Index int
 	// Expected is the expected time until the response of the chosen candidate. For
 	// ReasonNoTime it is the shortest of all candidates that the request may use, divided by
-	// assumedTimeFactor if the service times are assumed; for ReasonBusy it is that of the
-	// best candidate.
+	// assumedTimeFactor if the service times are assumed; for ReasonBusy, ReasonUrgency and
+	// ReasonAccount it is that of the best candidate.
 	Expected time.Duration
 	Reason   Reason
 	// Position is that of the chosen candidate in the object's order of preference; a
@@ -121,6 +127,9 @@
 	ReasonNone   Reason = "none"    // no upstream may be used
 	ReasonNoTime Reason = "no-time" // no upstream is expected to respond in the time left
 	ReasonBusy   Reason = "busy"    // the mean wait at all upstreams is too long, and so is the wait at the best one
+	// ReasonUrgency and ReasonAccount are set by package admission.
+	ReasonUrgency Reason = "urgency" // the wait is too long for a request that is less urgent than others at the service
+	ReasonAccount Reason = "account" // the wait is too long for a client account that holds more than its fair part
 	// ReasonLimited is set by package planner: the limits that upstreams name have no room.
 	ReasonLimited Reason = "limited"
 	// ReasonPaused is set by package planner: the upstreams that are left asked for a pause.
@@ -139,6 +148,8 @@
 	ReasonLimited:  "no upstream may be used: those left name a limit of requests a second, which has no room",
 	ReasonPaused:   "no upstream may be used: those left named a time until which they want no requests from this instance",
 	ReasonStopping: "the instance stops before the request's deadline, and sends it to no upstream any more",
+	ReasonUrgency:  "the service is under pressure, and the room that is left is kept for more urgent requests that share it",
+	ReasonAccount:  "the service is under pressure, and the client account holds more than its fair part of the requests in progress",
 	ReasonBusy:     "requests arrive faster than they are served: the mean wait at all upstreams is too long, and so is the wait at the best one",
 }
 
@@ -157,10 +168,9 @@
 	displacementLoadShare       = 8.0
 	displacementFreeUtilization = 0.5  // utilization up to which displacementLoadShare adds nothing
 	fullUtilizationWait         = 0.15 // fraction of the slot time by which the expected wait grows from no utilization to full
-	// A request is refused when the mean wait in the queues of all candidates exceeds
-	// maxMeanWait and the wait at the best one exceeds maxWait, both in latency
-	// objectives: requests then arrive faster than they are served, and in longer
-	// queues all of them would be late.
+	// maxMeanWait and maxWait are the default bounds, in latency objectives (see Bounds). Beyond
+	// both, requests arrive faster than they are served, and in longer queues all of them
+	// would be late.
 	maxMeanWait       = 0.2
 	maxWait           = 0.7
 	assumedTimeFactor = 10 // factor by which an assumed service time may be too long
@@ -179,6 +189,9 @@
 	var buf [stackCandidates]uint8
 	positions := r.positions(candidates, buf[:0])
 	r.measureLoad(candidates)
+	if r.Bounds == (Bounds{}) {
+		r.Bounds = DefaultBounds()
+	}
 	best := Choice{Index: -1, Reason: ReasonNone}
 	bestCost := time.Duration(maxCost)
 	soonest := time.Duration(maxCost)
@@ -206,8 +219,8 @@
 	if soonest > r.TimeLeft {
 		return Choice{Index: -1, Expected: soonest, Reason: ReasonNoTime}
 	}
-	if r.overloaded(&candidates[best.Index]) {
-		return Choice{Index: -1, Expected: best.Expected, Reason: ReasonBusy}
+	if reason := r.rejection(&candidates[best.Index]); reason != "" {
+		return Choice{Index: -1, Expected: best.Expected, Reason: reason}
 	}
 	best.Reason = r.reason(&best, &candidates[best.Index])
 	return best
@@ -278,12 +291,6 @@
 	return r.queuesLong() && slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Region == r.Region })
 }
 
-// overloaded reports whether requests arrive faster than they are served, so that one
-// more in the queue of the candidate would make all of them late.
-func (r *Request) overloaded(c *Candidate) bool {
-	return r.queuesLong() && float64(c.wait(r)) > maxWait*r.objective()
-}
-
 // wait returns the expected time that a request waits for a slot of the candidate.
 func (c *Candidate) wait(r *Request) time.Duration {
 	slots := float64(max(1, c.Slots))
@@ -292,11 +299,12 @@
 	return time.Duration((ahead + utilizationWait) * float64(c.slotTime(r)))
 }
 
-// slotTime returns the mean time for which a request holds a slot of the candidate.
+// slotTime returns the mean time for which a request in the queue holds a slot of the candidate.
 func (c *Candidate) slotTime(r *Request) time.Duration {
-	mean := float64(r.ColdTime)
+	warm, cold := cmp.Or(r.QueueWarmTime, r.WarmTime), cmp.Or(r.QueueColdTime, r.ColdTime)
+	mean := float64(cold)
 	if r.Sticky {
-		mean = c.HitRate*float64(r.WarmTime) + (1-c.HitRate)*float64(r.ColdTime)
+		mean = c.HitRate*float64(warm) + (1-c.HitRate)*float64(cold)
 	}
 	return time.Duration(mean * c.Slowdown)
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -125,6 +125,28 @@
 			candidates: []Candidate{candidate(1, busy(9)), candidate(9, busy(14)), candidate(2, busy(10)), candidate(3, busy(9))},
 			index:      -1, reason: ReasonBusy,
 		},
+		"longer queues everywhere than a less urgent request may wait in": {
+			request:    request(func(req *Request) { req.Bounds = Bounds{MeanWait: 0.05, Wait: 0.1, Reason: ReasonUrgency} }),
+			candidates: []Candidate{candidate(1, busy(5)), candidate(9, busy(6)), candidate(2, busy(5)), candidate(3, busy(5))},
+			index:      -1, reason: ReasonUrgency,
+		},
+		"longer queues than any request may wait in": {
+			request:    request(func(req *Request) { req.Bounds = Bounds{MeanWait: 0.05, Wait: 0.1, Reason: ReasonUrgency} }),
+			candidates: []Candidate{candidate(1, busy(9)), candidate(9, busy(14)), candidate(2, busy(10)), candidate(3, busy(9))},
+			index:      -1, reason: ReasonBusy,
+		},
+		"a less urgent request and a free slot": {
+			request:    request(func(req *Request) { req.Bounds = Bounds{MeanWait: 0.01, Wait: 0.01, Reason: ReasonUrgency} }),
+			candidates: []Candidate{candidate(1, busy(5)), candidate(9, busy(3)), candidate(2, busy(5)), candidate(3, busy(5))},
+			index:      1, reason: ReasonHome,
+		},
+		"longer requests in the queues": {
+			request: request(func(req *Request) {
+				req.QueueWarmTime, req.QueueColdTime = 4*req.WarmTime, 4*req.ColdTime
+			}),
+			candidates: []Candidate{candidate(1, busy(6.5)), candidate(9, busy(6.5)), candidate(2, busy(6.5)), candidate(3, busy(6.5))},
+			index:      -1, reason: ReasonBusy,
+		},
 		"a long queue at one upstream alone": {
 			request:    request(nil),
 			candidates: []Candidate{candidate(1, nil), candidate(9, busy(10)), candidate(2, nil), candidate(3, nil), candidate(4, nil)},
--- a/planner/limit.go
+++ b/planner/limit.go
@@ -19,6 +19,13 @@
 // placement.ReasonPaused if a pause was.
 // SetView and StartRequest must have been called before.
 func (p *Planner) Choose(req *Request, now time.Time) (placement.Choice, *fleet.Upstream) {
+	choice, u := p.chooseWithRoom(req, now)
+	p.admissions.record(req, choice.Reason, p.tracker, now)
+	return choice, u
+}
+
+// chooseWithRoom is Choose without the record of the decision.
+func (p *Planner) chooseWithRoom(req *Request, now time.Time) (placement.Choice, *fleet.Upstream) {
 	for offers := range maxOffers + 1 {
 		choice, u := p.chooseOnce(req, offers == maxOffers, now)
 		if u == nil {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -88,6 +88,8 @@
 	splitter *route.Splitter // chooses the service of a request among the targets of its route
 	shares   *shares         // determines the region that serves an object
 
+	admissions admissions // bounds the waits of requests by their urgency and client account
+
 	mu      sync.Mutex
 	budgets map[string]*budget.Retry // by service
 }
@@ -107,7 +109,7 @@
 	p := &Planner{
 		location: location, tracker: tracker, instances: instances, choose: placement.Choose,
 		costs:    placement.Costs{DomainPerKiB: domainPerKiB, RegionPerKiB: regionPerKiB},
-		splitter: route.NewSplitter(), shares: newShares(location), budgets: make(map[string]*budget.Retry),
+		splitter: route.NewSplitter(), admissions: newAdmissions(), shares: newShares(location), budgets: make(map[string]*budget.Retry),
 		withdrawals: withdrawal.New(),
 	}
 	p.bounds.Store(&bounds)
@@ -182,6 +184,7 @@
 	p.mu.Lock()
 	p.budget(req.Service).Request(now)
 	p.mu.Unlock()
+	p.admissions.arrive(req, now)
 	p.shares.recordArrival(req.Service, req.Route.Class(), req.BodyBytes)
 }
 
@@ -189,23 +192,25 @@
 // Upstreams that have held the request back are left out, and if unlimited is set all that
 // have a limit.
 func (p *Planner) chooseOnce(req *Request, unlimited bool, now time.Time) (placement.Choice, *fleet.Upstream) {
-	request := load.Request{
+	loadRequest := load.Request{
 		Service: req.Service, Object: req.Object, Sticky: req.Sticky, Tried: req.Tried, Unlimited: unlimited,
 		Cold: func(u *fleet.Upstream) load.ColdShare { return p.coldShare(req.Table, u) },
 		Allows: func(u *fleet.Upstream) bool {
 			return req.AllowsRegion(u.Region()) && !req.heldBack[u.ID] && p.withdrawals.Allows(u)
 		},
 	}
-	candidates, upstreams := p.tracker.Candidates(&request, p.View().Service(req.Service), now)
+	candidates, upstreams := p.tracker.Candidates(&loadRequest, p.View().Service(req.Service), now)
 	warm, cold := p.tracker.ServiceTimes(req.Service, req.Route.Class())
 	region := p.shares.region(req)
-	choice := p.choose(placement.Request{
+	request := placement.Request{
 		Bytes: req.BodyBytes + assumedResponseBytes + assumedHeaderBytes, TimeLeft: req.Deadline.Sub(now),
 		Objective: req.Route.Objective, WarmTime: warm, ColdTime: cold,
 		TimesAssumed: !p.tracker.Measured(req.Service, req.Route.Class()), Sticky: req.Sticky,
 		WarmProbabilities: p.tracker.WarmProbabilities(req.Service),
 		Region:            region, KeepInDomain: region == p.shares.ownRegion && p.shares.staysInDomain(req.Service, req.Object),
-	}, candidates, p.costs)
+	}
+	p.admissions.apply(req, &request, now)
+	choice := p.choose(request, candidates, p.costs)
 	if choice.Index < 0 {
 		return choice, nil
 	}
@@ -225,7 +230,11 @@
 	if !p.Eligible(u) {
 		return nil, false
 	}
-	return p.tracker.Begin(u, p.coldShare(req.Table, u), now)
+	dialer, ok := p.tracker.Begin(u, p.coldShare(req.Table, u), now)
+	if ok {
+		p.admissions.begin(req, now)
+	}
+	return dialer, ok
 }
 
 // End records the result of a request that Begin counted, and sets the fields of r that
@@ -234,6 +243,7 @@
 	r.Class, r.Object, r.Sticky = req.Route.Class(), req.Object, req.Sticky
 	r.ColdPeriod = req.Table.Service(req.Service).ColdPeriod
 	p.tracker.End(r, now)
+	p.admissions.end(req)
 }
 
 // RecordLoad records the load that an upstream reported: the requests that run and wait
--- a/requestlog/requestlog_test.go
+++ b/requestlog/requestlog_test.go
@@ -14,7 +14,7 @@
 func TestReasons(t *testing.T) {
 	for _, r := range []placement.Reason{
 		placement.ReasonHome, placement.ReasonKnown, placement.ReasonSpill, placement.ReasonFree, placement.ReasonNone,
-		placement.ReasonNoTime, placement.ReasonBusy, placement.ReasonLimited, placement.ReasonPaused, placement.ReasonStopping,
+		placement.ReasonNoTime, placement.ReasonBusy, placement.ReasonUrgency, placement.ReasonAccount, placement.ReasonLimited, placement.ReasonPaused, placement.ReasonStopping,
 	} {
 		if r.Text() == "" {
 			t.Errorf("the reason %q has no text", r)
--- a/simulation/call.go
+++ b/simulation/call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hickorydrum/account"
 	"hickorydrum/load"
 	"hickorydrum/planner"
 )
@@ -24,7 +25,8 @@
 	region      int
 	object      uint64
 	startedAt   time.Time
-	resubmitted bool // the caller sends the request for the second and last time
+	account     *account.Account // nil if there are none
+	resubmitted int              // how many times the caller sent the request before
 
 	instance *instance
 	request  planner.Request
@@ -44,7 +46,7 @@
 	limit := min(c.kind.Timeout, c.startedAt.Add(c.kind.Patience).Sub(now))
 	c.request = planner.Request{
 		Table: s.table, Route: s.routes[c.kind.Name], Object: c.object, Sticky: true,
-		BodyBytes: c.kind.Bytes, Deadline: now.Add(limit), Tried: make(map[string]bool),
+		Account: c.account, BodyBytes: c.kind.Bytes, Deadline: now.Add(limit), Tried: make(map[string]bool),
 	}
 	c.instance.planner.StartRequest(&c.request, now)
 	s.after(limit, c.expire)
@@ -124,17 +126,26 @@
 // refuse sheds the request; the caller may resubmit it.
 func (c *call) refuse() {
 	c.complete(refused)
+	if c.simulator.impatience() > 1 {
+		c.resubmit(0)
+		return
+	}
 	c.resubmit(minResubmitDelay + time.Duration(c.simulator.random.Float64()*float64(maxResubmitDelay-minResubmitDelay)))
 }
 
+// impatience returns how many times callers send a refused request again.
+func (s *simulator) impatience() int {
+	return int(s.pattern.disruptionFactor(Impatient, s.elapsed(), "", 0))
+}
+
 // resubmit has the caller send the request once more after the delay, if enough of its
 // patience is left. The outcome of the first submission is then not counted.
 func (c *call) resubmit(wait time.Duration) {
 	left := c.startedAt.Add(c.kind.Patience).Sub(c.simulator.now)
-	if c.resubmitted || left <= c.kind.Patience/patienceDivisor {
+	if c.resubmitted >= c.simulator.impatience() || left <= c.kind.Patience/patienceDivisor {
 		return
 	}
-	next := &call{simulator: c.simulator, kind: c.kind, region: c.region, object: c.object, startedAt: c.startedAt, resubmitted: true}
+	next := &call{simulator: c.simulator, kind: c.kind, region: c.region, object: c.object, startedAt: c.startedAt, account: c.account, resubmitted: c.resubmitted + 1}
 	c.simulator.retract(c)
 	c.simulator.after(min(wait, left/patienceDivisor)+2*c.simulator.pattern.ToCaller, next.arrive)
 }
--- a/simulation/pattern.go
+++ b/simulation/pattern.go
@@ -49,6 +49,14 @@
 	MaxAttempts       int
 }
 
+// Account is a client account of the callers.
+type Account struct {
+	Name     string
+	Priority int
+	Share    float64 // fraction of the requests of each kind; the shares of all accounts add up to 1
+	Rate     float64 // quota in requests a second, of which only the ratio to those of others counts
+}
+
 // Wave is the sine wave that the load of each region follows. The regions differ in phase.
 type Wave struct {
 	Amplitude float64 // as a fraction of the mean
@@ -65,6 +73,10 @@
 	Burst   DisruptionKind = "burst"   // the rate of requests is multiplied by Factor; Service is empty and Share above 0
 	Limit   DisruptionKind = "limit"   // upstreams name a limit of Factor requests a second in their responses
 	Restart DisruptionKind = "restart" // all instances restart at At without any state; the other fields do not apply
+	// Impatient callers send a refused request again at once, Factor times instead of once.
+	Impatient DisruptionKind = "impatient"
+	// Reject has upstreams reject the fraction Factor of the requests, whether or not slots are free.
+	Reject DisruptionKind = "reject"
 )
 
 // Disruption is a fault, a restart or a burst of load that starts at At.
@@ -72,6 +84,8 @@
 	Kind         DisruptionKind
 	At, Duration time.Duration
 	Service      string  // "" for all
+	Requests     string  // kind of request that a burst affects, "" for all
+	Account      string  // account that a burst affects, "" for all
 	Share        float64 // fraction of the upstreams of each service that is affected
 	Factor       float64
 }
@@ -83,6 +97,7 @@
 	Domains  []Domain
 	Services []Service
 	Kinds    []RequestKind
+	Accounts []Account // none if requests need no key
 	Wave     Wave
 	// Load multiplies the rates of all kinds.
 	Load        float64
@@ -119,6 +134,19 @@
 	}
 }
 
+// burstFactor returns by how much the rate of a kind of request is multiplied for an account, which is
+// nil if there are none.
+func (p *Pattern) burstFactor(at time.Duration, kind string, account *Account) float64 {
+	factor := 1.0
+	for _, d := range p.Disruptions {
+		if d.Kind == Burst && at >= d.At && at < d.At+d.Duration && (d.Requests == "" || d.Requests == kind) &&
+			(d.Account == "" || account != nil && d.Account == account.Name) {
+			factor *= d.Factor
+		}
+	}
+	return factor
+}
+
 // disruptionFactor returns the product of the factors of the disruptions of a kind that
 // are active at a time and affect the upstream of a service with the given rank.
 func (p *Pattern) disruptionFactor(kind DisruptionKind, at time.Duration, service string, rank float64) float64 {
--- a/simulation/report.go
+++ b/simulation/report.go
@@ -35,6 +35,14 @@
 	return t.earnedWorth / t.maxWorth
 }
 
+// Served returns the fraction of the requests that were answered; 1 if there are none.
+func (t *Tally) Served() float64 {
+	if t.Requests == 0 {
+		return 1
+	}
+	return float64(t.InTime+t.Late) / float64(t.Requests)
+}
+
 // count adds an outcome with a delta of 1, and subtracts it with -1.
 func (t *Tally) count(c *call, o outcome, latency time.Duration, delta int) {
 	k := c.kind
@@ -54,19 +62,23 @@
 	}
 }
 
-// Report is the result of a simulation: the outcomes of all requests, and by kind, by region
-// of the caller and by the window in which the request started.
+// Report is the result of a simulation: the outcomes of all requests, and by kind, by client
+// account, by region of the caller and by the window in which the request started.
 type Report struct {
-	All     Tally
-	Kinds   map[string]*Tally
-	Regions map[string]*Tally
-	Windows []*Tally
+	All      Tally
+	Kinds    map[string]*Tally
+	Accounts map[string]*Tally
+	Regions  map[string]*Tally
+	Windows  []*Tally
 	// Retries counts the attempts of a submission beyond its first.
 	Retries int
 }
 
 func newReport(p *Pattern) *Report {
-	r := &Report{Kinds: make(map[string]*Tally), Regions: make(map[string]*Tally)}
+	r := &Report{Kinds: make(map[string]*Tally), Accounts: make(map[string]*Tally), Regions: make(map[string]*Tally)}
+	for _, a := range p.Accounts {
+		r.Accounts[a.Name] = &Tally{}
+	}
 	for _, k := range p.Kinds {
 		r.Kinds[k.Name] = &Tally{}
 	}
@@ -107,6 +119,9 @@
 	for _, name := range slices.Sorted(maps.Keys(r.Kinds)) {
 		line(name, r.Kinds[name])
 	}
+	for _, name := range slices.Sorted(maps.Keys(r.Accounts)) {
+		line(name, r.Accounts[name])
+	}
 	for _, name := range slices.Sorted(maps.Keys(r.Regions)) {
 		line(name, r.Regions[name])
 	}
--- a/simulation/simulator.go
+++ b/simulation/simulator.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"hickorydrum/account"
 	"hickorydrum/dispatch"
 	"hickorydrum/fleet"
 	"hickorydrum/limit"
@@ -103,6 +104,7 @@
 
 	table     *route.Table
 	routes    map[string]*route.Route
+	accounts  map[string]*account.Account
 	view      *fleet.View
 	upstreams map[string]*upstream
 	instances []*instance
@@ -115,7 +117,7 @@
 func Run(p *Pattern, seed uint64, opts ...planner.Option) *Report {
 	s := &simulator{
 		pattern: p, regions: p.regions(), options: opts, random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
-		routes: make(map[string]*route.Route), upstreams: make(map[string]*upstream), report: newReport(p),
+		routes: make(map[string]*route.Route), accounts: make(map[string]*account.Account), upstreams: make(map[string]*upstream), report: newReport(p),
 		holder: limit.NewHolder(instanceAddress(0)),
 	}
 	s.build()
@@ -156,6 +158,9 @@
 		s.routes[k.Name] = r
 		routes = append(routes, r)
 	}
+	for _, a := range s.pattern.Accounts {
+		s.accounts[a.Name] = &account.Account{Name: a.Name, Priority: a.Priority, Rate: a.Rate}
+	}
 	regions := make(map[string]string)
 	var upstreams []fleet.Upstream
 	for i := range s.pattern.Services {
@@ -277,9 +282,12 @@
 		for region := range regions {
 			phase := float64(region)/float64(len(regions)) + float64(s.elapsed())/float64(s.pattern.Wave.Period)
 			rate := s.pattern.Load * k.PerSecond / float64(len(regions)) * (1 + s.pattern.Wave.Amplitude*math.Sin(2*math.Pi*phase))
-			rate *= s.pattern.disruptionFactor(Burst, s.elapsed(), "", 0)
-			for range s.poisson(rate * tick.Seconds()) {
-				s.call(k, region)
+			if len(s.pattern.Accounts) == 0 {
+				s.generate(k, region, nil, rate)
+			}
+			for i := range s.pattern.Accounts {
+				a := &s.pattern.Accounts[i]
+				s.generate(k, region, a, rate*a.Share)
 			}
 		}
 	}
@@ -288,12 +296,23 @@
 	}
 }
 
+// generate draws the requests of one kind and account, which is nil if there are none, in one tick.
+func (s *simulator) generate(k *RequestKind, region int, a *Account, rate float64) {
+	rate *= s.pattern.burstFactor(s.elapsed(), k.Name, a)
+	for range s.poisson(rate * tick.Seconds()) {
+		s.call(k, region, a)
+	}
+}
+
 // call sends a request for a random object from a caller of a region, at a random time
 // within the tick.
-func (s *simulator) call(k *RequestKind, region int) {
+func (s *simulator) call(k *RequestKind, region int, a *Account) {
 	object := uint64(region*k.Objects+s.random.IntN(k.Objects))*0x9e3779b97f4a7c15 + 1
 	started := s.now.Add(time.Duration(s.random.Int64N(int64(tick))))
 	c := &call{simulator: s, kind: k, region: region, object: object, startedAt: started}
+	if a != nil {
+		c.account = s.accounts[a.Name]
+	}
 	s.after(started.Sub(s.now)+s.pattern.ToCaller, c.arrive)
 }
 
@@ -333,9 +352,13 @@
 func (s *simulator) count(c *call, o outcome, delta int) {
 	latency := s.now.Sub(c.startedAt) + s.pattern.ToCaller
 	window := min(len(s.report.Windows)-1, int(c.startedAt.Sub(epoch)/windowLength))
-	for _, t := range []*Tally{
+	tallies := []*Tally{
 		&s.report.All, s.report.Kinds[c.kind.Name], s.report.Regions[s.regions[c.region]], s.report.Windows[window],
-	} {
+	}
+	if c.account != nil {
+		tallies = append(tallies, s.report.Accounts[c.account.Name])
+	}
+	for _, t := range tallies {
 		t.count(c, o, latency, delta)
 	}
 }
--- a/simulation/upstream.go
+++ b/simulation/upstream.go
@@ -46,6 +46,12 @@
 	return u.simulator.pattern.disruptionFactor(Down, u.simulator.elapsed(), u.service.Name, u.rank) != 1
 }
 
+// rejects draws whether the upstream rejects a request whatever its load.
+func (u *upstream) rejects() bool {
+	fraction := u.simulator.pattern.disruptionFactor(Reject, u.simulator.elapsed(), u.service.Name, u.rank)
+	return fraction < 1 && u.simulator.random.Float64() < fraction
+}
+
 // receive starts a request if a slot is free, queues it if the queue has room, and refuses
 // it otherwise. While the upstream is down, it cannot be reached and loses its cache.
 func (u *upstream) receive(a *attempt) {
@@ -54,6 +60,8 @@
 	case u.down():
 		u.cached = nil
 		u.reply(a, load.Unreachable)
+	case u.rejects():
+		u.reply(a, load.Refused)
 	case len(u.running) < u.service.Slots:
 		u.start(a)
 	case len(u.waiting) < u.service.Queue:
