admission: the less urgent yield only while more urgent requests are rejected

Cause: the bounds of less urgent requests were shortened whenever a more urgent priority was present, also where it had all the room it needed. Change: the bounds shorten in proportion to the fraction of the more urgent requests that is rejected, wholly from 0.1 on.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -15,6 +15,9 @@
 	// leastUrgentFactor shortens the bounds of the least urgent priority at a service. Those between
 	// it and the most urgent one are spaced evenly.
 	leastUrgentFactor = 0.4
+	// fullYield is the fraction of a more urgent priority that is rejected from which the bounds of the less
+	// urgent ones are shortened by their whole factor. While none is rejected, nobody has to yield.
+	fullYield = 0.1
 	// minAccountFactor is the least factor by which the bounds of an account are shortened.
 	minAccountFactor = 0.3
 )
@@ -28,6 +31,9 @@
 	// Objective is the latency objective of the request, and UrgentObjective the shortest one of
 	// the more urgent requests that are present; 0 means none.
 	Objective, UrgentObjective time.Duration
+	// UrgentRejected is the fraction of the recent requests of a more urgent priority that were rejected,
+	// of the priority with the largest one.
+	UrgentRejected float64
 	// Excess is how many times its fair part of the requests in progress the client account holds;
 	// 0 without an account.
 	Excess float64
@@ -57,7 +63,7 @@
 
 // rankFactor returns the factor for the urgency of the request. The bounds count latency objectives,
 // and a less urgent request must not fill the queues beyond the wait that a more urgent one with a
-// shorter objective accepts.
+// shorter objective accepts. It yields as far as more urgent requests are rejected.
 func (s *Standing) rankFactor() float64 {
 	if s.Rank == 0 || s.Ranks < 2 {
 		return 1
@@ -66,7 +72,7 @@
 	if s.UrgentObjective > 0 && s.UrgentObjective < s.Objective {
 		factor *= float64(s.UrgentObjective) / float64(s.Objective)
 	}
-	return factor
+	return 1 - (1-factor)*min(1, s.UrgentRejected/fullYield)
 }
 
 // accountFactor returns the factor for what the account of the request holds.
--- a/admission/service.go
+++ b/admission/service.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// rejected returns the fraction that was rejected, 0 while there are few requests.
+func (t *tally) rejected() float64 {
+	if t.offered < minOffered {
+		return 0
+	}
+	return 1 - t.admitted/t.offered
+}
+
 // neglected reports whether requests of the tally are admitted much less often than those of all.
 func (t *tally) neglected(all *tally) bool {
 	return t.offered >= minOffered && t.admitted*all.offered < neglectedBelow*all.admitted*t.offered
@@ -231,6 +239,7 @@
 			continue
 		case c.priority < r.Priority:
 			out.Rank++
+			out.UrgentRejected = max(out.UrgentRejected, c.tally.rejected())
 			if c.objective > 0 && (out.UrgentObjective == 0 || c.objective < out.UrgentObjective) {
 				out.UrgentObjective = c.objective
 			}
--- a/planner/admission_test.go
+++ b/planner/admission_test.go
@@ -52,6 +52,9 @@
 				if test.ended {
 					p.End(req, &load.Result{Upstream: u, Outcome: load.Abandoned}, now)
 				}
+				if req.Account == urgent && test.reason == placement.ReasonUrgency {
+					p.admissions.record(req, placement.ReasonBusy, tracker, now) // the less urgent yield to it only then
+				}
 			}
 			if choice, _ := p.Choose(start(test.of), now); choice.Reason != test.reason {
 				t.Errorf("%s, want %s", choice.Reason, test.reason)
