socket: AwaitEnd waits for the end of a connection behind unread bytes

Cause: a reader that has no room for further bytes cannot learn by a read that the other side has left. Change: AwaitEnd asks the kernel for the state of the connection whenever something arrives, and keeps to the read deadline.

--- a/socket/socket.go
+++ b/socket/socket.go
@@ -31,6 +31,25 @@
 // It reports false if the kernel cannot be asked.
 func Unread(c net.Conn) bool { return queued(c, unix.SIOCINQ) }
 
+// AwaitEnd waits until the other side has closed the connection, also while bytes of it are unread. It returns an
+// error if the read deadline passes or the connection is closed here, and errors.ErrUnsupported if the kernel
+// cannot be asked.
+func AwaitEnd(c net.Conn) error {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	// The function is called again whenever something arrives, as the end does.
+	return raw.Read(func(fd uintptr) bool {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err != nil || info.State != unix.BPF_TCP_ESTABLISHED
+	})
+}
+
 // Unsent reports whether bytes that were written to the connection are not acknowledged yet. It
 // reports false if the kernel cannot be asked.
 func Unsent(c net.Conn) bool { return queued(c, unix.SIOCOUTQ) }
