placement, load: homes by the slots of upstreams

Cause: the order of upstreams for an object was rendezvous hashing that ignores the slots, so that an upstream with 2 slots was the home of as many objects as one with 16. Each choice sorted all candidates by their hashes. Change: where the upstreams of a service differ in their slots, they are ranked by weighted rendezvous hashing; otherwise the order is as it was. The order is computed once for an object and a view and kept as places, which are sorted without comparisons.

--- a/load/load.go
+++ b/load/load.go
@@ -87,6 +87,7 @@
 type Tracker struct {
 	domain, region string
 	newDialer      func(u *fleet.Upstream) *dispatch.Dialer
+	orders         *orders
 
 	mu         sync.Mutex
 	states     map[string]*upstreamState
@@ -103,7 +104,7 @@
 // is removed or has restarted.
 func NewTracker(domain, region string, regions []string, newDialer func(u *fleet.Upstream) *dispatch.Dialer) *Tracker {
 	return &Tracker{
-		domain: domain, region: region, newDialer: newDialer,
+		domain: domain, region: region, newDialer: newDialer, orders: newOrders(),
 		states: make(map[string]*upstreamState), byKey: make(map[uint32]*upstreamState), times: make(map[serviceTimesKey]*serviceTimes), warm: make(map[string]*warmProbabilities),
 		roundTrips: make(map[string]time.Duration), regions: regions,
 	}
@@ -180,23 +181,29 @@
 // index. Upstreams that are avoided after failed connections are left out unless there are
 // no others.
 func (tr *Tracker) Candidates(r *Request, upstreams []*fleet.Upstream, now time.Time) ([]placement.Candidate, []*fleet.Upstream) {
+	var ranks []uint32
+	if r.Sticky && len(upstreams) > 0 {
+		ranks = tr.orders.ranks(upstreams[0].Service, upstreams, r.Object)
+	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	candidates, usable := tr.candidates(r, upstreams, now, false)
+	candidates, usable := tr.candidates(r, upstreams, ranks, now, false)
 	if len(candidates) == 0 {
 		// All upstreams may be avoided. A fault that they share must not leave the service
 		// without candidates.
-		return tr.candidates(r, upstreams, now, true)
+		return tr.candidates(r, upstreams, ranks, now, true)
 	}
 	return candidates, usable
 }
 
+// candidates returns the upstreams that may serve a request. ranks are those of the upstreams for the
+// object of the request, nil if it names none. Their order then only decides between equal costs.
 func (tr *Tracker) candidates(
-	r *Request, upstreams []*fleet.Upstream, now time.Time, includeAvoided bool,
+	r *Request, upstreams []*fleet.Upstream, ranks []uint32, now time.Time, includeAvoided bool,
 ) ([]placement.Candidate, []*fleet.Upstream) {
 	candidates := make([]placement.Candidate, 0, len(upstreams))
 	usable := make([]*fleet.Upstream, 0, len(upstreams))
-	for _, u := range upstreams {
+	for i, u := range upstreams {
 		s, ok := tr.states[u.ID]
 		if !ok || r.Tried[u.ID] || !r.Allows(u) || !includeAvoided && now.Before(s.avoidUntil) {
 			continue
@@ -210,7 +217,11 @@
 				continue
 			}
 		}
-		candidates = append(candidates, tr.candidate(s, u, r, now))
+		c := tr.candidate(s, u, r, now)
+		if ranks != nil {
+			c.Rank = uint64(ranks[i])
+		}
+		candidates = append(candidates, c)
 		usable = append(usable, u)
 	}
 	return candidates, usable
--- a/placement/position.go
+++ b/placement/position.go
@@ -1,6 +1,9 @@
 package placement
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Positions is the number of positions that are distinguished; the last one stands for
 // all later ones too.
@@ -10,6 +13,14 @@
 // allocation.
 const stackCandidates = 64
 
+// stackRegions is the number of regions, with that of none, up to which counting them needs no
+// allocation.
+const stackRegions = 16
+
+// placesPerCandidate is how many places in an order there may be for each candidate: upstreams of the
+// order that are no candidates leave places free.
+const placesPerCandidate = 4
+
 // positions appends the position of each candidate in the object's order of preference
 // to buf. The position multiplies the cost of displacement, so that a later candidate is
 // chosen only if those before it cost more in other ways. The order is the same at every
@@ -22,20 +33,13 @@
 // by rank in its region, counted from 1.
 func (r *Request) positions(candidates []Candidate, buf []uint8) []uint8 {
 	var scratch [stackCandidates]uint16
-	order := scratch[:0]
-	for i := range candidates {
-		order = append(order, uint16(i))
-		buf = append(buf, 0)
-	}
-	slices.SortFunc(order, func(a, b uint16) int { return compareRegionAndRank(&candidates[a], &candidates[b]) })
-	next, region := 0, -1
+	order := byRank(candidates, scratch[:0])
+	buf = slices.Grow(buf, len(candidates))[:len(candidates)]
 	local := r.firstInDomain(candidates, order)
+	var next counters
 	for _, i := range order {
 		c := &candidates[i]
-		if c.Region != region {
-			next, region = 0, c.Region
-		}
-		position := next
+		position := next.add(c.Region)
 		switch {
 		case int(i) == local:
 			position = 0
@@ -43,23 +47,69 @@
 			position++
 		}
 		buf[i] = uint8(min(position, Positions-1))
-		next++
 	}
 	return buf
 }
 
-// compareRegionAndRank orders candidates by region, and those of a region by falling rank.
-func compareRegionAndRank(a, b *Candidate) int {
-	switch {
-	case a.Region != b.Region:
-		return a.Region - b.Region
-	case a.Rank > b.Rank:
-		return -1
-	case a.Rank < b.Rank:
-		return 1
-	default:
-		return 0
+// counters counts candidates by the number of their region, from 0, or -1 for none.
+type counters struct {
+	few  [stackRegions]int
+	more map[int]int
+}
+
+// add adds a candidate and returns how many there were before it.
+func (c *counters) add(region int) int {
+	if at := region + 1; at >= 0 && at < len(c.few) {
+		c.few[at]++
+		return c.few[at] - 1
+	}
+	if c.more == nil {
+		c.more = make(map[int]int)
+	}
+	c.more[region]++
+	return c.more[region] - 1
+}
+
+// byRank appends the indexes of the candidates to buf, those with the highest rank first. Ranks that
+// are places in an order, as those of package load for requests with an object, need no comparisons.
+func byRank(candidates []Candidate, buf []uint16) []uint16 {
+	for i := range candidates {
+		buf = append(buf, uint16(i))
+	}
+	if highest, ok := placesUpTo(candidates); ok {
+		var scratch [placesPerCandidate * stackCandidates]uint16
+		return sortPlaces(candidates, buf, append(scratch[:0], make([]uint16, highest+1)...))
+	}
+	slices.SortFunc(buf, func(a, b uint16) int { return cmp.Compare(candidates[b].Rank, candidates[a].Rank) })
+	return buf
+}
+
+// placesUpTo returns the highest rank, and whether the ranks are so low that they can be used as indexes.
+func placesUpTo(candidates []Candidate) (highest uint64, ok bool) {
+	for i := range candidates {
+		highest = max(highest, candidates[i].Rank)
+	}
+	return highest, highest < placesPerCandidate*uint64(len(candidates))
+}
+
+// sortPlaces sorts the indexes in order by falling rank if no two ranks are equal, and otherwise leaves
+// the comparison to slices.SortFunc. places holds a zero for each possible rank.
+func sortPlaces(candidates []Candidate, order, places []uint16) []uint16 {
+	for i := range candidates {
+		rank := candidates[i].Rank
+		if places[rank] != 0 {
+			slices.SortFunc(order, func(a, b uint16) int { return cmp.Compare(candidates[b].Rank, candidates[a].Rank) })
+			return order
+		}
+		places[rank] = uint16(i) + 1
+	}
+	order = order[:0]
+	for _, place := range slices.Backward(places) {
+		if place != 0 {
+			order = append(order, place-1)
+		}
 	}
+	return order
 }
 
 // firstInDomain returns the index of the first candidate by rank in the failure domain of
