--- a/standin/worker.go
+++ b/standin/worker.go
@@ -77,6 +77,7 @@
 	conns    map[net.Conn]bool
 	closed   bool
 	limit    string // value of the limit header, "" for none
+	figures  string // further figures of the reported load, see ReportFigures
 	header   string // further header lines of all responses, see SetHeader
 	most     int    // connections open at a time, at most
 }
@@ -123,6 +124,14 @@
 	w.limit = perSecond
 }
 
+// ReportFigures sets further figures of the load that all responses report from now on, after the
+// slots and separated by commas, the first of which is the pace in percent; none if it is empty.
+func (w *Worker) ReportFigures(figures string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.figures = figures
+}
+
 // SetHeader sets further header lines that all responses have from now on, each with its CRLF.
 func (w *Worker) SetHeader(lines string) {
 	w.mu.Lock()
@@ -391,6 +400,9 @@
 func (w *Worker) reply(c net.Conn, req *http.Request, status int, header, body string) bool {
 	w.mu.Lock()
 	load := fmt.Sprintf("%d,%d,%d", w.running, w.waiting, w.config.Slots)
+	if w.figures != "" {
+		load += "," + w.figures
+	}
 	limit := w.limit
 	header += w.header
 	w.mu.Unlock()
