--- a/placement/placement.go
+++ b/placement/placement.go
@@ -127,6 +127,8 @@
 	ReasonPaused Reason = "paused"
 	// ReasonStopping is set by package ingress: a planned stop leaves no time for the request.
 	ReasonStopping Reason = "stopping"
+	// ReasonMemory is set by package ingress: there is no room for the body of the request.
+	ReasonMemory Reason = "memory"
 )
 
 var reasonTexts = map[Reason]string{
@@ -138,6 +140,7 @@
 	ReasonNoTime:   "no upstream was expected to answer in the time left",
 	ReasonLimited:  "no upstream may be used: those left name a limit of requests a second, which has no room",
 	ReasonPaused:   "no upstream may be used: those left named a time until which they want no requests from this instance",
+	ReasonMemory:   "the instance had no room for the body, and sent it to no upstream",
 	ReasonStopping: "the instance stops before the request's deadline, and sends it to no upstream any more",
 	ReasonBusy:     "requests arrive faster than they are served: the mean wait at all upstreams is too long, and so is the wait at the best one",
 }
--- a/requestlog/requestlog_test.go
+++ b/requestlog/requestlog_test.go
@@ -15,6 +15,7 @@
 	for _, r := range []placement.Reason{
 		placement.ReasonHome, placement.ReasonKnown, placement.ReasonSpill, placement.ReasonFree, placement.ReasonNone,
 		placement.ReasonNoTime, placement.ReasonBusy, placement.ReasonLimited, placement.ReasonPaused, placement.ReasonStopping,
+		placement.ReasonMemory,
 	} {
 		if r.Text() == "" {
 			t.Errorf("the reason %q has no text", r)
