server, event: bounds on heads, connections and stalled clients

Cause: a head had a fixed limit of 64 KiB, also where the configuration allows more, and no bound on its lines, which take up to 230 bytes each however short they are. Connections had no bound, and a client could keep a body unfinished until the request's deadline. Change: heads are counted as they are read. One over the configured bytes or 1,000 lines gets 431, one without room in the budget 503 with Retry-After. At the bound on connections the one that is idle for longest is closed, else the new one gets 503. A client that sends less than 1 KiB a second over 5 s is given up. All but the configured bytes need limits, which no server has yet. Event 505 and hickorydrum_limit_rejections_total name the limit and the client.

--- a/event/event.go
+++ b/event/event.go
@@ -71,6 +71,7 @@
 	RequestUnanswered   = add(502, slog.LevelWarn, "request not answered")
 	LinesOmitted        = add(503, slog.LevelInfo, "lines about requests left out")
 	RequestLost         = add(504, slog.LevelWarn, "the caller got no whole response")
+	LimitReached        = add(505, slog.LevelWarn, "a client met a limit of the instance")
 	ClaimUncertain      = add(600, slog.LevelWarn, "an order's claim is in doubt")
 	AnswerNotKept       = add(601, slog.LevelWarn, "an order's answer could not be kept")
 )
--- a/server/conn.go
+++ b/server/conn.go
@@ -52,6 +52,8 @@
 	left    atomic.Bool // the client closed the connection
 	failed  atomic.Bool // a write failed, or was made after left was set
 
+	intake intake
+
 	deadlines sync.Mutex // orders SetReadDeadline of the HTTP server before those of linger
 
 	mu           sync.Mutex // also held while the connection becomes idle, or is given up
@@ -70,6 +72,9 @@
 	if n > 0 && !c.startReading() {
 		return 0, net.ErrClosed
 	}
+	if n > 0 && !c.admit(p[:n]) {
+		return 0, errRefused
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		c.left.Store(true)
 	}
@@ -129,6 +134,7 @@
 // together with the one before it.
 func (c *conn) begin() bool {
 	c.handled.Store(false)
+	c.intake.beginServing()
 	c.mu.Lock()
 	c.id, c.requestBegun = "", time.Now()
 	c.mu.Unlock()
@@ -188,6 +194,7 @@
 // connection for writing only and goes on reading in the background: a socket that is closed with unread bytes, or gets
 // some afterwards, is reset, and the response could be lost.
 func (c *conn) shut() error {
+	c.intake.end()
 	if w, ok := c.Conn.(closeWriter); ok && (socket.Unread(c.Conn) || socket.Unsent(c.Conn)) {
 		c.server.lingering.Go(func() error { return c.linger(w) })
 		return nil
@@ -277,6 +284,7 @@
 func setState(raw net.Conn, s http.ConnState) {
 	if s == http.StateIdle {
 		c := raw.(*conn)
+		c.intake.end()
 		c.setIdle(time.Now(), c.server.idleTime())
 	}
 }
--- a/server/server.go
+++ b/server/server.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 64 << 10 // of a head, unless SetMaxHeader sets more
 	headerTimeout  = 10 * time.Second
 	defaultIdle    = 30 * time.Second
 	drainPoll      = time.Millisecond
@@ -44,10 +44,13 @@
 	handler  http.Handler
 	log      *slog.Logger
 	lines    *event.Limiter // of the lines about lost requests
-	closing  atomic.Bool    // StopAccepting was called
-	ended    atomic.Bool    // Close was called
-	begun    atomic.Bool    // Serve was called
-	served   chan struct{}  // closed when Serve returns
+	limits   Limits
+	// headerBytes is how many bytes the head of a request may have.
+	headerBytes atomic.Int64
+	closing     atomic.Bool   // StopAccepting was called
+	ended       atomic.Bool   // Close was called
+	begun       atomic.Bool   // Serve was called
+	served      chan struct{} // closed when Serve returns
 	// lingering has the goroutines of connections that are closed for writing only.
 	lingering errgroup.Group
 
@@ -86,8 +89,9 @@
 		opt(s)
 	}
 	s.lines = event.NewLimiter(event.LinesPerSecond(maxLostLines))
+	s.headerBytes.Store(maxHeaderBytes)
 	s.http = &http.Server{
-		Handler: http.HandlerFunc(s.serveRequest), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
+		Handler: http.HandlerFunc(s.serveRequest), MaxHeaderBytes: 2 * headerCeiling, ReadHeaderTimeout: headerTimeout,
 		ConnState: setState, ConnContext: withConn,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
@@ -112,11 +116,15 @@
 
 // Accept waits for the next connection.
 func (l tracked) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.server.makeRoom(raw) {
+			return l.server.add(raw), nil
+		}
 	}
-	return l.server.add(raw), nil
 }
 
 func (s *Server) add(raw net.Conn) *conn {
