ingress, hosted, command: callers that do not keep to the limits

Cause: a body was allocated whole as its head declared it, copied once more as it ended, and kept until the response; nothing bounded all of them, nor heads, connections and the heap. Change: with [self.limits] in the settings, bodies and buffered responses come from a budget, callers' heads from another, each server has a bound on connections, stalled clients are given up, and the Go runtime has a limit. A body is kept in parts that are counted as they are allocated, and waits for room or is refused with 503. Without the settings only the parts and the configured maxHeaderBytes are new.

--- a/command/host.go
+++ b/command/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 
 	"github.com/google/subcommands"
 
@@ -27,6 +28,9 @@
 		if err != nil {
 			return err
 		}
+		if limit := i.MemoryLimit(); limit > 0 {
+			debug.SetMemoryLimit(limit)
+		}
 		return i.Run(stop, hangUps)
 	}
 	return b
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -50,6 +50,7 @@
 type Instance struct {
 	file     string
 	settings platform.Settings
+	limits   bounds
 	front    netip.AddrPort // address at which callers reach this instance
 	log      *slog.Logger
 	store    *platform.Client
@@ -81,7 +82,7 @@
 		return nil, err
 	}
 	i := &Instance{
-		file: file, settings: settings, log: log, store: platform.New("http://" + settings.Store),
+		file: file, settings: settings, limits: newBounds(settings.Limits), log: log, store: platform.New("http://" + settings.Store),
 		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream), refresh: make(chan struct{}, 1),
 		withdrawalLines: event.NewLimiter(event.LinesPerSecond(maxWithdrawalLines)),
 		entryLines:      event.NewLimiter(event.LinesPerSecond(maxEntryLines)),
@@ -108,7 +109,7 @@
 	i.planner = planner.New(location, i.tracker, i.mesh, retryBounds(settings.Bounds))
 	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.apply, withRanBefore(!settings.Bootstrap),
 		withHeartbeat(settings.HeartbeatInterval), withBound(settings.Bounds.Propagation))
-	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView),
+	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView), ingress.WithMemory(i.limits.bodies),
 		ingress.WithConfirmed(func() freshness.Confirmation { return i.follower.confirmation(platform.KindConfiguration) }))
 	i.mesh.OnRevisions(i.follower.handleNotice)
 	i.mesh.OnConfirmed(i.follower.handleConfirmation)
@@ -182,6 +183,7 @@
 	}
 	i.planner.SetTable(table)
 	i.servers.front.SetIdle(table.Limits().IdleTimeout)
+	i.servers.front.SetMaxHeader(table.Limits().HeaderBytes)
 	versionInForce.Set(float64(table.Version()))
 	event.RevisionApplied.Log(context.Background(), i.log, slog.Uint64("version", table.Version()),
 		slog.Uint64("revision", o.Version), slog.Int("routes", table.Len()))
@@ -303,11 +305,12 @@
 	return true
 }
 
-// closeIdle closes callers' connections that have been idle for too long, and sets the metrics of those
-// that are open, every idleCheckInterval until the context is done.
+// closeIdle closes callers' connections that have been idle for too long and those of clients that stall, and sets the
+// metrics of those that are open, every idleCheckInterval until the context is done.
 func (i *Instance) closeIdle(ctx context.Context) error {
 	return interval.Each(ctx, idleCheckInterval, func(now time.Time) {
 		i.servers.front.CloseIdle(now)
+		i.closeStalled(now)
 		showConnections(i.servers.front.Counts())
 	})
 }
--- a/hosted/servers.go
+++ b/hosted/servers.go
@@ -40,14 +40,16 @@
 		name    string
 		address string
 		handler http.Handler
+		limits  server.Limits
 		into    **server.Server
 	}{
-		{"callers", i.settings.Front, i.ingress, &s.front},
-		{"readiness", i.settings.Ready, i.readyHandler(), &s.ready},
-		{"look-ups", i.settings.Directory, i.directoryHandler(), &s.directory},
-		{"instances", i.settings.Control, i.controlHandler(), &s.control},
+		{"callers", i.settings.Front, i.ingress, i.limits.of(i.limits.callers, i.limits.heads), &s.front},
+		{"readiness", i.settings.Ready, i.readyHandler(), i.limits.of(i.limits.readiness, nil), &s.ready},
+		{"look-ups", i.settings.Directory, i.directoryHandler(), i.limits.of(i.limits.lookups, nil), &s.directory},
+		{"instances", i.settings.Control, i.controlHandler(), i.limits.of(i.limits.instances, nil), &s.control},
 	} {
-		opened, err := server.Listen(l.address, l.handler, acceptedTimeout, i.log, server.WithName(l.name))
+		opened, err := server.Listen(l.address, l.handler, acceptedTimeout, i.log, server.WithName(l.name),
+			server.WithLimits(l.limits))
 		if err != nil {
 			return errors.Join(err, s.close())
 		}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -1,9 +1,7 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -17,6 +15,7 @@
 	"hickorydrum/fleet"
 	"hickorydrum/freshness"
 	"hickorydrum/load"
+	"hickorydrum/memory"
 	"hickorydrum/placement"
 	"hickorydrum/planner"
 	"hickorydrum/platform"
@@ -41,7 +40,9 @@
 	planReq planner.Request
 	// confirmed says up to when the configuration of planReq is known to have been current.
 	confirmed freshness.Confirmation
-	body      []byte
+	body      content
+	hold      *memory.Hold // of the body
+	responses *memory.Hold // of buffered responses
 
 	// sends counts the sends over an open connection, except those answered by another upstream
 	// that has the address now.
@@ -70,9 +71,16 @@
 	return &exchange{
 		ingress: g, w: w, r: r, id: platform.RequestID(r.Header), arrived: time.Now(),
 		planReq: planner.Request{Table: g.planner.Table()}, confirmed: g.confirmed(),
+		responses: g.memory.Open(0),
 	}
 }
 
+// release returns the room for the body and for buffered responses.
+func (x *exchange) release() {
+	x.hold.Close()
+	x.responses.Close()
+}
+
 // serve handles the request. It panics with http.ErrAbortHandler to close the caller's
 // connection when no complete response can be sent.
 func (x *exchange) serve() {
@@ -99,7 +107,7 @@
 		return
 	}
 	x.planReq.Object, x.planReq.Sticky = x.affinityHash()
-	x.planReq.BodyBytes = int64(len(x.body))
+	x.planReq.BodyBytes = x.body.size
 	x.ingress.planner.StartRequest(&x.planReq, x.arrived)
 	x.sendWithRetries()
 }
@@ -208,7 +216,7 @@
 	request := x.request()
 	request.Reused = conn.Reused()
 	d := dispatch.NewExchange(request, dialect, x.planReq.Deadline, conn)
-	reusable, err := d.Run(ctx, io.NopCloser(bytes.NewReader(x.body)), resp)
+	reusable, err := d.Run(ctx, x.body.reader(), resp)
 	if err == nil && reusable {
 		dialer.Put(conn, time.Now(), maxIdle)
 	} else {
@@ -241,9 +249,8 @@
 	header := x.r.Header.Clone()
 	dispatch.StripHop(header)
 	x.setAccount(header)
-	length := int64(len(x.body))
 	return &dispatch.Request{
-		ID: x.id, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: header, Length: length,
+		ID: x.id, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: header, Length: x.body.size,
 	}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hickorydrum/freshness"
+	"hickorydrum/memory"
 	"hickorydrum/planner"
 	"hickorydrum/server"
 )
@@ -25,6 +26,7 @@
 	upstreamLines lineCounter
 	onLeaving     func()
 	confirmed     func() freshness.Confirmation
+	memory        *memory.Budget // for bodies and buffered responses, nil for no bound
 	// lastDeadline is the latest deadline that a request may have, nil until a planned stop begins.
 	lastDeadline atomic.Pointer[time.Time]
 	sends        context.Context // done when sends to upstreams must end
@@ -44,6 +46,9 @@
 	return func(g *Ingress) { g.confirmed = confirmed }
 }
 
+// WithMemory sets the budget for bodies of requests and buffered responses; the default is none.
+func WithMemory(b *memory.Budget) Option { return func(g *Ingress) { g.memory = b } }
+
 // New returns a handler that sends requests to the upstreams that the planner chooses.
 func New(p *planner.Planner, log *slog.Logger, opts ...Option) *Ingress {
 	g := &Ingress{planner: p, log: log, limiter: newLogLimiter(), onLeaving: func() {}, confirmed: func() freshness.Confirmation { return freshness.Confirmation{} }}
@@ -87,6 +92,9 @@
 	withdrawn = metrics.GetOrCreateCounter(`hickorydrum_withdrawals_total{source="answer"}`)
 	pauses    = metrics.GetOrCreateCounter(`hickorydrum_pauses_total`)
 
+	// unbuffered counts the responses that were streamed since there was no room to buffer them.
+	unbuffered = metrics.GetOrCreateCounter(`hickorydrum_responses_unbuffered_total`)
+
 	limitLinesOmitted = metrics.GetOrCreateCounter(`hickorydrum_limit_lines_omitted_total`)
 )
 
@@ -95,5 +103,6 @@
 	x := newExchange(g, w, r)
 	server.SetID(r.Context(), x.id)
 	defer x.report()
+	defer x.release()
 	x.serve()
 }
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -18,6 +18,8 @@
 	// minRetryAfter is also the shortest wait for a limit.
 	minRetryAfter = 40 * time.Millisecond
 	maxRetryAfter = 250 * time.Millisecond
+	// roomTime is the time in which bodies that hold room are expected to end, up to twice as long at random.
+	roomTime = 500 * time.Millisecond
 )
 
 // refuseLate refuses a request that may take longer than the rest of a planned stop, before it is
@@ -59,7 +61,7 @@
 // retryAfter returns how long the caller of a refused request should wait: not at all during a planned stop
 // that is too short for it, until this instance has room if limits of upstreams refused it, until upstreams
 // want requests again and a random time if all asked for a pause, otherwise a random time of at most a
-// third of the time left.
+// third of the time left, which is longer if there was no room for the body.
 func (x *exchange) retryAfter(now time.Time) time.Duration {
 	if x.ingress.leavesTooSoonFor(x.planReq.Deadline) {
 		return 0 // another instance has the time for it
@@ -69,10 +71,13 @@
 			return max(minRetryAfter, at.Sub(now))
 		}
 	}
-	if pause, ok := x.ingress.planner.PauseLeft(&x.planReq); ok {
+	if pause, ok := x.ingress.planner.PauseLeft(&x.planReq); ok && x.choice.Reason != placement.ReasonMemory {
 		return withdrawal.ReturnAfter(pause)
 	}
 	wait := minRetryAfter + time.Duration(rand.Int64N(int64(maxRetryAfter-minRetryAfter)))
+	if x.choice.Reason == placement.ReasonMemory {
+		wait = roomTime + time.Duration(rand.Int64N(int64(roomTime)))
+	}
 	return min(wait, max(0, x.planReq.Deadline.Sub(now)/3))
 }
 
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -29,9 +29,9 @@
 	return nil
 }
 
-// Write buffers a part of the body, or writes it to the caller once the buffer is full.
+// Write buffers a part of the body, or writes it to the caller once the buffer is full or has no room in memory.
 func (b *bufferedResponse) Write(p []byte) (int, error) {
-	if !b.started && len(b.buffered)+len(p) <= maxBuffered {
+	if !b.started && len(b.buffered)+len(p) <= maxBuffered && b.reserve(len(p)) {
 		b.buffered = append(b.buffered, p...)
 		return len(p), nil
 	}
@@ -41,6 +41,24 @@
 	return b.exchange.w.Write(p)
 }
 
+// reserve makes room for n more bytes in the buffer. It reports whether there is room in memory.
+func (b *bufferedResponse) reserve(n int) bool {
+	need := len(b.buffered) + n
+	if need <= cap(b.buffered) {
+		return true
+	}
+	size := min(2*need, maxBuffered)
+	if length := int(b.head.Length); length >= need && length < size {
+		size = length
+	}
+	if !b.exchange.responses.Grow(int64(size - cap(b.buffered))) {
+		unbuffered.Inc()
+		return false
+	}
+	b.buffered = append(make([]byte, 0, size), b.buffered...)
+	return true
+}
+
 // finish ends a complete response: it sets the result of the exchange and writes what is still
 // buffered to the caller.
 func (b *bufferedResponse) finish() {
