--- a/server/conn.go
+++ b/server/conn.go
@@ -53,6 +53,8 @@
 	left     atomic.Bool // the client closed the connection
 	failed   atomic.Bool // a write failed, or was made after left was set
 
+	intake intake
+
 	deadlines sync.Mutex // orders SetReadDeadline of the HTTP server before those of linger
 
 	mu           sync.Mutex // also held while the connection becomes idle, or is given up
@@ -67,10 +69,15 @@
 
 // Read reads from the connection, for the HTTP server.
 func (c *conn) Read(p []byte) (int, error) {
+	read := c.receive
 	if c.pipeline != nil {
-		return c.pipeline.read(p)
+		read = c.pipeline.read
+	}
+	n, err := read(p)
+	if n > 0 && !c.admit(p[:n]) {
+		return 0, errRefused
 	}
-	return c.receive(p)
+	return n, err
 }
 
 // receive reads from the socket. Bytes that arrive on a connection that was given up are dropped.
@@ -141,6 +148,7 @@
 // together with the one before it.
 func (c *conn) begin() bool {
 	c.handled.Store(false)
+	c.intake.beginServing()
 	c.mu.Lock()
 	c.id, c.requestBegun = "", time.Now()
 	c.mu.Unlock()
@@ -207,6 +215,7 @@
 // it closes the connection for writing only and goes on reading in the background: a socket that is closed with unread
 // bytes, or gets some afterwards, is reset, and the response could be lost.
 func (c *conn) shut() error {
+	c.intake.end()
 	if w, ok := c.Conn.(closeWriter); ok && (socket.Unread(c.Conn) || socket.Unsent(c.Conn) || c.readAhead()) {
 		c.server.lingering.Go(func() error { return c.linger(w) })
 		return nil
@@ -315,6 +324,7 @@
 	switch s {
 	case http.StateIdle:
 		now := time.Now()
+		c.intake.end()
 		c.setIdle(now, c.server.idleTime())
 		if c.pipeline != nil && c.pipeline.finished() {
 			c.beginReading(now)
--- a/server/pipeline.go
+++ b/server/pipeline.go
@@ -369,6 +369,10 @@
 	if !ok || !p.handler.RunsAhead(r.Host, r.RequestURI) {
 		return false
 	}
+	hold, ok := p.conn.server.limits.holdHead(b)
+	if !ok {
+		return false
+	}
 	if p.cancel == nil {
 		p.ctx, p.cancel = context.WithCancel(context.WithoutCancel(p.values))
 	}
@@ -379,6 +383,7 @@
 	p.queue = append(p.queue, a)
 	metrics.GetOrCreateCounter(`hickorydrum_requests_ahead_total{server="` + p.conn.server.name + `"}`).Inc()
 	p.conn.server.ahead.Go(func() error {
+		defer hold.Close()
 		defer cancel()
 		a.run()
 		return nil
