limit, budget: parts that quotas use too

Cause: quotas of client accounts estimate rates, spread the callers who return, and take back what was not sent, as limits of upstreams do or nearly so. Change: the meter of rates is exported; the spreading of callers is a type of its own, Room; a token can be put back. No decision about limits changes. Measured: go test ./limit ./budget passes, with its tests unchanged.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -113,3 +113,6 @@
 	}
 	b.updated = now
 }
+
+// Return puts back the token of a request that was not sent. The next use of the bucket limits what it holds.
+func (b *TokenBucket) Return() { b.tokens++ }
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -22,13 +22,13 @@
 // Gate decides at one instance which requests are sent to an upstream.
 type Gate struct {
 	state  State
-	offers meter
+	offers Meter
 	// credit is the part of a request that the instance may send. Each offer adds the
 	// fraction to it.
 	credit float64
 	bucket budget.TokenBucket // holds what one instance may send at once
-	room   time.Time          // when there is room for one more of the requests that were refused
-	sent   meter              // of the requests that were let through
+	room   Room               // for the requests that were refused
+	sent   Meter              // of the requests that were let through
 }
 
 // NewGate returns the gate to an upstream without a limit. credit, from 0 to 1, should be
@@ -64,7 +64,7 @@
 // Offer reports whether a request that would be sent to the upstream may be sent. instances
 // returns how many instances may be running.
 func (g *Gate) Offer(now time.Time, instances func() int) bool {
-	g.offers.add(now)
+	g.offers.Add(now)
 	if !g.state.InForce {
 		return true
 	}
@@ -75,7 +75,7 @@
 		return false
 	}
 	g.credit--
-	g.sent.add(now)
+	g.sent.Add(now)
 	return true
 }
 
@@ -94,15 +94,7 @@
 // waits until the given instant. If that is in time, the room is kept for the request: the next
 // call returns a later one.
 func (g *Gate) RetryAt(until, now time.Time, instances func() int) time.Time {
-	if g.room.Before(now) {
-		g.room = now
-	}
-	wait := min(1/g.share(now, instances), maxWait.Seconds())
-	at := g.room.Add(time.Duration(wait * float64(time.Second)))
-	if !at.After(until) {
-		g.room = at
-	}
-	return at
+	return g.room.Next(g.share(now, instances), until, now)
 }
 
 // share returns the part of the limit that this instance may expect, in requests a second: by
@@ -110,20 +102,16 @@
 func (g *Gate) share(now time.Time, instances func() int) float64 {
 	part := 1 / float64(max(1, instances()))
 	if now.Sub(g.state.FractionAt) < fractionFor {
-		own := g.offers.rate(now).Mean
+		own := g.offers.Rate(now).Mean
 		part = own / max(own, g.state.Reported)
 	}
 	return targetUse * g.state.Rate() * max(part, minShare)
 }
 
-const (
-	// minShare is the least part of a limit that an instance expects.
-	minShare = 0.001
-	// maxWait bounds the expected time between two requests.
-	maxWait = time.Minute
-)
+// minShare is the least part of a limit that an instance expects.
+const minShare = 0.001
 
 // Demand returns the rates of what this instance offers and sends.
 func (g *Gate) Demand(now time.Time) Demand {
-	return Demand{ID: g.state.ID, Domain: g.state.Domain, Offers: g.offers.rate(now), Sent: g.sent.rate(now).Mean}
+	return Demand{ID: g.state.ID, Domain: g.state.Domain, Offers: g.offers.Rate(now), Sent: g.sent.Rate(now).Mean}
 }
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -45,8 +45,8 @@
 	since      time.Time // of the first report
 	reportedAt time.Time // of the last report
 	computedAt time.Time // of the fraction
-	offers     map[netip.Addr]meter
-	sent       map[netip.Addr]meter
+	offers     map[netip.Addr]Meter
+	sent       map[netip.Addr]Meter
 	// others is what was reported to another holder, while the views of the fleet differ.
 	others map[netip.Addr]otherHolder
 }
@@ -70,7 +70,7 @@
 		}
 		one = &held{
 			state: State{ID: d.ID, Domain: d.Domain}, since: now,
-			offers: make(map[netip.Addr]meter), sent: make(map[netip.Addr]meter), others: make(map[netip.Addr]otherHolder),
+			offers: make(map[netip.Addr]Meter), sent: make(map[netip.Addr]Meter), others: make(map[netip.Addr]otherHolder),
 		}
 		h.held[d.ID] = one
 	}
@@ -82,8 +82,8 @@
 	if _, ok := one.offers[from]; !ok && len(one.offers) >= maxReporters {
 		return
 	}
-	one.offers[from] = meter{rates: d.Offers, at: now}
-	one.sent[from] = meter{rates: Rates{Mean: d.Sent}, at: now}
+	one.offers[from] = Meter{rates: d.Offers, at: now}
+	one.sent[from] = Meter{rates: Rates{Mean: d.Sent}, at: now}
 }
 
 // forget drops the upstreams of which nothing was reported lately.
@@ -117,7 +117,7 @@
 // compute adds up the reports and sets the fraction.
 func (one *held) compute(self netip.Addr, present float64, now time.Time) {
 	one.computedAt = now
-	offered, sent := total(one.offers, now).highest(), total(one.sent, now).Mean
+	offered, sent := total(one.offers, now).Highest(), total(one.sent, now).Mean
 	one.state.Holder, one.state.Reported = self, offered
 	for holder, other := range one.others {
 		if now.Sub(other.at) > otherFor {
@@ -138,14 +138,14 @@
 
 // total adds up the rates that instances reported, and drops those of instances that have not
 // reported lately.
-func total(reports map[netip.Addr]meter, now time.Time) Rates {
+func total(reports map[netip.Addr]Meter, now time.Time) Rates {
 	var sum Rates
 	for from, one := range reports {
 		if now.Sub(one.at) > lapseAfter {
 			delete(reports, from)
 			continue
 		}
-		rates := one.rate(now.Add(-reportFor))
+		rates := one.Rate(now.Add(-reportFor))
 		sum.Mean += rates.Mean
 		sum.Recent += rates.Recent
 	}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -126,33 +126,35 @@
 }
 
 // ownRate returns the rate over ownOfferTime, or since the first event if that is shorter.
-func (e *meter) ownRate(now time.Time) float64 {
+func (e *Meter) ownRate(now time.Time) float64 {
 	measured := max(offerTime, now.Sub(e.firstAt)).Seconds()
-	return e.rate(now).long / (1 - math.Exp(-measured/ownOfferTime.Seconds()))
+	return e.Rate(now).long / (1 - math.Exp(-measured/ownOfferTime.Seconds()))
 }
 
-func (r Rates) highest() float64 { return max(r.Mean, r.Recent) }
+// Highest returns the higher of the two estimates.
+func (r Rates) Highest() float64 { return max(r.Mean, r.Recent) }
 
-// meter estimates the rate of events.
-type meter struct {
+// Meter estimates the rate of events.
+type Meter struct {
 	rates   Rates
 	at      time.Time
 	firstAt time.Time // of the first event
 }
 
-func (e *meter) add(now time.Time) {
+// Add records an event.
+func (e *Meter) Add(now time.Time) {
 	if e.firstAt.IsZero() {
 		e.firstAt = now
 	}
-	e.rates = e.rate(now)
+	e.rates = e.Rate(now)
 	e.rates.Mean += 1 / offerTime.Seconds()
 	e.rates.Recent += 1 / recentTime.Seconds()
 	e.rates.long += 1 / ownOfferTime.Seconds()
 	e.at = now
 }
 
-// rate returns the estimated rates, which decay without further events.
-func (e *meter) rate(now time.Time) Rates {
+// Rate returns the estimated rates, which decay without further events.
+func (e *Meter) Rate(now time.Time) Rates {
 	age := max(0, now.Sub(e.at)).Seconds()
 	return Rates{
 		Mean:   e.rates.Mean * math.Exp(-age/offerTime.Seconds()),
@@ -160,3 +162,6 @@
 		long:   e.rates.long * math.Exp(-age/ownOfferTime.Seconds()),
 	}
 }
+
+// NewMeter returns a meter with the rates that were estimated at an instant.
+func NewMeter(rates Rates, at time.Time) Meter { return Meter{rates: rates, at: at} }
