quota, gossip, hosted, ingress: quotas of client accounts over all instances

Cause: the quotas of client accounts in the configuration were ignored. Change: a gate at each instance admits the fraction of an account's requests that the holder of the account publishes. The holder keeps a token bucket; the holders of the failure domains sum the reports of their members for it, so that its cost does not grow with the number of instances. An instance or a failure domain without answers keeps to its part of the quota. A request over the quota gets 429 and a Retry-After; one that no upstream executed is taken back.

--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,8 @@
 	WithdrawnLate       = add(317, slog.LevelWarn, "requests were sent to an upstream that had left")
 	AskBegun            = add(318, slog.LevelInfo, "no instance confirms the state, asking the platform's store")
 	AskEnded            = add(319, slog.LevelInfo, "no longer asking the platform's store for itself")
+	QuotaReached        = add(320, slog.LevelInfo, "a client account is over its quota, requests of it are rejected")
+	QuotaKept           = add(321, slog.LevelInfo, "a client account is within its quota again")
 	TrafficMoved        = add(400, slog.LevelInfo, "traffic moved")
 	RegionDead          = add(401, slog.LevelWarn, "region does not answer")
 	RegionRecovered     = add(402, slog.LevelInfo, "region answers again")
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -26,6 +26,8 @@
 	sent    int // bytes
 	seeds   []netip.Addr
 	regions map[string]string
+	// farDelay is added to the delay of datagrams between regions.
+	farDelay time.Duration
 }
 
 // simInstance is one simulated instance.
@@ -39,6 +41,7 @@
 	bucket budget.TokenBucket
 	limits map[limit.ID]limit.State // what the instance knows of limits
 	old    bool                     // of an earlier version, which knows no limits
+	quota  *quotaInstance           // nil without client accounts
 }
 
 type delivery struct {
@@ -139,6 +142,9 @@
 		}
 		s.order++
 		delay := time.Duration(s.random.Int64N(int64(maxDelay)))
+		if to, ok := s.byIP[d.to]; ok && s.regions[to.view.domain] != s.regions[from.view.domain] {
+			delay += s.farDelay
+		}
 		heap.Push(&s.queue, delivery{s.now.Add(delay), s.order, from.view.self.Address, d})
 	}
 }
@@ -154,6 +160,10 @@
 			s.deliverLimits(to, d)
 			continue
 		}
+		if isQuotas(d.data) {
+			s.deliverQuotas(to, d)
+			continue
+		}
 		m, err := decode(d.data)
 		if err != nil {
 			panic(err)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -24,6 +24,7 @@
 	"hickorydrum/fault"
 	"hickorydrum/interval"
 	"hickorydrum/limit"
+	"hickorydrum/quota"
 )
 
 // leaveRepeats is how many times the datagram that announces a planned stop is sent to each
@@ -49,6 +50,7 @@
 	onRevisions   func(RevisionNotice)
 	onLoadReports func([]LoadReport)
 	onLimits      func([]limit.State)
+	onQuotas      func([]quota.Answer)
 	onConfirmed   func(Confirmation)
 	now           func() time.Time
 	group         errgroup.Group
@@ -87,7 +89,7 @@
 	}
 	m := &Mesh{
 		port: at.Port(), log: log, now: clock.Now, onRevisions: func(RevisionNotice) {}, onLoadReports: func([]LoadReport) {},
-		onLimits: func([]limit.State) {}, onConfirmed: func(Confirmation) {},
+		onLimits: func([]limit.State) {}, onQuotas: func([]quota.Answer) {}, onConfirmed: func(Confirmation) {},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -238,6 +240,10 @@
 		m.handleLimits(limits, from)
 		return
 	}
+	if isQuotas(data) {
+		m.handleQuotas(data, from)
+		return
+	}
 	if isConfirmation(data) {
 		m.handleConfirmation(data, from)
 		return
--- a/gossip/role.go
+++ b/gossip/role.go
@@ -39,11 +39,15 @@
 
 // presentFraction returns the part of all instances ever known that this instance receives
 // heartbeats or summaries of now. The others may be cut off from it and still run.
-func (v *view) presentFraction(now time.Time) float64 {
+func (v *view) presentFraction(now time.Time) float64 { return v.presentWithin(limitDomainFor, now) }
+
+// presentWithin returns the part of all instances ever known that this instance has received
+// heartbeats of, or summaries of within the given time.
+func (v *view) presentWithin(within time.Duration, now time.Time) float64 {
 	live, all := v.live(now), 1+len(v.others)
 	for domain, present := range v.lastPresent {
 		all += present
-		if s, ok := v.summaries[domain]; ok && now.Sub(s.madeAt) < limitDomainFor {
+		if s, ok := v.summaries[domain]; ok && now.Sub(s.madeAt) < within {
 			live += s.Live
 		}
 	}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -11,6 +11,7 @@
 
 	"hickorydrum/event"
 	"hickorydrum/limit"
+	"hickorydrum/quota"
 )
 
 const (
@@ -99,6 +100,7 @@
 	summaries   map[string]*Summary         // of other failure domains
 	contacts    map[string][]netip.Addr     // by other failure domain, some instances there that datagrams can be sent to
 	holder      *limit.Holder               // of the limits that this instance holds
+	quotas      *quota.Holder               // of the accounts whose reports this instance sums
 	lastPresent map[string]int              // by other failure domain, how many instances it had by its last summary
 	next        []netip.Addr                // targets of the next heartbeats
 	settledAt   time.Time                   // until then, after a start or a pause, the instance uses no rights to cold upstreams
@@ -109,7 +111,7 @@
 	return &view{
 		domain: domain, regions: regions, log: log, random: random, self: self, checkGroup: checkGroup(domain, regions),
 		others: make(map[netip.Addr]*memberState), summaries: make(map[string]*Summary), contacts: make(map[string][]netip.Addr),
-		holder: limit.NewHolder(self.Address), lastPresent: make(map[string]int),
+		holder: limit.NewHolder(self.Address), quotas: quota.NewHolder(self.Address, random), lastPresent: make(map[string]int),
 		settledAt: now.Add(settleTime), heartbeatAt: now,
 	}
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -27,6 +27,7 @@
 	"hickorydrum/load"
 	"hickorydrum/planner"
 	"hickorydrum/platform"
+	"hickorydrum/quota"
 )
 
 const (
@@ -57,6 +58,7 @@
 	mesh     *gossip.Mesh
 	tracker  *load.Tracker
 	planner  *planner.Planner
+	quotas   *quota.Gate
 	ingress  *ingress.Ingress
 	servers  servers
 	group    errgroup.Group
@@ -66,6 +68,8 @@
 	withdrawalLines *event.Limiter
 	// entryLines bounds those about entries that are not usable.
 	entryLines *event.Limiter
+	// quotaLines bounds those about quotas of client accounts.
+	quotaLines *event.Limiter
 
 	mu                sync.Mutex                 // held while objects from the store are applied; guards the fields below
 	evacuated         map[string]bool            // failure domains under evacuation in the last view
@@ -85,6 +89,7 @@
 		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream), refresh: make(chan struct{}, 1),
 		withdrawalLines: event.NewLimiter(event.LinesPerSecond(maxWithdrawalLines)),
 		entryLines:      event.NewLimiter(event.LinesPerSecond(maxEntryLines)),
+		quotaLines:      event.NewLimiter(event.LinesPerSecond(maxQuotaLines)),
 	}
 	i.bounds.Store(&settings.Bounds)
 	control, err := netip.ParseAddrPort(settings.Control)
@@ -108,12 +113,14 @@
 	i.planner = planner.New(location, i.tracker, i.mesh, retryBounds(settings.Bounds))
 	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.apply, withRanBefore(!settings.Bootstrap),
 		withHeartbeat(settings.HeartbeatInterval), withBound(settings.Bounds.Propagation))
-	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView),
+	i.quotas = newQuotaGate(quotaTerms(&settings.Bounds), i.instances)
+	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView), ingress.WithQuotas(i.quotas),
 		ingress.WithConfirmed(func() freshness.Confirmation { return i.follower.confirmation(platform.KindConfiguration) }))
 	i.mesh.OnRevisions(i.follower.handleNotice)
 	i.mesh.OnConfirmed(i.follower.handleConfirmation)
 	i.mesh.OnLoadReports(i.receiveLoadReports)
 	i.mesh.OnLimits(i.receiveLimits)
+	i.mesh.OnQuotas(i.receiveQuotas)
 	return i, i.listen()
 }
 
@@ -144,6 +151,7 @@
 	i.group.Go(func() error { return i.closeIdle(ctx) })
 	i.group.Go(func() error { return i.updateShares(ctx) })
 	i.group.Go(func() error { return i.exchangeLimits(ctx) })
+	i.group.Go(func() error { return i.exchangeQuotas(ctx) })
 	<-stop.Done()
 	i.stop()
 	cancel()
@@ -180,6 +188,7 @@
 	if old := i.planner.Table(); old != nil && old.Version() >= table.Version() {
 		return
 	}
+	i.applyQuotas(table)
 	i.planner.SetTable(table)
 	i.servers.front.SetIdle(table.Limits().IdleTimeout)
 	versionInForce.Set(float64(table.Version()))
@@ -298,6 +307,9 @@
 	}
 	i.bounds.Store(&settings.Bounds)
 	i.planner.SetBounds(retryBounds(settings.Bounds))
+	i.mu.Lock()
+	i.applyQuotas(i.planner.Table())
+	i.mu.Unlock()
 	i.follower.setBound(settings.Bounds.Propagation)
 	i.mesh.SetSeeds(seedAddresses(settings.Seeds))
 	return true
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -49,6 +49,9 @@
 	// maybeExecuted states that an upstream may have executed the request but sent no response
 	// that the caller gets.
 	maybeExecuted bool
+	// admitted states that the quota of the client account admitted the request, and consumed that an upstream
+	// may have executed it.
+	admitted, consumed bool
 	// failure is the last 5xx response of an upstream. The caller gets it if no later send is
 	// answered.
 	failure *bufferedResponse
@@ -95,7 +98,7 @@
 	if !x.authenticate() {
 		return
 	}
-	if x.refuseLate() || !x.readBody() {
+	if x.refuseLate() || !x.admit() || !x.readBody() {
 		return
 	}
 	x.planReq.Object, x.planReq.Sticky = x.affinityHash()
@@ -215,6 +218,7 @@
 		_ = conn.Close() // if Run failed, its error counts
 	}
 	metrics.GetOrCreateHistogram(`hickorydrum_upstream_seconds{service="` + x.planReq.Service + `"}`).UpdateDuration(now)
+	x.noteSend(err)
 	outcome, done = x.finishSend(err, resp)
 	return done
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -24,6 +24,7 @@
 	// upstreamLines bounds the lines about what upstreams say of themselves.
 	upstreamLines lineCounter
 	onLeaving     func()
+	quotas        Quotas // nil if accounts have none
 	confirmed     func() freshness.Confirmation
 	// lastDeadline is the latest deadline that a request may have, nil until a planned stop begins.
 	lastDeadline atomic.Pointer[time.Time]
@@ -95,5 +96,6 @@
 	x := newExchange(g, w, r)
 	server.SetID(r.Context(), x.id)
 	defer x.report()
+	defer x.returnQuota()
 	x.serve()
 }
