--- a/event/event.go
+++ b/event/event.go
@@ -64,6 +64,8 @@
 	AskBegun            = add(318, slog.LevelInfo, "no instance confirms the state, asking the platform's store")
 	AskEnded            = add(319, slog.LevelInfo, "no longer asking the platform's store for itself")
 	LoadInvalid         = add(320, slog.LevelWarn, "an upstream reports a load that is not valid")
+	QuotaReached        = add(321, slog.LevelInfo, "a client account is over its quota, requests of it are rejected")
+	QuotaKept           = add(322, slog.LevelInfo, "a client account is within its quota again")
 	TrafficMoved        = add(400, slog.LevelInfo, "traffic moved")
 	RegionDead          = add(401, slog.LevelWarn, "region does not answer")
 	RegionRecovered     = add(402, slog.LevelInfo, "region answers again")
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -27,6 +27,7 @@
 	"hickorydrum/load"
 	"hickorydrum/planner"
 	"hickorydrum/platform"
+	"hickorydrum/quota"
 )
 
 const (
@@ -48,25 +49,29 @@
 // Instance is an instance on the users' platform, with its servers and all its state. It
 // serves while Run runs.
 type Instance struct {
-	file     string
-	settings platform.Settings
-	limits   bounds
-	front    netip.AddrPort // address at which callers reach this instance
-	log      *slog.Logger
-	store    *platform.Client
-	follower *follower
-	mesh     *gossip.Mesh
-	tracker  *load.Tracker
-	planner  *planner.Planner
-	ingress  *ingress.Ingress
-	servers  servers
-	group    errgroup.Group
-	bounds   atomic.Pointer[platform.Bounds] // as last read from the settings file
-	refresh  chan struct{}                   // see refreshView
+	file      string
+	settings  platform.Settings
+	limits    bounds
+	front     netip.AddrPort // address at which callers reach this instance
+	log       *slog.Logger
+	store     *platform.Client
+	follower  *follower
+	mesh      *gossip.Mesh
+	tracker   *load.Tracker
+	planner   *planner.Planner
+	quotas    *quota.Gate
+	hasQuotas atomic.Bool // an account of the configuration in force has a quota
+	ingress   *ingress.Ingress
+	servers   servers
+	group     errgroup.Group
+	bounds    atomic.Pointer[platform.Bounds] // as last read from the settings file
+	refresh   chan struct{}                   // see refreshView
 	// withdrawalLines bounds the lines about upstreams that leave or are gone.
 	withdrawalLines *event.Limiter
 	// entryLines bounds those about entries that are not usable.
 	entryLines *event.Limiter
+	// quotaLines bounds those about quotas of client accounts.
+	quotaLines *event.Limiter
 
 	mu                sync.Mutex                 // held while objects from the store are applied; guards the fields below
 	evacuated         map[string]bool            // failure domains under evacuation in the last view
@@ -86,6 +91,7 @@
 		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream), refresh: make(chan struct{}, 1),
 		withdrawalLines: event.NewLimiter(event.LinesPerSecond(maxWithdrawalLines)),
 		entryLines:      event.NewLimiter(event.LinesPerSecond(maxEntryLines)),
+		quotaLines:      event.NewLimiter(event.LinesPerSecond(maxQuotaLines)),
 	}
 	i.bounds.Store(&settings.Bounds)
 	control, err := netip.ParseAddrPort(settings.Control)
@@ -109,12 +115,14 @@
 	i.planner = planner.New(location, i.tracker, i.mesh, retryBounds(settings.Bounds))
 	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.apply, withRanBefore(!settings.Bootstrap),
 		withHeartbeat(settings.HeartbeatInterval), withBound(settings.Bounds.Propagation))
-	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView), ingress.WithMemory(i.limits.bodies),
+	i.quotas = newQuotaGate(quotaTerms(&settings.Bounds), i.instances)
+	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView), ingress.WithMemory(i.limits.bodies), ingress.WithQuotas(i.quotas),
 		ingress.WithConfirmed(func() freshness.Confirmation { return i.follower.confirmation(platform.KindConfiguration) }))
 	i.mesh.OnRevisions(i.follower.handleNotice)
 	i.mesh.OnConfirmed(i.follower.handleConfirmation)
 	i.mesh.OnLoadReports(i.receiveLoadReports)
 	i.mesh.OnLimits(i.receiveLimits)
+	i.mesh.OnQuotas(i.receiveQuotas)
 	return i, i.listen()
 }
 
@@ -145,6 +153,7 @@
 	i.group.Go(func() error { return i.closeIdle(ctx) })
 	i.group.Go(func() error { return i.updateShares(ctx) })
 	i.group.Go(func() error { return i.exchangeLimits(ctx) })
+	i.group.Go(func() error { return i.exchangeQuotas(ctx) })
 	<-stop.Done()
 	i.stop()
 	cancel()
@@ -181,6 +190,7 @@
 	if old := i.planner.Table(); old != nil && old.Version() >= table.Version() {
 		return
 	}
+	i.applyQuotas(table)
 	i.planner.SetTable(table)
 	i.servers.front.SetIdle(table.Limits().IdleTimeout)
 	i.servers.front.SetMaxHeader(table.Limits().HeaderBytes)
@@ -300,6 +310,9 @@
 	}
 	i.bounds.Store(&settings.Bounds)
 	i.planner.SetBounds(retryBounds(settings.Bounds))
+	i.mu.Lock()
+	i.applyQuotas(i.planner.Table())
+	i.mu.Unlock()
 	i.follower.setBound(settings.Bounds.Propagation)
 	i.mesh.SetSeeds(seedAddresses(settings.Seeds))
 	return true
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -26,6 +26,7 @@
 	// upstreamLines bounds the lines about what upstreams say of themselves.
 	upstreamLines lineCounter
 	onLeaving     func()
+	quotas        Quotas // nil if accounts have none
 	confirmed     func() freshness.Confirmation
 	memory        *memory.Budget // for bodies and buffered responses, nil for no bound
 	// lastDeadline is the latest deadline that a request may have, nil until a planned stop begins.
@@ -119,5 +120,6 @@
 	server.SetID(r.Context(), x.id)
 	defer x.report()
 	defer x.release()
+	defer x.returnQuota()
 	x.serve()
 }
