quota: less beyond the burst

Change: the bucket holds 0.25 of the slack and 0.05 of the excess beyond the burst, in place of 0.35 and 0.1.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -62,8 +62,8 @@
 const (
 	// slackUse and overUse are the portions of Slack and Over that the token bucket uses beyond the burst.
 	// The rest allows for requests that are admitted before the holder knows of them.
-	slackUse = 0.35
-	overUse  = 0.1
+	slackUse = 0.25
+	overUse  = 0.05
 	// leastTime is the time whose requests the bucket holds at least: until a report is answered.
 	leastTime = 250 * time.Millisecond
 	// maxUse is the greatest portion of both together that the bucket uses.
