--- a/account/account_test.go
+++ b/account/account_test.go
@@ -82,20 +82,38 @@
 	}
 }
 
+func directory(b *testing.B, accounts int) *account.Directory {
+	b.Helper()
+	var declarations []account.Declaration
+	for i := range accounts {
+		declarations = append(declarations, declare(fmt.Sprint("account-", i), fmt.Sprint("key-of-account-", i)))
+	}
+	d, err := account.NewDirectory(declarations)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return d
+}
+
 func BenchmarkLookup(b *testing.B) {
 	for _, accounts := range []int{88, 10_000} {
 		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
-			var declarations []account.Declaration
-			for i := range accounts {
-				declarations = append(declarations, declare(fmt.Sprint("account-", i), fmt.Sprint("key-of-account-", i)))
-			}
-			d, err := account.NewDirectory(declarations)
-			if err != nil {
-				b.Fatal(err)
-			}
+			d := directory(b, accounts)
 			for b.Loop() {
 				_, _ = d.Lookup("key-of-account-42")
 			}
 		})
 	}
 }
+
+// BenchmarkNewDirectory shows the time and the memory that a new version of the configuration takes for its accounts.
+func BenchmarkNewDirectory(b *testing.B) {
+	for _, accounts := range []int{88, 10_000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				directory(b, accounts)
+			}
+		})
+	}
+}
