--- a/hosted/account_test.go
+++ b/hosted/account_test.go
@@ -15,7 +15,7 @@
 	{name: "florist", keys: []string{"florist-key"}, homes: []string{"two"}},
 }
 
-// identity is what an upstream is told of the caller.
+// identity is what an upstream receives about the caller.
 type identity struct {
 	Status      int
 	Name        string // of the client account
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -20,8 +20,8 @@
 	defaultSmall = 64 << 10
 	// defaultReserve is the part of a budget, one in so many, that only small holds may use.
 	defaultReserve = 16
-	// patience is how long a hold waits before younger ones are refused for it: others may return room by then.
-	patience = 300 * time.Millisecond
+	// refuseAfter is how long a hold waits before younger ones are refused for it: others may return room by then.
+	refuseAfter = 300 * time.Millisecond
 )
 
 // Budget bounds the bytes that requests hold together. A nil Budget has no bound. Its methods may be called
@@ -131,7 +131,7 @@
 	if w == nil {
 		return true
 	}
-	timer := time.NewTimer(min(patience, time.Until(deadline)))
+	timer := time.NewTimer(min(refuseAfter, time.Until(deadline)))
 	defer timer.Stop()
 	for {
 		select {
@@ -144,7 +144,7 @@
 				return h.budget.cancel(w)
 			}
 			h.budget.refuseYoungest()
-			timer.Reset(min(patience, deadline.Sub(now)))
+			timer.Reset(min(refuseAfter, deadline.Sub(now)))
 		}
 	}
 }
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -159,7 +159,7 @@
 		},
 		"both can end with the room that there is soon": {
 			[]request{{"a", 500 * kib, 300 * kib, 32 * kib, 0}, {"b", 350 * kib, 300 * kib, 32 * kib, time.Millisecond}},
-			patience / 2,
+			refuseAfter / 2,
 			[]string{"a true 150ms", "b true 149ms"},
 		},
 	}
--- a/quota/gate.go
+++ b/quota/gate.go
@@ -78,7 +78,7 @@
 	rejected int
 	alone    bool      // of the first rejection
 	lastAt   time.Time // of the last rejection
-	told     bool      // the account was returned as one over its quota
+	reported bool      // the account was returned as one over its quota
 }
 
 // reject counts a rejection.
@@ -97,15 +97,15 @@
 	var out []Change
 	for _, e := range g.accounts {
 		ended := now.Sub(e.over.lastAt) > overFor
-		if e.over.rejected == 0 || e.over.told && !ended {
+		if e.over.rejected == 0 || e.over.reported && !ended {
 			continue
 		}
-		c := Change{Account: e.name, Over: !e.over.told, Alone: e.over.alone, Rate: e.quota.Rate, Rejected: e.over.rejected}
+		c := Change{Account: e.name, Over: !e.over.reported, Alone: e.over.alone, Rate: e.quota.Rate, Rejected: e.over.rejected}
 		if e.knows(now) {
 			c.Offered = e.state.Offered
 		}
 		out = append(out, c)
-		e.over.told = true
+		e.over.reported = true
 		if !c.Over {
 			e.over = overState{}
 		}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -66,12 +66,12 @@
 	// reporter is that of a failure domain, which reports to the holder of the account.
 	reporter
 
-	quota   Quota
-	sources map[netip.Addr]*source
-	others  map[netip.Addr]otherHolder
-	heardAt time.Time // when the last report was received
-	pushAt  time.Time // of the next push
-	pushed  float64   // fraction of the last push
+	quota      Quota
+	sources    map[netip.Addr]*source
+	others     map[netip.Addr]otherHolder
+	recordedAt time.Time // when the last report was received
+	pushAt     time.Time // of the next push
+	pushed     float64   // fraction of the last push
 
 	// own is set while the holder keeps the bucket, for the part of the account in scope.
 	own        bool
@@ -113,7 +113,7 @@
 		one.computed.Key = r.Key
 		h.held[r.Key] = one
 	}
-	one.heardAt = now
+	one.recordedAt = now
 	one.setQuota(h.quotas, r)
 	one.recordKnown(&r.Known, h.self, now)
 	s, ok := one.sources[from]
@@ -151,11 +151,11 @@
 	one.quota = r.Quota
 }
 
-// recordKnown records the state that a reporter had received before. That of another holder tells a new holder
+// recordKnown records the state that a reporter had received before. From that of another holder a new holder learns
 // what the bucket holds, and an old one that there is another.
 func (one *held) recordKnown(known *State, self netip.Addr, now time.Time) {
 	if known.Holder == self || !known.Holder.IsValid() || !known.At.After(now.Add(-holdFor)) {
-		return // that of a failure domain repeats what this holder was told
+		return // that of a failure domain repeats what this holder sent
 	}
 	if !one.own || now.Sub(one.since) < settleTime {
 		one.state.newer(known)
@@ -191,7 +191,7 @@
 func (h *Holder) Keys(now time.Time) []uint64 {
 	var out []uint64
 	for key, one := range h.held {
-		if now.Sub(one.heardAt) > lapseAfter {
+		if now.Sub(one.recordedAt) > lapseAfter {
 			delete(h.held, key)
 			continue
 		}
@@ -246,7 +246,7 @@
 	}
 	offers := one.total(now)
 	if now.Sub(one.reportedAt) < minInterval ||
-		!one.due(one.quota, offers, one.heardAt.After(one.reportedAt), calmPart*scope.Part*one.quota.Rate, now) {
+		!one.due(one.quota, offers, one.recordedAt.After(one.reportedAt), calmPart*scope.Part*one.quota.Rate, now) {
 		return Report{}, false
 	}
 	return one.report(key, one.quota, offers, now), true
--- a/server/limits.go
+++ b/server/limits.go
@@ -35,15 +35,15 @@
 	// A client is given up if it sends less than minRate bytes a second over ratePeriod.
 	minRate    = 1 << 10
 	ratePeriod = 5 * time.Second
-	// youngest is how long a connection has been idle that may be closed for a new one: a request may be on its way
+	// minIdle is how long a connection must have been idle to be closed for a new one: a request may be on its way
 	// on a younger one.
-	youngest = 100 * time.Millisecond
+	minIdle = 100 * time.Millisecond
 	// Connections that were closed for new ones may exceed the limit by one in closingPart: they are open until the client
 	// has acknowledged the end.
 	closingPart = 8
 	// refuseTime bounds the write of a refusal.
 	refuseTime = 100 * time.Millisecond
-	// A refused client is told to return after minReturn to maxReturn, at random: stalled clients are given up
+	// The Retry-After of a refused client is from minReturn to maxReturn, at random: stalled clients are given up
 	// after ratePeriod, and requests end all the time.
 	minReturn = 500 * time.Millisecond
 	maxReturn = 1500 * time.Millisecond
@@ -91,7 +91,7 @@
 	if s.limits.Connections == 0 || s.openCount() < s.limits.Connections {
 		return true
 	}
-	closed := s.closeLongestIdle(time.Now().Add(-youngest))
+	closed := s.closeLongestIdle(time.Now().Add(-minIdle))
 	if closed && s.openCount() < s.limits.Connections+max(1, s.limits.Connections/closingPart) {
 		return true
 	}
--- a/server/limits_test.go
+++ b/server/limits_test.go
@@ -181,7 +181,7 @@
 		t.Errorf("status %d", got)
 	}
 	awaitCounts(t, s, Counts{Idle: 1, Serving: 1})
-	time.Sleep(2 * youngest)
+	time.Sleep(2 * minIdle)
 	second = dial() // closes the first one
 	if got := request(second, "/"); got != http.StatusOK {
 		t.Errorf("status %d on a connection for which an idle one is closed", got)
