review: machines that are added take the right to a cold worker side by side

Three machines were lost and three added, whose settings name the lost ones as seeds for up to 3 s. A worker that was replaced meanwhile got 36 to 39 requests in one second of its cold period, where the rule allows 26.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -83,6 +83,7 @@
 // cases are the cases by the name that is given on the command line.
 var cases = map[string]func(r *record, trouble bool) error{
 	"pipeline": playPipeline,
+	"isolated": playIsolated,
 	"quota":    playQuota,
 }
 
--- a/review/rig/process.go
+++ b/review/rig/process.go
@@ -49,6 +49,7 @@
 
 	mu        sync.Mutex
 	instances []*instance
+	seeds     []*instance // nil for the first instances
 }
 
 func newDeployment(domains map[string]string, bounds string) (*deployment, error) {
@@ -143,11 +144,40 @@
 	return filepath.Join(i.deployment.dir, i.machine.name+".toml")
 }
 
+// maxSeeds is how many seeds a settings file names.
+const maxSeeds = 3
+
+// setSeeds sets the seeds that settings files name from now on, in place of the first instances.
+func (d *deployment) setSeeds(seeds []*instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seeds = seeds
+}
+
+func (d *deployment) seedInstances() []*instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seeds := d.seeds
+	if seeds == nil {
+		seeds = d.instances
+	}
+	return seeds[:min(maxSeeds, len(seeds))]
+}
+
+// writeSettings writes the settings file.
+func (i *instance) writeSettings() error {
+	next := i.settingsPath() + ".next"
+	if err := os.WriteFile(next, []byte(i.settings()), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, i.settingsPath())
+}
+
 // settings returns the text of the settings file.
 func (i *instance) settings() string {
 	d := i.deployment
 	var seeds []string
-	for _, other := range d.instances[:min(3, len(d.instances))] {
+	for _, other := range d.seedInstances() {
 		seeds = append(seeds, strconv.Quote(other.address(portControl)))
 	}
 	zones := ""
@@ -204,7 +234,7 @@
 
 // start starts the process. Its output goes to a file in the folder of the deployment.
 func (i *instance) start() error {
-	if err := os.WriteFile(i.settingsPath(), []byte(i.settings()), 0o600); err != nil {
+	if err := i.writeSettings(); err != nil {
 		return err
 	}
 	out, err := os.OpenFile(filepath.Join(i.deployment.dir, i.machine.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -12,8 +12,8 @@
 
 // run is the run of one request at a worker.
 type run struct {
-	id, account, service string
-	at                   time.Time
+	id, account, service, worker string
+	at                           time.Time
 }
 
 // runs records the runs at all workers.
@@ -40,6 +40,7 @@
 	slots, queue    int
 	work            time.Duration
 	body            []byte
+	limit           string // requests a second that it names, none if empty
 }
 
 // worker is a sound upstream: it refuses requests for another one, runs as many requests at a time as it has slots,
@@ -73,9 +74,10 @@
 }
 
 // entry returns the value of the worker's entry in the store.
-func (w *worker) entry(state string) []byte {
+func (w *worker) entry(state string, cold time.Duration) []byte {
 	return fmt.Appendf(nil, `{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},`+
-		`"status":{"state":%q,"sequence":1,"coldRemainingMs":0}}`, w.listener.Addr(), w.born.UnixMilli(), w.service, w.domain, w.slots, state)
+		`"status":{"state":%q,"sequence":1,"coldRemainingMs":%d}}`,
+		w.listener.Addr(), w.born.UnixMilli(), w.service, w.domain, w.slots, state, cold.Milliseconds())
 }
 
 // ServeHTTP handles one request.
@@ -95,7 +97,7 @@
 		return
 	}
 	defer func() { <-w.taken }()
-	w.runs.add(run{id: id, account: r.Header.Get("Hickorydrum-Tenant"), service: w.service, at: time.Now()})
+	w.runs.add(run{id: id, account: r.Header.Get("Hickorydrum-Tenant"), service: w.service, worker: w.id, at: time.Now()})
 	select {
 	case <-time.After(w.work):
 	case <-r.Context().Done():
@@ -103,6 +105,9 @@
 	}
 	header.Set("Hickorydrum-Server-Load", w.load())
 	header.Set("Hickorydrum-Server-Seal", "sealed")
+	if w.limit != "" {
+		header.Set("Server-Limit", w.limit)
+	}
 	header.Set("Content-Length", strconv.Itoa(len(w.body)))
 	_, _ = out.Write(w.body) // the caller may have left
 }
@@ -140,7 +145,7 @@
 			return nil
 		})
 		d.workers = append(d.workers, w)
-		if err := d.put("servers/"+w.id, w.entry("ready")); err != nil {
+		if err := d.put("servers/"+w.id, w.entry("ready", 0)); err != nil {
 			return err
 		}
 	}
