review: look-ups name a lost machine again after another one was suspended

One of two machines of a failure domain was lost for good, the other one frozen for 5 s. After that a machine of the next failure domain, which was in touch, named the lost one in look-ups until 7.9 to 8.4 s after the loss; the rule allows 6 s.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -85,6 +85,7 @@
 	"pipeline": playPipeline,
 	"isolated": playIsolated,
 	"quota":    playQuota,
+	"asleep":   playAsleep,
 }
 
 func main() { os.Exit(play()) }
