review: a quota is exceeded after the process that holds it was killed and started again

An account with a quota of 300 requests a second and a burst of 300 got 2,094 to 2,152 requests run in 5 s, where the rule allows 2,000, when the one process that holds it was killed and started again after 0.2 s.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -86,6 +87,7 @@
 	"isolated": playIsolated,
 	"quota":    playQuota,
 	"asleep":   playAsleep,
+	"holder":   playHolder,
 }
 
 func main() { os.Exit(play()) }
@@ -108,6 +110,13 @@
 		os.Exit(exitNoRun)
 	})
 	defer watchdog.Stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		endAll()
+		os.Exit(exitNoRun)
+	}()
 	r.printf("case %s, trouble %t", os.Args[1], trouble)
 	switch err := cases[os.Args[1]](r, trouble); {
 	case errors.Is(err, errBroken):
--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -52,7 +54,7 @@
 	}
 	defer d.close()
 	all := &runs{}
-	instances, err := d.quotaFleet(all)
+	instances, err := d.quotaFleet(quotaDomains, quotaFronts, all)
 	if err != nil {
 		return err
 	}
@@ -83,8 +85,8 @@
 }
 
 // quotaFleet starts the workers and the instances.
-func (d *deployment) quotaFleet(all *runs) ([]*instance, error) {
-	for domain := range quotaDomains {
+func (d *deployment) quotaFleet(domains map[string]string, fronts int, all *runs) ([]*instance, error) {
+	for domain := range domains {
 		like := kind{service: "browse", domain: domain, slots: 64, queue: 64, work: 20 * time.Millisecond, body: filled(400)}
 		if err := d.addWorkers(quotaWorkers, like, all); err != nil {
 			return nil, err
@@ -96,8 +98,9 @@
 		return nil, err
 	}
 	var out []*instance
-	for k := range quotaFronts {
-		for domain, region := range quotaDomains {
+	for k := range fronts {
+		for _, domain := range slices.Sorted(maps.Keys(domains)) {
+			region := domains[domain]
 			out = append(out, d.add(machine{
 				name: fmt.Sprintf("front-%s-%d", domain, k), domain: domain, region: region, memoryMb: 284, descriptors: 4100,
 			}))
@@ -130,6 +133,7 @@
 type offers struct {
 	instances []*instance
 	begun     time.Time
+	round     int // begins the ids
 	statuses  sync.Map
 
 	mu   sync.Mutex
@@ -149,7 +153,7 @@
 	var group errgroup.Group
 	for n := 0; ctx.Err() == nil; time.Sleep(2 * time.Millisecond) {
 		for due := o.due(time.Now()); n < due; n++ {
-			id, i := fmt.Sprintf("%016x", n+1), o.instances[n%len(o.instances)]
+			id, i := fmt.Sprintf("%04x%012x", o.round, n+1), o.instances[n%len(o.instances)]
 			object := n % 100
 			group.Go(func() error {
 				o.sendOne(transport, i, id, object)
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -28,6 +28,13 @@
 	r.all = append(r.all, one)
 }
 
+// clear forgets all runs.
+func (r *runs) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = nil
+}
+
 func (r *runs) list() []run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
