dispatch, response: a reset does not end a response without a length

Seen by callers: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole response; behind the platform's interface even with a Content-Length of its own.

Cause: a socket reports a reset once, to the call that comes first. If that is the write of the upload, the read of the response finds the end of the connection, exactly as after a close, and the end of the connection is what ends a body without a length. The error of the write was dropped, since the response looked whole.

Evidence: with the calls on the connection logged, the write got "connection reset by peer" and the read EOF in 5 of 8 plays; in the other 3 the read got the reset, the write "broken pipe", and the response was cut. After a close of the upstream the write got neither in 100 plays.

Change: a connection keeps the error of its write. Once the request is no longer sent, response.CheckEnd decides whether the end of the connection was an end of the body: not if a write got an error of the connection. EPIPE is none: a write gets it after the upstream's close, or after a read got the reset. It can't come too late: the read finds the end only after the write has taken the reset. What may have run counts as before, so that a caller gets 502 or a broken connection, and only idempotent requests are sent again.

--- a/dispatch/conn.go
+++ b/dispatch/conn.go
@@ -36,6 +36,7 @@
 	r            *bufio.Reader
 	w            *bufio.Writer
 	progress     *fault.Progress // of the current request
+	writeErr     error           // of the last write that failed
 	lastResponse time.Time       // end of the last complete response, or when it was first put back
 	usableUntil  time.Time       // not reused after this time
 	reused       bool
@@ -76,12 +77,16 @@
 }
 
 // sentMarker writes to a connection. Before each write it records that bytes of the request
-// may have reached the upstream.
+// may have reached the upstream. It keeps the error of a write that fails.
 type sentMarker struct{ c *Conn }
 
 func (m sentMarker) Write(p []byte) (int, error) {
 	m.c.progress.MarkSent()
-	return m.c.Conn.Write(p)
+	n, err := m.c.Conn.Write(p)
+	if err != nil {
+		m.c.writeErr = err
+	}
+	return n, err
 }
 
 // isIdle reports whether the connection is open and has no unread bytes, so that the next
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/fault"
+	"hickorydrum/response"
 )
 
 const (
@@ -111,7 +112,8 @@
 	deadline time.Time
 	progress fault.Progress
 	conn     *Conn
-	bodyRead atomic.Bool // the request body has been read to its end
+	bodyRead atomic.Bool    // the request body has been read to its end
+	accepted *http.Response // the response that was forwarded
 }
 
 // NewExchange returns the exchange of a request on a connection. Until Run returns, nothing
@@ -250,6 +252,10 @@
 	}
 	sendErr := group.Wait()
 	if bad == nil {
+		bad = x.checkEnd()
+	}
+	if bad == nil {
+		x.progress.MarkAnswered()
 		return reusable && sendErr == nil, nil
 	}
 	if sendErr != nil && fault.KindOf(sendErr) != "" {
@@ -346,11 +352,20 @@
 	if err := body.flush(); err != nil {
 		return false, &failure{kind: fault.Corrupt, text: "the answer was cut short", cause: err}
 	}
-	x.progress.MarkAnswered()
+	x.accepted = resp
 	x.conn.lastResponse, x.conn.usableUntil = time.Now(), usableUntil
 	return !resp.Close, nil
 }
 
+// checkEnd returns the failure of a response that was forwarded and whose end turns out not to be one. It is
+// called once the request is no longer sent.
+func (x *Exchange) checkEnd() *failure {
+	if err := response.CheckEnd(x.accepted, x.conn.writeErr); err != nil {
+		return &failure{kind: fault.Corrupt, text: "the answer was cut short", cause: err}
+	}
+	return nil
+}
+
 // keepAliveUntil returns the time until which an idle connection may be reused, by the
 // timeout in the response's Keep-Alive header, or the zero time if there is none.
 func keepAliveUntil(h http.Header, now time.Time) time.Time {
--- /dev/null
+++ b/restart/broken_test.go
@@ -0,0 +1,191 @@
+package restart
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/platform"
+)
+
+// uploadSize is more than the buffers of two sockets hold, so that an upload is still being written when an
+// upstream that does not read it ends the connection.
+const uploadSize = 24 << 20
+
+// brokenRow is a response of an upstream, and whether a caller gets it as a whole one.
+type brokenRow struct {
+	// response is written with %ID% replaced by the ID of the request.
+	response string
+	// early states that the response is written before the body of the request is read, and is followed by a
+	// reset.
+	early bool
+	body  int // bytes of the request's body
+	whole bool
+}
+
+// brokenHead begins a response that has all that the upstreams of both interfaces must send.
+const brokenHead = "HTTP/1.1 200 OK\r\nHickorydrum-Attempt-Id: %ID%\r\nHickorydrum-Server-Seal: x\r\n"
+
+// brokenUpstream is an upstream that answers each request with the response of a row.
+type brokenUpstream struct {
+	row      brokenRow
+	listener net.Listener
+	group    errgroup.Group
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func newBrokenUpstream(t *testing.T, row brokenRow) *brokenUpstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &brokenUpstream{row: row, listener: listener}
+	u.group.Go(u.accept)
+	t.Cleanup(u.close)
+	return u
+}
+
+func (u *brokenUpstream) address() string { return u.listener.Addr().String() }
+
+func (u *brokenUpstream) accept() error {
+	for {
+		conn, err := u.listener.Accept()
+		if err != nil {
+			return nil // the listener was closed
+		}
+		u.mu.Lock()
+		u.conns = append(u.conns, conn)
+		u.mu.Unlock()
+		u.group.Go(func() error {
+			u.serve(conn.(*net.TCPConn))
+			return nil
+		})
+	}
+}
+
+// serve answers the requests on a connection. Requests without an ID are for the health page.
+func (u *brokenUpstream) serve(conn *net.TCPConn) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		id := req.Header.Get(attemptHeader)
+		response := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+		if id != "" {
+			response = strings.ReplaceAll(u.row.response, "%ID%", id)
+		}
+		if id == "" || !u.row.early {
+			_, _ = io.Copy(io.Discard, req.Body) // the instance may have gone
+		}
+		if _, err := io.WriteString(conn, response); err != nil {
+			return
+		}
+		if id != "" {
+			_ = conn.SetLinger(0) // the instance may have gone
+			return
+		}
+	}
+}
+
+func (u *brokenUpstream) close() {
+	_ = u.listener.Close()
+	u.mu.Lock()
+	for _, conn := range u.conns {
+		_ = conn.Close()
+	}
+	u.mu.Unlock()
+	_ = u.group.Wait()
+}
+
+// startHosted starts an instance behind the platform's interface with the upstream, and returns the address for
+// callers.
+func (u *brokenUpstream) startHosted(t *testing.T) string {
+	d := newDeployment(t, 6*time.Second)
+	d.configure(configuration{timeout: waitTimeout, bodyBytes: uploadSize})
+	d.put(platform.KindUpstreams+"/i-0", fmt.Appendf(nil,
+		`{"address":%q,"born":1,"info":{"service":"list","zone":"one-a","slots":4},"status":{"state":"ready"}}`, u.address()))
+	return d.start("a0", false).address(frontPort)
+}
+
+// startOwn starts an instance of the own interface with the upstream, and returns the address for callers.
+func (u *brokenUpstream) startOwn(t *testing.T) string {
+	d := newOwnPlatform(t)
+	d.up = u.address()
+	d.start(waitTimeout)
+	return d.address(callerPort)
+}
+
+// TestBrokenResponses guards against a caller that gets a response which is broken, or is not that of its upstream
+// to its request.
+func TestBrokenResponses(t *testing.T) {
+	t.Parallel()
+	rows := map[string]brokenRow{
+		"whole":             {response: brokenHead + "Content-Length: 4\r\n\r\nbody", whole: true},
+		"reset during an upload": {response: brokenHead + "\r\npart", early: true, body: uploadSize},
+	}
+	interfaces := map[string]struct {
+		start func(*brokenUpstream, *testing.T) string
+		path  string
+	}{
+		"hosted": {(*brokenUpstream).startHosted, unsafe.path},
+		"own":    {(*brokenUpstream).startOwn, "/orders/"},
+	}
+	for side, i := range interfaces {
+		for name, row := range rows {
+			t.Run(side+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				address := i.start(newBrokenUpstream(t, row), t)
+				got, err := post(t, address, i.path, row.body)
+				if whole := err == nil && got.StatusCode < http.StatusMultipleChoices; whole != row.whole {
+					t.Errorf("a whole response %v, want %v: %v, %v", whole, row.whole, got, err)
+				}
+			})
+		}
+	}
+}
+
+// post sends a request with a body of the size over a connection of its own. It returns the response once it has
+// been read whole.
+func post(t *testing.T, address, path string, size int) (*http.Response, error) {
+	t.Helper()
+	conn, err := net.DialTimeout("tcp", address, waitTimeout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(waitTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: h.example\r\n%s: 1\r\nContent-Length: %d\r\n\r\n", path, attemptHeader, size)
+		if err == nil {
+			_, err = conn.Write(make([]byte, size))
+		}
+		return err
+	})
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	_ = conn.Close() // the rest of the body need not be sent
+	if writeErr := group.Wait(); err != nil {
+		err = errors.Join(err, writeErr)
+	}
+	return resp, err
+}
--- a/restart/deployment_test.go
+++ b/restart/deployment_test.go
@@ -32,6 +32,8 @@
 	workerSlots = 512
 	// defaultIdle is how long callers may leave a connection idle.
 	defaultIdle = 15 * time.Second
+	// defaultBodyBytes is the largest body of a request.
+	defaultBodyBytes = 1 << 20
 
 	frontPort, readyPort, directoryPort, controlPort, gossipPort = 18100, 18101, 18102, 18103, 18110
 )
@@ -133,6 +135,8 @@
 type configuration struct {
 	timeout time.Duration // of routes
 	idle    time.Duration // of callers' connections, defaultIdle if 0
+	// bodyBytes is the largest body of a request, defaultBodyBytes if 0.
+	bodyBytes int
 	// unrouted is set if the configuration has no route for safe requests.
 	unrouted bool
 }
@@ -158,7 +162,7 @@
 	text, err := json.Marshal(map[string]any{
 		"version": fmt.Sprintf("r%d", d.version),
 		"limits": map[string]any{
-			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000,
+			"maxHeaderBytes": 16384, "maxBodyBytes": cmp.Or(c.bodyBytes, defaultBodyBytes), "headerTimeoutMs": 3000,
 			"idleTimeoutMs": cmp.Or(c.idle, defaultIdle).Milliseconds(),
 		},
 		"listeners": []any{map[string]any{"host": "h.example", "rules": rules}},
--- a/restart/doc.go
+++ b/restart/doc.go
@@ -1,3 +1,3 @@
-// Package restart tests planned stops of the built program: instances run as separate
-// processes and get real signals, and callers and upstreams count what was lost.
+// Package restart tests the built program: instances run as separate processes. Planned stops are played with
+// real signals, and callers and upstreams count what was lost; and upstreams send responses that are broken.
 package restart
--- a/restart/serve_test.go
+++ b/restart/serve_test.go
@@ -51,7 +51,7 @@
 	t      *testing.T
 	store  *standin.Store
 	api    *httptest.Server
-	up     *httptest.Server
+	up     string // address of the upstream
 	ip     string
 	logs   string // path of the file with the log of the instance
 	cmd    *exec.Cmd
@@ -72,6 +72,20 @@
 
 // newOwnDeployment starts an instance for the row, and waits until it is ready.
 func newOwnDeployment(t *testing.T, row ownRow) *ownDeployment {
+	t.Helper()
+	d := newOwnPlatform(t)
+	up := httptest.NewServer(d.upstream(row))
+	t.Cleanup(func() {
+		up.CloseClientConnections()
+		up.Close()
+	})
+	d.up = strings.TrimPrefix(up.URL, "http://")
+	d.start(row.limit)
+	return d
+}
+
+// newOwnPlatform returns a deployment that has no upstream and no instance yet.
+func newOwnPlatform(t *testing.T) *ownDeployment {
 	t.Helper()
 	d := &ownDeployment{
 		t: t, store: standin.NewStore(), ip: newAddress(), runs: make(map[string]int), exited: make(chan struct{}),
@@ -81,15 +95,15 @@
 		d.api.CloseClientConnections()
 		d.api.Close()
 	})
-	d.up = httptest.NewServer(d.upstream(row))
-	t.Cleanup(func() {
-		d.up.CloseClientConnections()
-		d.up.Close()
-	})
-	d.declare(row.limit)
+	return d
+}
+
+// start declares the service with its limit, starts an instance, and waits until it is ready.
+func (d *ownDeployment) start(limit time.Duration) {
+	d.t.Helper()
+	d.declare(limit)
 	d.launch()
 	d.await("the instance ready", d.ready)
-	return d
 }
 
 // upstream returns the handler of an upstream that takes the row's time for each request.
@@ -136,7 +150,7 @@
 	d.t.Helper()
 	text := fmt.Sprintf("kind: region\nname: one\ndomains: [a]\n---\nkind: service\nname: orders\npath: /orders\nlimit: %s\n"+
 		"workers:\n  - {at: %q, domain: a, slots: %d}\n---\n{kind: block, prefix: 127.0.0.0/8, region: one}\n",
-		limit, strings.TrimPrefix(d.up.URL, "http://"), serveSlots)
+		limit, d.up, serveSlots)
 	set, err := declaration.Parse(map[string][]byte{"f.yaml": []byte(text)})
 	if err != nil {
 		d.t.Fatal(err)
