response, dispatch: a response has a status from 200 to 599

Reported by other operators: an upstream in trouble sent a response with the status 000, and the client got it as a response.

Seen here: every status below 200 counted as that of an interim response. After a 000 (or 099, +20, 101) the next bytes were read as the next head, and a second head behind it reached the caller as its response; with a body and no second head the caller waited until its deadline. A status of 600 to 999 was passed on.

Cause: http.ReadResponse takes any three characters that are a number, and the range was checked nowhere.

Change: response.Read, which reads heads from now on, skips 100 to 199 only, and not 101: no request asks for another protocol. What is not 200 to 599 (RFC 9110, 15) is no response. The caller gets 502, or the request is sent again if it is idempotent, as with bytes that are not HTTP.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -198,7 +198,29 @@
 			response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", after: closeNow, status: 200, want: "hello",
 			kind: fault.Corrupt, execution: fault.MaybeExecuted,
 		},
-		"no answer":         {response: noResponse, after: closeNow, kind: fault.Corrupt, execution: fault.MaybeExecuted},
+		"no answer": {response: noResponse, after: closeNow, kind: fault.Corrupt, execution: fault.MaybeExecuted},
+		"status 000": {
+			response: "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n", kind: fault.Corrupt, execution: fault.MaybeExecuted,
+		},
+		"status 000 before a response": {
+			response: "HTTP/1.1 000 \r\n\r\n" + okResponse, kind: fault.Corrupt, execution: fault.MaybeExecuted,
+		},
+		"status 099 before a response": {
+			response: "HTTP/1.1 099 \r\n\r\n" + okResponse, kind: fault.Corrupt, execution: fault.MaybeExecuted,
+		},
+		"a status with a sign": {
+			response: "HTTP/1.1 +20 OK\r\n\r\n" + okResponse, kind: fault.Corrupt, execution: fault.MaybeExecuted,
+		},
+		"status 600": {
+			response: "HTTP/1.1 600 \r\nContent-Length: 2\r\n\r\nhi", kind: fault.Corrupt, execution: fault.MaybeExecuted,
+		},
+		"status 999": {
+			response: "HTTP/1.1 999 \r\nContent-Length: 2\r\n\r\nhi", kind: fault.Corrupt, execution: fault.MaybeExecuted,
+		},
+		"another protocol that was not asked for": {
+			response: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + okResponse,
+			kind:     fault.Corrupt, execution: fault.MaybeExecuted,
+		},
 		"not HTTP":          {response: "220 smtp ready\r\n\r\n", kind: fault.Corrupt, execution: fault.MaybeExecuted},
 		"before the body":   {response: "early " + okResponse, length: 1 << 22, body: strings.Repeat("x", 1<<22), status: 200, want: "hello"},
 		"body is cut short": {response: okResponse, length: 100, body: "short", kind: fault.Corrupt, execution: fault.MaybeExecuted},
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -27,7 +27,6 @@
 	copyBufferSize    = 32 << 10
 	maxHeadBytes      = 64 << 10 // bytes of the head of a response and of the interim (1xx) responses before it
 	defaultRetryAfter = 200 * time.Millisecond
-	maxHeads          = 8 // heads read for one response, those of interim (1xx) responses included
 	maxRetryAfter     = time.Minute
 	maxResponses      = 4       // responses read for one request, stale ones included
 	maxStaleBytes     = 1 << 20 // bytes of the body of a stale response
@@ -198,21 +197,11 @@
 	return err
 }
 
-// receive reads the head of the next final response. It skips interim (1xx) responses.
+// receive reads the next response up to its body.
 func (x *Exchange) receive() (*http.Response, error) {
-	req := &http.Request{Method: x.request.Method}
 	x.conn.setReadLimit(maxHeadBytes)
 	defer x.conn.clearReadLimit()
-	for range maxHeads {
-		resp, err := http.ReadResponse(x.conn.r, req)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-	return nil, errors.New("too many informational answers")
+	return response.Read(x.conn.r, x.request.Method)
 }
 
 // Run sends the request, checks the response and forwards it to the sink. It reports whether
--- a/response/response.go
+++ b/response/response.go
@@ -1,2 +1,48 @@
-// Package response decides whether an HTTP/1.1 response is whole.
+// Package response decides whether an HTTP/1.1 response is valid and whole.
 package response
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// maxHeads is how many heads are read for one response, those of interim responses included.
+const maxHeads = 8
+
+// Read reads the next final response to a request with the method, up to its body. It skips interim responses.
+func Read(r *bufio.Reader, method string) (*http.Response, error) {
+	req := &http.Request{Method: method}
+	for range maxHeads {
+		resp, err := http.ReadResponse(r, req)
+		if err != nil {
+			return nil, err
+		}
+		if interim(resp.StatusCode) {
+			continue
+		}
+		if err := Check(resp); err != nil {
+			return nil, err
+		}
+		return resp, nil
+	}
+	return nil, errors.New("too many interim responses")
+}
+
+// interim reports whether a final response follows one with the status. It does not after a 101: the connection
+// then carries another protocol, which no request asks for.
+func interim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// Check returns an error if a final response is not valid.
+func Check(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return fmt.Errorf("%d is no status of a response", resp.StatusCode)
+	}
+	return nil
+}
+
+// maxStatus is the highest status (RFC 9110, 15).
+const maxStatus = 599
--- a/response/response_test.go
+++ b/response/response_test.go
@@ -1,15 +1,64 @@
 package response
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
+
+	"github.com/google/go-cmp/cmp"
 )
 
+// TestRead checks which responses are valid, and what their bodies are.
+func TestRead(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+	type result struct {
+		Status int // 0 if the response is not valid
+		Body   string
+		Whole  bool
+	}
+	whole := func(status int, body string) result { return result{status, body, true} }
+	tests := map[string]struct {
+		method   string
+		response string
+		want     result
+	}{
+		"200":                     {"GET", ok, whole(200, "hi")},
+		"599":                     {"GET", "HTTP/1.1 599 x\r\nContent-Length: 2\r\n\r\nhi", whole(599, "hi")},
+		"behind interim ones":     {"GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 x\r\n\r\n" + ok, whole(200, "hi")},
+		"behind too many of them": {"GET", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxHeads) + ok, result{}},
+		"000":                     {"GET", "HTTP/1.1 000 x\r\n\r\n" + ok, result{}},
+		"000, no reason":          {"GET", "HTTP/1.1 000\r\n\r\n" + ok, result{}},
+		"099":                     {"GET", "HTTP/1.1 099 x\r\n\r\n" + ok, result{}},
+		"600":                     {"GET", "HTTP/1.1 600 x\r\nContent-Length: 2\r\n\r\nhi", result{}},
+		"999":                     {"GET", "HTTP/1.1 999 x\r\nContent-Length: 2\r\n\r\nhi", result{}},
+		"a sign":                  {"GET", "HTTP/1.1 +20 x\r\n\r\n" + ok, result{}},
+		"a sign below zero":       {"GET", "HTTP/1.1 -00 x\r\n\r\n" + ok, result{}},
+		"two digits":              {"GET", "HTTP/1.1 20 OK\r\n\r\n" + ok, result{}},
+		"four digits":             {"GET", "HTTP/1.1 2000 OK\r\n\r\n" + ok, result{}},
+		"another protocol":        {"GET", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + ok, result{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			resp, err := Read(bufio.NewReader(strings.NewReader(test.response)), test.method)
+			got := result{}
+			if err == nil {
+				body, err := io.ReadAll(resp.Body)
+				got = result{resp.StatusCode, string(body), err == nil}
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("%s\n%v", diff, err)
+			}
+		})
+	}
+}
+
 // TestCheckEnd checks which errors of writes show that a body without a length is not whole.
 func TestCheckEnd(t *testing.T) {
 	writeErr := func(err error) error {
