dispatch: the body of a refusal is not read

Reported by other operators: an upstream sent bytes without end, in a head or in a body, until the caller closed. In a body that is passed on back pressure bounds them here, and heads are bounded (TestEndless).

Found: a refusal, or a response that is not that of the request, whose body in chunks had no end was read to the deadline: 9.4 GB in the 60 s that the test allows. Nothing of it was kept, but the caller waited until its deadline, though its request had not run and another upstream could have got it.

Cause: the body was closed when the exchange ended, and package net/http reads the body of a response to its end when it is closed.

Change: it is not closed. The connection is, since it cannot be reused, and the body holds nothing else.

Evidence: of four new rows of TestEndless two fail on the commit before ("a refusal's chunks", "another's answer", 60 s and 9.4 GB each). The two others pass there: a body without a length is not read at its close, and the body of a late response was bounded before.

--- a/dispatch/endless_test.go
+++ b/dispatch/endless_test.go
@@ -32,6 +32,7 @@
 		// those in the read buffer of the connection.
 		mostRead = maxHeadBytes + bufferSize
 		ok       = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+		refused  = "HTTP/1.1 503 Busy\r\nRequest-Id: 1\r\nRan: no\r\n"
 	)
 	tests := map[string]struct {
 		first, endless string
@@ -47,6 +48,10 @@
 		"a chunk's extension":   {ok + "Transfer-Encoding: chunked\r\n\r\n5;", "a=b;", false, false},
 		"a chunk's size":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "0", false, false},
 		"a trailer":             {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", false, false},
+		"a refusal's body":      {refused + "\r\n", "bytes", false, false},
+		"a refusal's chunks":    {refused + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n", false, false},
+		"another's answer":      {"HTTP/1.1 200 OK\r\nRequest-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n", false, false},
+		"a late answer's body":  {"HTTP/1.1 200 OK\r\nRequest-Id: late\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n", false, false},
 		"behind the answer":     {ok + "Content-Length: 2\r\n\r\nhi", "bytes", true, false},
 		"a body with no length": {ok + "\r\n", "bytes", false, true},
 		"a chunked body":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n", false, true},
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -309,9 +309,9 @@
 }
 
 // forward forwards a response of the given class to the sink, if it is Accepted. It reports
-// whether the connection can be reused.
+// whether the connection can be reused. It does not close the body of the response: that would read it to its
+// end, which may never come.
 func (x *Exchange) forward(class ResponseClass, resp *http.Response, sink Sink) (bool, *failure) {
-	defer func() { _ = resp.Body.Close() }()
 	switch class {
 	case Accepted:
 	case Refused:
