response: names of fields have no blanks

Reported by other operators: an upstream in trouble sent a response in whose head the name of a field held a blank or a control byte, and the client got it, with that line passed on or with a body that was not the upstream's.

Seen here: "A B: c" was passed on to the caller. "Content-Length : 2" was not taken for a length, so that the body was read to the end of the connection. A line that begins with a blank became a part of the field before it. Control bytes in names and values were refused; those rows are kept.

Cause: the parser of net/textproto lets blanks in names through and leaves the check to its caller, and joins folded lines; http.ReadResponse does not check.

Change: package response parses heads itself. A field is a name that is a token, a colon and a value (RFC 9110, 5); anything else, folded lines included (RFC 9112, 5.2), makes the response invalid. Since the parser of net/http is no longer used, the body's length is decided here too, as it was: by the status, the chunks, the length, or the end of the connection. golang.org/x/net/http/httpguts, which was in the module graph, checks names and values.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -221,6 +221,15 @@
 			response: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + okResponse,
 			kind:     fault.Corrupt, execution: fault.MaybeExecuted,
 		},
+		"a blank before a colon": {
+			response: "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nhi", after: closeNow, kind: fault.Corrupt, execution: fault.MaybeExecuted,
+		},
+		"a blank in a name": {
+			response: "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 2\r\n\r\nhi", kind: fault.Corrupt, execution: fault.MaybeExecuted,
+		},
+		"a control byte in a name": {
+			response: "HTTP/1.1 200 OK\r\nA\x01B: c\r\nContent-Length: 2\r\n\r\nhi", kind: fault.Corrupt, execution: fault.MaybeExecuted,
+		},
 		"not HTTP":          {response: "220 smtp ready\r\n\r\n", kind: fault.Corrupt, execution: fault.MaybeExecuted},
 		"before the body":   {response: "early " + okResponse, length: 1 << 22, body: strings.Repeat("x", 1<<22), status: 200, want: "hello"},
 		"body is cut short": {response: okResponse, length: 100, body: "short", kind: fault.Corrupt, execution: fault.MaybeExecuted},
--- /dev/null
+++ b/response/body.go
@@ -0,0 +1,145 @@
+package response
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// maxTrailerBytes bounds the fields behind a body in chunks.
+const maxTrailerBytes = 16 << 10
+
+// setBody sets the body of a response to a request with the method, and whether the connection ends with it
+// (RFC 9112, 6.3 and 9.3). Reads of a body that ends too soon fail with io.ErrUnexpectedEOF.
+func setBody(resp *http.Response, r *bufio.Reader, method string) error {
+	length, chunked, err := framing(resp)
+	if err != nil {
+		return err
+	}
+	resp.ContentLength, resp.Close = length, closes(resp)
+	if chunked {
+		resp.TransferEncoding = []string{"chunked"}
+	}
+	switch {
+	case method == http.MethodHead:
+		resp.Body = http.NoBody
+	case resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified, length == 0:
+		resp.Body, resp.ContentLength = http.NoBody, 0
+	case chunked:
+		resp.Body = io.NopCloser(&chunkedBody{r: r, chunks: httputil.NewChunkedReader(r)})
+	case length > 0:
+		resp.Body = io.NopCloser(&fixedBody{io.LimitedReader{R: r, N: length}})
+	default:
+		resp.Body, resp.Close = io.NopCloser(r), true
+	}
+	return nil
+}
+
+// framing returns the length of the body that the fields state, or -1 if they state none, and whether the body is in
+// chunks. It leaves one Content-Length and no Transfer-Encoding in the header.
+func framing(resp *http.Response) (length int64, chunked bool, err error) {
+	codings := resp.Header["Transfer-Encoding"]
+	resp.Header.Del("Transfer-Encoding")
+	if len(codings) > 1 || len(codings) == 1 && !strings.EqualFold(codings[0], "chunked") {
+		return 0, false, fmt.Errorf("a transfer coding is not supported: %.*q", maxQuoted, codings)
+	}
+	length, err = contentLength(resp.Header)
+	if len(codings) == 1 {
+		resp.Header.Del("Content-Length")
+		length = -1
+	}
+	return length, len(codings) == 1, err
+}
+
+// contentLength returns the length in a header, or -1 if there is none. Equal ones count as one.
+func contentLength(h http.Header) (int64, error) {
+	values := h["Content-Length"]
+	if len(values) == 0 {
+		return -1, nil
+	}
+	for _, value := range values[1:] {
+		if value != values[0] {
+			return 0, fmt.Errorf("the lengths %.*q contradict each other", maxQuoted, values)
+		}
+	}
+	h.Set("Content-Length", values[0])
+	length, err := strconv.ParseUint(values[0], 10, 63)
+	if err != nil {
+		return 0, fmt.Errorf("%.*q is no length", maxQuoted, values[0])
+	}
+	return int64(length), nil
+}
+
+// closes reports whether the other side closes the connection behind the response.
+func closes(resp *http.Response) bool {
+	options := resp.Header["Connection"]
+	if httpguts.HeaderValuesContainsToken(options, "close") {
+		return true
+	}
+	return !resp.ProtoAtLeast(1, 1) && !httpguts.HeaderValuesContainsToken(options, "keep-alive")
+}
+
+// fixedBody is a body with a length.
+type fixedBody struct{ rest io.LimitedReader }
+
+// Read reads the next bytes.
+func (b *fixedBody) Read(p []byte) (int, error) {
+	n, err := b.rest.Read(p)
+	if err == io.EOF && b.rest.N > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunkedBody is a body in chunks with the fields behind it, which are dropped.
+type chunkedBody struct {
+	r      *bufio.Reader
+	chunks io.Reader
+	ended  bool
+}
+
+// Read reads the next bytes.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	n, err := b.chunks.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if err := skipTrailers(b.r); err != nil {
+		return n, err
+	}
+	b.ended = true
+	return n, io.EOF
+}
+
+// skipTrailers reads the fields behind a body in chunks, and the empty line behind them.
+func skipTrailers(r *bufio.Reader) error {
+	for total := 0; total < maxTrailerBytes; {
+		line, err := r.ReadSlice('\n')
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		total += len(line)
+		line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+		if len(line) == 0 {
+			return nil
+		}
+		if _, _, err := parseField(string(line)); err != nil {
+			return err
+		}
+	}
+	return errors.New("the fields behind the body are too long")
+}
--- a/response/response.go
+++ b/response/response.go
@@ -6,16 +6,22 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/textproto"
 )
 
-// maxHeads is how many heads are read for one response, those of interim responses included.
-const maxHeads = 8
+const (
+	// maxHeads is how many heads are read for one response, those of interim responses included.
+	maxHeads = 8
+	// maxStatus is the highest status (RFC 9110, 15).
+	maxStatus = 599
+)
 
 // Read reads the next final response to a request with the method, up to its body. It skips interim responses.
+// It does not limit the bytes that it reads of heads.
 func Read(r *bufio.Reader, method string) (*http.Response, error) {
-	req := &http.Request{Method: method}
+	text := textproto.Reader{R: r}
 	for range maxHeads {
-		resp, err := http.ReadResponse(r, req)
+		resp, err := readHead(&text)
 		if err != nil {
 			return nil, err
 		}
@@ -25,6 +31,9 @@
 		if err := Check(resp); err != nil {
 			return nil, err
 		}
+		if err := setBody(resp, r, method); err != nil {
+			return nil, err
+		}
 		return resp, nil
 	}
 	return nil, errors.New("too many interim responses")
@@ -43,6 +52,3 @@
 	}
 	return nil
 }
-
-// maxStatus is the highest status (RFC 9110, 15).
-const maxStatus = 599
--- a/response/response_test.go
+++ b/response/response_test.go
@@ -23,12 +23,13 @@
 		Body   string
 		Whole  bool
 	}
-	whole := func(status int, body string) result { return result{status, body, true} }
-	tests := map[string]struct {
+	type row struct {
 		method   string
 		response string
 		want     result
-	}{
+	}
+	whole := func(status int, body string) result { return result{status, body, true} }
+	tests := map[string]row{
 		"200":                     {"GET", ok, whole(200, "hi")},
 		"599":                     {"GET", "HTTP/1.1 599 x\r\nContent-Length: 2\r\n\r\nhi", whole(599, "hi")},
 		"behind interim ones":     {"GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 x\r\n\r\n" + ok, whole(200, "hi")},
@@ -42,8 +43,20 @@
 		"a sign below zero":       {"GET", "HTTP/1.1 -00 x\r\n\r\n" + ok, result{}},
 		"two digits":              {"GET", "HTTP/1.1 20 OK\r\n\r\n" + ok, result{}},
 		"four digits":             {"GET", "HTTP/1.1 2000 OK\r\n\r\n" + ok, result{}},
+		"all bytes of a token":    {"GET", "HTTP/1.1 200 OK\r\n0a!#$%&'*+-.^_`|~Z: 1\r\nContent-Length: 2\r\n\r\nhi", whole(200, "hi")},
+		"a value of odd bytes":    {"GET", "HTTP/1.1 200 OK\r\nA: \t\xe9 \"(\r\nContent-Length: 2\r\n\r\nhi", whole(200, "hi")},
+		"a value with a NUL":      {"GET", "HTTP/1.1 200 OK\r\nA: b\x00c\r\nContent-Length: 2\r\n\r\nhi", result{}},
+		"a value with a CR":       {"GET", "HTTP/1.1 200 OK\r\nA: b\rc\r\nContent-Length: 2\r\n\r\nhi", result{}},
 		"another protocol":        {"GET", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + ok, result{}},
 	}
+	for _, name := range []string{
+		"A ", "A B", " A", "", "A\t", "A\x00", "A\x01B", "A\x7f", "A\rB", "\xe9", "A\"", "A(", "A,", "A/", "A;", "A=", "A@", "A[", "A{", "Content-Length ",
+		"Transfer-Encoding ",
+	} {
+		head := "HTTP/1.1 %s x\r\nA: b\r\n" + name + ": 1\r\n"
+		tests[fmt.Sprintf("a field %q", name)] = row{"GET", fmt.Sprintf(head, "200") + "Content-Length: 2\r\n\r\nhi", result{}}
+		tests[fmt.Sprintf("a field %q of an interim response", name)] = row{"GET", fmt.Sprintf(head, "103") + "\r\n" + ok, result{}}
+	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			resp, err := Read(bufio.NewReader(strings.NewReader(test.response)), test.method)
--- a/restart/broken_test.go
+++ b/restart/broken_test.go
@@ -142,6 +142,9 @@
 		"status 000":                   {response: status("000") + "Content-Length: 4\r\n\r\nbody"},
 		"status 000 before a response": {response: "HTTP/1.1 000 \r\n\r\n" + brokenHead + "Content-Length: 4\r\n\r\nbody"},
 		"status 600":                   {response: status("600") + "Content-Length: 4\r\n\r\nbody"},
+		"a blank before a colon":       {response: brokenHead + "Content-Length : 4\r\n\r\nbody"},
+		"a blank in a name":            {response: brokenHead + "A B: c\r\nContent-Length: 4\r\n\r\nbody"},
+		"a control byte in a name":     {response: brokenHead + "A\x01B: c\r\nContent-Length: 4\r\n\r\nbody"},
 		"reset during an upload":       {response: brokenHead + "\r\npart", early: true, body: uploadSize},
 	}
 	interfaces := map[string]struct {
