response: a head that contradicts itself is no response

Found while all that reads responses was gone through for the class of the reported faults: a caller gets a body that is not the upstream's.

Seen: of a response with chunks and a Content-Length the chunks were passed on; of an HTTP/1.0 response with a transfer coding, its raw chunks; behind an interim response that states a length the body was read as the next head, and passed on as the response; a 204 with a length was passed on, and what followed was dropped; HTTP/2.0 and 0.9, control bytes in the reason, and two blanks before the status were taken for HTTP/1.1.

Cause: http.ReadResponse prefers one of two statements that contradict each other, and drops fields before anyone could compare them.

Change: framingOf compares status, version, Content-Length and Transfer-Encoding before one of them is used (RFC 9112, 6.1 and 6.3; RFC 9110, 8.6), of interim responses too. What counts as a response stands in one comment, that of package response.

--- a/response/body.go
+++ b/response/body.go
@@ -17,46 +17,57 @@
 // maxTrailerBytes bounds the fields behind a body in chunks.
 const maxTrailerBytes = 16 << 10
 
-// setBody sets the body of a response to a request with the method, and whether the connection ends with it
-// (RFC 9112, 6.3 and 9.3). Reads of a body that ends too soon fail with io.ErrUnexpectedEOF.
-func setBody(resp *http.Response, r *bufio.Reader, method string) error {
-	length, chunked, err := framing(resp)
+// framing is what the fields of a response state about its body.
+type framing struct {
+	length  int64 // -1 if no field states it
+	chunked bool
+}
+
+// framingOf returns the framing of a response, and an error if its fields contradict each other, or its status
+// (RFC 9112, 6.1 and 6.3; RFC 9110, 8.6): whoever wrote them may mean another body. It leaves at most one
+// Content-Length in the header.
+func framingOf(resp *http.Response) (framing, error) {
+	length, err := contentLength(resp.Header)
 	if err != nil {
-		return err
+		return framing{}, err
 	}
-	resp.ContentLength, resp.Close = length, closes(resp)
-	if chunked {
+	codings := resp.Header["Transfer-Encoding"]
+	f := framing{length: length, chunked: len(codings) > 0}
+	switch {
+	case len(codings) > 1, f.chunked && !strings.EqualFold(codings[0], "chunked"):
+		return framing{}, fmt.Errorf("the transfer codings %.*q are not supported", maxQuoted, codings)
+	case f.chunked && !resp.ProtoAtLeast(1, 1):
+		return framing{}, errors.New("a transfer coding in HTTP/1.0")
+	case f.chunked && length >= 0:
+		return framing{}, errors.New("a body in chunks with a length")
+	case bodyless(resp.StatusCode) && (f.chunked || length > 0):
+		return framing{}, fmt.Errorf("a body behind the status %d", resp.StatusCode)
+	}
+	return f, nil
+}
+
+// bodyless reports whether responses with the status have no body, and state none.
+func bodyless(status int) bool { return status < http.StatusOK || status == http.StatusNoContent }
+
+// setBody sets the body of a response to a request with the method, and whether the connection ends with it
+// (RFC 9112, 6.3 and 9.3). Reads of a body that ends too soon fail with io.ErrUnexpectedEOF.
+func setBody(resp *http.Response, f framing, r *bufio.Reader, method string) {
+	resp.ContentLength, resp.Close = f.length, closes(resp)
+	if f.chunked {
 		resp.TransferEncoding = []string{"chunked"}
 	}
 	switch {
 	case method == http.MethodHead:
 		resp.Body = http.NoBody
-	case resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified, length == 0:
+	case bodyless(resp.StatusCode), resp.StatusCode == http.StatusNotModified, f.length == 0:
 		resp.Body, resp.ContentLength = http.NoBody, 0
-	case chunked:
+	case f.chunked:
 		resp.Body = io.NopCloser(&chunkedBody{r: r, chunks: httputil.NewChunkedReader(r)})
-	case length > 0:
-		resp.Body = io.NopCloser(&fixedBody{io.LimitedReader{R: r, N: length}})
+	case f.length > 0:
+		resp.Body = io.NopCloser(&fixedBody{io.LimitedReader{R: r, N: f.length}})
 	default:
 		resp.Body, resp.Close = io.NopCloser(r), true
 	}
-	return nil
-}
-
-// framing returns the length of the body that the fields state, or -1 if they state none, and whether the body is in
-// chunks. It leaves one Content-Length and no Transfer-Encoding in the header.
-func framing(resp *http.Response) (length int64, chunked bool, err error) {
-	codings := resp.Header["Transfer-Encoding"]
-	resp.Header.Del("Transfer-Encoding")
-	if len(codings) > 1 || len(codings) == 1 && !strings.EqualFold(codings[0], "chunked") {
-		return 0, false, fmt.Errorf("a transfer coding is not supported: %.*q", maxQuoted, codings)
-	}
-	length, err = contentLength(resp.Header)
-	if len(codings) == 1 {
-		resp.Header.Del("Content-Length")
-		length = -1
-	}
-	return length, len(codings) == 1, err
 }
 
 // contentLength returns the length in a header, or -1 if there is none. Equal ones count as one.
--- a/response/head.go
+++ b/response/head.go
@@ -56,7 +56,7 @@
 	code, _, _ := strings.Cut(status, " ")
 	major, minor, ok := http.ParseHTTPVersion(proto)
 	number, err := strconv.Atoi(code)
-	if !ok || err != nil || len(code) != 3 {
+	if !ok || major != 1 || err != nil || len(code) != 3 || !httpguts.ValidHeaderFieldValue(line) {
 		return nil, fmt.Errorf("%.*q is no status line", maxQuoted, line)
 	}
 	return &http.Response{Proto: proto, ProtoMajor: major, ProtoMinor: minor, Status: status, StatusCode: number}, nil
--- a/response/response.go
+++ b/response/response.go
@@ -1,4 +1,21 @@
-// Package response decides whether an HTTP/1.1 response is valid and whole.
+// Package response decides what counts as the response to a request over HTTP/1.1.
+//
+// A response is valid if its head is one (RFC 9112, 2 to 5; RFC 9110, 5 and 15): a status line of HTTP/1, a status from
+// 200 to 599, and fields whose names are tokens and whose values have no control bytes. Interim responses before it are
+// valid in the same way, with a status from 100 to 199, but not 101. The fields must not contradict each other, or
+// the status, about the body (RFC 9112, 6.3).
+//
+// A response is whole if it is valid and its body was read to the end that its head states (RFC 9112, 6.3 and 8):
+// none behind a HEAD request or the status 204 or 304, the last chunk and the fields behind it, the length, or else
+// the end of the connection. A connection ends by a close of the other side. A reset, or any other loss, is no end.
+//
+// A response is that of an upstream to a request if it is read on a connection that carries no other request, and if
+// the fields by which the protocol with the upstream names request and upstream agree. The types that implement
+// dispatch.Dialect decide the latter.
+//
+// In doubt a response is not one: the caller does not get it, or, once a part was forwarded, sees its connection
+// break. Whether the request may be sent again does not depend on what was read, but for a valid refusal: it may have
+// been executed as soon as a byte of it was sent (package fault).
 package response
 
 import (
@@ -25,15 +42,17 @@
 		if err != nil {
 			return nil, err
 		}
+		f, err := framingOf(resp)
+		if err != nil {
+			return nil, err
+		}
 		if interim(resp.StatusCode) {
 			continue
 		}
 		if err := Check(resp); err != nil {
 			return nil, err
 		}
-		if err := setBody(resp, r, method); err != nil {
-			return nil, err
-		}
+		setBody(resp, f, r, method)
 		return resp, nil
 	}
 	return nil, errors.New("too many interim responses")
--- a/restart/broken_test.go
+++ b/restart/broken_test.go
@@ -145,7 +145,12 @@
 		"a blank before a colon":       {response: brokenHead + "Content-Length : 4\r\n\r\nbody"},
 		"a blank in a name":            {response: brokenHead + "A B: c\r\nContent-Length: 4\r\n\r\nbody"},
 		"a control byte in a name":     {response: brokenHead + "A\x01B: c\r\nContent-Length: 4\r\n\r\nbody"},
-		"reset during an upload":       {response: brokenHead + "\r\npart", early: true, body: uploadSize},
+		"chunks and a length":          {response: brokenHead + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n"},
+		"a body of an interim response": {
+			response: "HTTP/1.1 103 Early Hints\r\nContent-Length: 200\r\n\r\n" + brokenHead + "Content-Length: 4\r\n\r\nbody",
+		},
+		"HTTP/2.0":               {response: strings.Replace(brokenHead, "HTTP/1.1", "HTTP/2.0", 1) + "Content-Length: 4\r\n\r\nbody"},
+		"reset during an upload": {response: brokenHead + "\r\npart", early: true, body: uploadSize},
 	}
 	interfaces := map[string]struct {
 		start func(*brokenUpstream, *testing.T) string
