platform, upstream, response: a response that contradicts itself is not the upstream's

Found while all that reads responses was gone through: what a head says of its request, of its upstream and of the run was read from the first of several values, and in an order that hid contradictions.

Seen: an upstream that answers an order with 200, its MAC and "not executed" counted as one that refused it. The caller got 503, which promises that the order has not run, after it had. On the own interface "Ran: no" beside "Ran: yes" counted as not run.

Change: response.Single says whether a field that states one thing does. Equal values count as one.

--- a/hosted/raw_test.go
+++ b/hosted/raw_test.go
@@ -226,3 +226,24 @@
 		}
 	}
 }
+
+// TestContradictoryRefusal guards against a request that must not run twice and is sent to a second upstream, since the
+// first one answered it with a success that says that it has not run.
+func TestContradictoryRefusal(t *testing.T) {
+	c := newCluster(t)
+	c.configure(orders)
+	respond := func(conn net.Conn, _ int, id string) bool {
+		_, _ = io.WriteString(conn, strings.Replace(sealed(id, "body"), "\r\n", "\r\nHickorydrum-Not-Executed: 1\r\n", 1))
+		return true
+	}
+	first, second := c.rawUpstream("i-1", respond), c.rawUpstream("i-2", respond)
+	m := c.start("m", "one-a")
+	c.ready(m, 2)
+	got := c.send(m, callerRequest{method: http.MethodPost, path: "/order/a", id: "order"})
+	if got.Status != http.StatusBadGateway {
+		t.Errorf("the caller gets %+v, want 502", got)
+	}
+	if runs := first.ran("order") + second.ran("order"); runs != 1 {
+		t.Errorf("the request was run %d times", runs)
+	}
+}
--- a/response/body.go
+++ b/response/body.go
@@ -70,22 +70,21 @@
 	}
 }
 
-// contentLength returns the length in a header, or -1 if there is none. Equal ones count as one.
+// contentLength returns the length in a header, or -1 if there is none. Equal ones become one.
 func contentLength(h http.Header) (int64, error) {
-	values := h["Content-Length"]
-	if len(values) == 0 {
+	const name = "Content-Length"
+	if len(h.Values(name)) == 0 {
 		return -1, nil
 	}
-	for _, value := range values[1:] {
-		if value != values[0] {
-			return 0, fmt.Errorf("the lengths %.*q contradict each other", maxQuoted, values)
-		}
+	value, ok := Single(h, name)
+	if !ok {
+		return 0, fmt.Errorf("the lengths %.*q contradict each other", maxQuoted, h.Values(name))
 	}
-	h.Set("Content-Length", values[0])
-	length, err := strconv.ParseUint(values[0], 10, 63)
+	length, err := strconv.ParseUint(value, 10, 63)
 	if err != nil {
-		return 0, fmt.Errorf("%.*q is no length", maxQuoted, values[0])
+		return 0, fmt.Errorf("%.*q is no length", maxQuoted, value)
 	}
+	h.Set(name, value)
 	return int64(length), nil
 }
 
--- a/response/response.go
+++ b/response/response.go
@@ -71,3 +71,15 @@
 	}
 	return nil
 }
+
+// Single returns the value of a field that states one thing, such as an ID, or "" if there is none. It reports false if
+// the field is there several times and the values contradict each other.
+func Single(h http.Header, name string) (value string, ok bool) {
+	values := h.Values(name)
+	for _, other := range values {
+		if other != values[0] {
+			return "", false
+		}
+	}
+	return h.Get(name), true
+}
--- a/response/response_test.go
+++ b/response/response_test.go
@@ -200,3 +200,30 @@
 		})
 	}
 }
+
+// TestSingle checks which values a field has that states one thing.
+func TestSingle(t *testing.T) {
+	type result struct {
+		Value string
+		OK    bool
+	}
+	tests := map[string]struct {
+		values []string
+		want   result
+	}{
+		"none":            {nil, result{"", true}},
+		"one":             {[]string{"a"}, result{"a", true}},
+		"the same":        {[]string{"a", "a", "a"}, result{"a", true}},
+		"another":         {[]string{"a", "a", "b"}, result{"", false}},
+		"an empty one":    {[]string{""}, result{"", true}},
+		"one and nothing": {[]string{"", "a"}, result{"", false}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			value, ok := Single(http.Header{"A": test.values}, "A")
+			if diff := cmp.Diff(test.want, result{value, ok}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -353,6 +353,10 @@
 		"crossed":          {200, http.Header{"Request-Id": {"2"}, "Busy": {"3"}}, dispatch.Invalid, -1},
 		"refused unrun":    {503, http.Header{"Ran": {"no"}}, dispatch.Refused, -1},
 		"503, may be run":  {503, http.Header{}, dispatch.Accepted, -1},
+		"two ids":          {200, http.Header{"Request-Id": {"1", "2"}}, dispatch.Invalid, -1},
+		"its id twice":     {200, http.Header{"Request-Id": {"1", "1"}, "Busy": {"3"}}, dispatch.Accepted, 3},
+		"run and not run":  {503, http.Header{"Ran": {"no", "yes"}}, dispatch.Accepted, -1},
+		"not run, twice":   {503, http.Header{"Ran": {"no", "no"}}, dispatch.Refused, -1},
 		"an odd busy word": {200, http.Header{"Busy": {"very"}}, dispatch.Accepted, -1},
 	}
 	for name, test := range tests {
--- a/upstream/protocol.go
+++ b/upstream/protocol.go
@@ -11,6 +11,7 @@
 	"hickorydrum/dispatch"
 	"hickorydrum/fault"
 	"hickorydrum/limit"
+	"hickorydrum/response"
 )
 
 // Headers of the protocol with callers and upstreams.
@@ -64,18 +65,20 @@
 	if strings.TrimSpace(resp.Header.Get(HeaderLeaving)) == "1" {
 		d.reporter.reportLeaving()
 	}
-	if id := resp.Header.Get(HeaderRequestID); id != "" && id != r.ID {
+	id, oneID := response.Single(resp.Header, HeaderRequestID)
+	if !oneID || id != "" && id != r.ID {
 		return dispatch.Invalid
 	}
 	if busy, err := strconv.Atoi(strings.TrimSpace(resp.Header.Get(HeaderBusy))); err == nil && busy >= 0 {
 		d.reporter.reportLoad(busy)
 	}
 	shed := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-	refused := shed && resp.Header.Get(HeaderRan) == string(fault.NotExecuted)
+	ran, oneRan := response.Single(resp.Header, HeaderRan)
+	refused := shed && oneRan && ran == string(fault.NotExecuted)
 	if perSecond, named, err := limit.Parse(resp.Header.Values(HeaderLimit)); err == nil {
 		d.reporter.reportLimit(limit.Response{Named: named, PerSecond: perSecond, Executed: !refused})
 	}
-	if refused && r.Reused && resp.Header.Get(HeaderRequestID) != r.ID {
+	if refused && r.Reused && id != r.ID {
 		return dispatch.Invalid // it may be the refusal of an earlier request once more
 	}
 	if wait, named, _ := dispatch.ParseRetryAfter(resp.Header, time.Now()); shed && named {
