dispatch: headers of the connection are removed before a response is classified

Found while all that reads responses was gone through. An upstream that names the field with its MAC in Connection (RFC 9110, 7.6.1) made a caller behind the platform's interface get a success without a MAC: the field was there when the response was classified, and was then removed as one that concerns the connection only.

Change: the headers of the connection are removed as soon as a head has been read, so that what is classified is what the caller gets.

Evidence: on the commit before, the caller gets 200 without a MAC (hosted TestInvalidSuccess, "its MAC for the connection only"); now 502.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -113,6 +113,8 @@
 	conn     *Conn
 	bodyRead atomic.Bool    // the request body has been read to its end
 	accepted *http.Response // the response that was forwarded
+	// usableUntil is until when the connection may be reused after the response that was read last.
+	usableUntil time.Time
 }
 
 // NewExchange returns the exchange of a request on a connection. Until Run returns, nothing
@@ -197,11 +199,17 @@
 	return err
 }
 
-// receive reads the next response up to its body.
+// receive reads the next response up to its body, without the headers that concern the connection only.
 func (x *Exchange) receive() (*http.Response, error) {
 	x.conn.setReadLimit(maxHeadBytes)
 	defer x.conn.clearReadLimit()
-	return response.Read(x.conn.r, x.request.Method)
+	resp, err := response.Read(x.conn.r, x.request.Method)
+	if err != nil {
+		return nil, err
+	}
+	x.usableUntil = keepAliveUntil(resp.Header, time.Now())
+	StripHop(resp.Header)
+	return resp, nil
 }
 
 // Run sends the request, checks the response and forwards it to the sink. It reports whether
@@ -323,10 +331,7 @@
 	default:
 		return false, &failure{kind: fault.Corrupt, text: "the upstream's answer does not belong to the request"}
 	}
-	header := resp.Header
-	usableUntil := keepAliveUntil(header, time.Now())
-	StripHop(header)
-	if err := sink.Head(Head{Status: resp.StatusCode, Header: header, Length: resp.ContentLength}); err != nil {
+	if err := sink.Head(Head{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}); err != nil {
 		return false, &failure{kind: fault.Corrupt, text: "the caller is gone", cause: err}
 	}
 	buf := buffers.Get().(*[]byte)
@@ -342,7 +347,7 @@
 		return false, &failure{kind: fault.Corrupt, text: "the answer was cut short", cause: err}
 	}
 	x.accepted = resp
-	x.conn.lastResponse, x.conn.usableUntil = time.Now(), usableUntil
+	x.conn.lastResponse, x.conn.usableUntil = time.Now(), x.usableUntil
 	return !resp.Close, nil
 }
 
--- a/hosted/raw_test.go
+++ b/hosted/raw_test.go
@@ -227,23 +227,33 @@
 	}
 }
 
-// TestContradictoryRefusal guards against a request that must not run twice and is sent to a second upstream, since the
-// first one answered it with a success that says that it has not run.
-func TestContradictoryRefusal(t *testing.T) {
-	c := newCluster(t)
-	c.configure(orders)
-	respond := func(conn net.Conn, _ int, id string) bool {
-		_, _ = io.WriteString(conn, strings.Replace(sealed(id, "body"), "\r\n", "\r\nHickorydrum-Not-Executed: 1\r\n", 1))
-		return true
-	}
-	first, second := c.rawUpstream("i-1", respond), c.rawUpstream("i-2", respond)
-	m := c.start("m", "one-a")
-	c.ready(m, 2)
-	got := c.send(m, callerRequest{method: http.MethodPost, path: "/order/a", id: "order"})
-	if got.Status != http.StatusBadGateway {
-		t.Errorf("the caller gets %+v, want 502", got)
-	}
-	if runs := first.ran("order") + second.ran("order"); runs != 1 {
-		t.Errorf("the request was run %d times", runs)
+// TestInvalidSuccess guards against a caller that gets a success which its upstream didn't make, or a promise that its
+// request has not run, and against a second run, if an upstream answers with a success that has one odd field.
+func TestInvalidSuccess(t *testing.T) {
+	for name, field := range map[string]string{
+		"not executed":                    "Hickorydrum-Not-Executed: 1",
+		"its MAC for the connection only": "Connection: Hickorydrum-Server-Seal",
+		"two MACs":                        "Hickorydrum-Server-Seal: y",
+		"two ids":                         "Hickorydrum-Attempt-Id: other",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			c.configure(orders)
+			respond := func(conn net.Conn, _ int, id string) bool {
+				_, _ = io.WriteString(conn, strings.Replace(sealed(id, "body"), "\r\n", "\r\n"+field+"\r\n", 1))
+				return true
+			}
+			first, second := c.rawUpstream("i-1", respond), c.rawUpstream("i-2", respond)
+			m := c.start("m", "one-a")
+			c.ready(m, 2)
+			got := c.send(m, callerRequest{method: http.MethodPost, path: "/order/a", id: "order"})
+			if got.Status != http.StatusBadGateway {
+				t.Errorf("the caller gets %+v, want 502", got)
+			}
+			if runs := first.ran("order") + second.ran("order"); runs != 1 {
+				t.Errorf("the request was run %d times", runs)
+			}
+		})
 	}
 }
