--- a/dispatch/endless_test.go
+++ b/dispatch/endless_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"hickorydrum/response"
 )
 
 // countingSink is a sink that counts the bytes of the body and discards them.
@@ -30,7 +32,7 @@
 	const (
 		// mostRead is how many bytes may be read of a response whose head never ends, including
 		// those in the read buffer of the connection.
-		mostRead = maxHeadBytes + bufferSize
+		mostRead = response.MaxHeadBytes + bufferSize
 		ok       = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
 		refused  = "HTTP/1.1 503 Busy\r\nRequest-Id: 1\r\nRan: no\r\n"
 	)
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -25,7 +25,6 @@
 
 const (
 	copyBufferSize    = 32 << 10
-	maxHeadBytes      = 64 << 10 // bytes of the head of a response and of the interim (1xx) responses before it
 	defaultRetryAfter = 200 * time.Millisecond
 	maxRetryAfter     = time.Minute
 	maxResponses      = 4       // responses read for one request, stale ones included
@@ -201,7 +200,7 @@
 
 // receive reads the next response up to its body, without the headers that concern the connection only.
 func (x *Exchange) receive() (*http.Response, error) {
-	x.conn.setReadLimit(maxHeadBytes)
+	x.conn.setReadLimit(response.MaxHeadBytes)
 	defer x.conn.clearReadLimit()
 	resp, err := response.Read(x.conn.r, x.request.Method)
 	if err != nil {
--- a/response/response.go
+++ b/response/response.go
@@ -16,6 +16,10 @@
 // In doubt a response is not one: the caller does not get it, or, once a part was forwarded, sees its connection
 // break. Whether the request may be sent again does not depend on what was read, but for a valid refusal: it may have
 // been executed as soon as a byte of it was sent (package fault).
+//
+// Read and CheckEnd decide this for the requests of callers. All other calls, to the store, to peers, to health pages and by
+// commands, are made by package net/http, which reads heads and bodies itself. A client of NewClient refuses what is
+// not valid as far as that can be found afterwards, and the body must be a whole document of its format.
 package response
 
 import (
@@ -49,7 +53,7 @@
 		if interim(resp.StatusCode) {
 			continue
 		}
-		if err := Check(resp); err != nil {
+		if err := checkStatus(resp.StatusCode); err != nil {
 			return nil, err
 		}
 		setBody(resp, f, r, method)
@@ -64,10 +68,10 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// Check returns an error if a final response is not valid.
-func Check(resp *http.Response) error {
-	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
-		return fmt.Errorf("%d is no status of a response", resp.StatusCode)
+// checkStatus returns an error if a final response cannot have the status.
+func checkStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return fmt.Errorf("%d is no status of a response", status)
 	}
 	return nil
 }
