response: clients follow no redirects

Found in the other places that read responses: is it the server's that was called?

Seen: package net/http follows redirects. A write that the store answered with 302 became a read of another place, and its success that of the write: the caller of platform.Client.Put got a version for an object that was not written.

Change: clients of response.NewClient take a redirect for the response that it is. No server that instances or commands call has a reason for one.

Evidence: the row "the object is elsewhere" of platform TestBrokenResponses fails on the commit before (a read and a write get the object of the other place) and passes now.

--- a/response/client.go
+++ b/response/client.go
@@ -11,9 +11,13 @@
 // MaxHeadBytes bounds the head of a response, and of the interim responses before it.
 const MaxHeadBytes = 64 << 10
 
-// NewClient returns a client that takes only responses for which Check finds no fault. A timeout of 0 is none.
+// NewClient returns a client that takes only responses for which Check finds no fault, and the ones of the server that
+// it calls: it follows no redirects. A timeout of 0 is none.
 func NewClient(transport http.RoundTripper, timeout time.Duration) *http.Client {
-	return &http.Client{Transport: checkedTransport{transport}, Timeout: timeout}
+	return &http.Client{
+		Transport: checkedTransport{transport}, Timeout: timeout,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // checkedTransport fails calls whose response is not valid.
