upstream: health pages are valid responses

Found in the other places that read responses. A health page that says "draining" takes an upstream out of use, and one with another start makes it a new one. It was believed with the status 000 or 600 too, and with a blank in the name of a field, and from another server if the upstream answered with a redirect.

Change: the prober's client is one of response.NewClient.

--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/interval"
+	"hickorydrum/response"
 )
 
 const (
@@ -48,7 +49,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: pool.bind}
 	}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdle}
-	return &Prober{pool: pool, client: &http.Client{Transport: transport, Timeout: probeTimeout}}
+	return &Prober{pool: pool, client: response.NewClient(transport, probeTimeout)}
 }
 
 // Run calls Probe every probeInterval until the context is done.
