upstream: the head of a health page is bounded

Reported by other operators: a faulty upstream sent bytes without end, and the machine that had called it kept them until it ran out of memory.

Seen: of a health page whose head does not end an instance of the own interface read and kept 10 MiB, the default of package net/http, for each of up to 32 upstreams at a time: 320 MiB.

Change: a head has 64 KiB at most, as elsewhere.

Evidence: upstream TestProbeEndless counts what is read from the connection.

--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -48,8 +48,14 @@
 	if pool.bind != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: pool.bind}
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdle}
-	return &Prober{pool: pool, client: response.NewClient(transport, probeTimeout)}
+	return &Prober{pool: pool, client: newProbeClient(dialer.DialContext)}
+}
+
+// newProbeClient returns the client of a prober whose connections are made by dial.
+func newProbeClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return response.NewClient(&http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdle, MaxResponseHeaderBytes: response.MaxHeadBytes,
+	}, probeTimeout)
 }
 
 // Run calls Probe every probeInterval until the context is done.
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -2,25 +2,26 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"golang.org/x/sync/errgroup"
 )
 
-// startPage starts a health page that writes the bytes to each request, and then the endless ones until the
-// connection is closed. The returned function ends it and returns how many bytes were written.
-func startPage(t *testing.T, response, endless string) (address string, end func() int) {
+// startPage starts a health page that writes the bytes to one request, and then the endless ones until the connection
+// is closed. The returned function waits for its end.
+func startPage(t *testing.T, response, endless string) (address string, wait func()) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var group errgroup.Group
-	written := 0
 	group.Go(func() error {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -35,21 +36,30 @@
 		}
 		part := strings.Repeat(endless, 1+4096/max(1, len(endless)))
 		for err == nil && part != "" {
-			var n int
-			n, err = io.WriteString(conn, part)
-			written += n
+			_, err = io.WriteString(conn, part)
 		}
 		return nil // the prober has closed the connection
 	})
-	return listener.Addr().String(), func() int {
+	return listener.Addr().String(), func() {
 		_ = listener.Close()
 		if err := group.Wait(); err != nil {
 			t.Error(err)
 		}
-		return written
 	}
 }
 
+// countedConn counts the bytes that are read from a connection.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
 // TestProbeResponses guards against health pages that are no responses, or not those of the upstream, and that set
 // the state of an upstream.
 func TestProbeResponses(t *testing.T) {
@@ -67,13 +77,47 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			address, end := startPage(t, test.response, "")
+			address, wait := startPage(t, test.response, "")
 			p := NewProber(&Pool{})
 			page, err := p.fetch(t.Context(), address, "/health")
 			if (err == nil) != test.ok {
 				t.Errorf("the page is %v, %v", page, err)
 			}
-			end()
+			wait()
+		})
+	}
+}
+
+// TestProbeEndless guards against an upstream that sends bytes without end in its health page: the pages of maxProbes
+// upstreams are read at a time.
+func TestProbeEndless(t *testing.T) {
+	// maxRead is how many bytes may be read of one page, so that maxProbes take 8 MiB at most.
+	const maxRead = 8 << 20 / maxProbes
+	tests := map[string]struct{ response, endless string }{
+		"a status line": {"HTTP/1.1 200 ", "OK"},
+		"a field":       {"HTTP/1.1 200 OK\r\nA: ", "b"},
+		"fields":        {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"a body":        {"HTTP/1.1 200 OK\r\n\r\n", " "},
+		"a chunked one": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\n \r\n"},
+		"interim ones":  {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, wait := startPage(t, test.response, test.endless)
+			var read atomic.Int64
+			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return countedConn{conn, &read}, err
+			}
+			p := &Prober{client: newProbeClient(dial)}
+			if page, err := p.fetch(t.Context(), address, "/health"); err == nil {
+				t.Errorf("the page is %v", page)
+			}
+			p.client.CloseIdleConnections()
+			wait()
+			if n := read.Load(); n > maxRead {
+				t.Errorf("%d bytes were read, want at most %d", n, maxRead)
+			}
 		})
 	}
 }
