command: responses of instances are bounded, valid, and quoted

Reported by other operators: bytes without end, which the program that had called kept until it ran out of memory.

Seen: `status` and `lookup` kept all that an instance sent until their deadline, 5.8 and 8.0 GB in 10 s on loopback. What an instance sent with an error was printed as it was, with control bytes for the terminal, 4 MB of them in the test. A head with a blank in a name was accepted.

Cause: the body was read by io.ReadAll through the default client, and put into the error's text.

Change: a body has 64 MiB at most, a head 64 KiB; the client is one of response.NewClient; an error quotes 200 characters.

--- a/command/command.go
+++ b/command/command.go
@@ -20,6 +20,7 @@
 	"hickorydrum/fault"
 	"hickorydrum/instance"
 	"hickorydrum/platform"
+	"hickorydrum/response"
 	"hickorydrum/rollout"
 	"hickorydrum/setting"
 )
@@ -27,7 +28,13 @@
 // Version is the version of the program.
 const Version = "0.1.0"
 
-const callTimeout = 10 * time.Second
+const (
+	callTimeout = 10 * time.Second
+	// maxResponseBytes bounds the body of an instance's response.
+	maxResponseBytes = 64 << 20
+	// maxQuoted is how many characters of a response that reports an error are printed.
+	maxQuoted = 200
+)
 
 // Run runs the command line args and returns the exit code: 0 for success, 1 for a failure,
 // 2 for an invalid command line, settings or files.
@@ -233,6 +240,9 @@
 	return b
 }
 
+// client calls instances. Each call has a deadline of its own.
+var client = response.NewClient(&http.Transport{MaxResponseHeaderBytes: response.MaxHeadBytes}, 0)
+
 // getJSON decodes the response to a GET request into the variable that into points to. Any
 // status but 200 is an error.
 func getJSON(ctx context.Context, url string, into any) error {
@@ -242,17 +252,17 @@
 	if err != nil {
 		return fault.New(fault.Invalid, "the address is not usable", "write it such as 10.1.0.4:8080", fault.WithCause(err))
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return fault.New(fault.Unavailable, "the instance does not answer", "name another instance", fault.WithCause(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := response.ReadBody(resp, maxResponseBytes)
 	if err != nil {
-		return err
+		return fault.New(fault.Corrupt, "the instance's response cannot be read", "name another instance", fault.WithCause(err))
 	}
 	if resp.StatusCode != http.StatusOK {
-		return fault.New(fault.Unavailable, "the instance answered "+resp.Status+": "+string(body), "")
+		return fault.New(fault.Unavailable, fmt.Sprintf("the instance answered %.*q: %.*q", maxQuoted, resp.Status, maxQuoted, body), "")
 	}
 	return json.Unmarshal(body, into)
 }
--- a/response/client.go
+++ b/response/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -20,6 +21,18 @@
 	}
 }
 
+// ReadBody reads the body of a response, which may have the given number of bytes at most.
+func ReadBody(resp *http.Response, maxBytes int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > maxBytes {
+		return nil, fmt.Errorf("the body has more than %d bytes", maxBytes)
+	}
+	return body, nil
+}
+
 // checkedTransport fails calls whose response is not valid.
 type checkedTransport struct{ http.RoundTripper }
 
