hosted: states of peers are valid responses

Found in the other places that read responses. A state that a peer sent was taken from a head with a blank in a name, and, if the peer answered with a redirect, from another server.

Change: the client for peers is one of response.NewClient; the bound of a head is the common one.

Peers of the own interface send frames over QUIC with bounds of their own (peer FuzzDecode); by reading.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -17,6 +17,7 @@
 	"hickorydrum/gossip"
 	"hickorydrum/mirror"
 	"hickorydrum/platform"
+	"hickorydrum/response"
 )
 
 const (
@@ -117,8 +118,8 @@
 type follower struct {
 	store     Store
 	mesh      peerMesh
-	client    *http.Client
-	port      uint16 // of the control addresses of all instances
+	client    *http.Client // calls peers
+	port      uint16       // of the control addresses of all instances
 	log       *slog.Logger
 	onChange  func(kind string)
 	started   time.Time
@@ -196,7 +197,7 @@
 
 // withTransport sets how peers are called. The default is HTTP.
 func withTransport(transport http.RoundTripper) followerOption {
-	return func(f *follower) { f.client.Transport = transport }
+	return func(f *follower) { f.client = response.NewClient(transport, peerTimeout) }
 }
 
 // defaultBound is the time within which a change has to be in force if it is not set.
@@ -211,7 +212,7 @@
 		store: store, mesh: mesh, port: port, log: log, onChange: onChange, started: time.Now(),
 		mirrors: make(map[string]*mirror.Mirror), watches: make(map[string]*watch), wake: make(chan struct{}, 1),
 		nudged: make(chan struct{}, 1), now: clock.Now, ages: make(map[string]*metrics.Gauge),
-		client: &http.Client{Timeout: peerTimeout}, stateCache: make(map[string][]byte),
+		stateCache: make(map[string][]byte),
 	}
 	f.setBound(defaultBound)
 	for _, kind := range kinds() {
@@ -226,8 +227,8 @@
 		option(f)
 	}
 	f.confirming.record, f.confirming.seen = freshness.NewRecord(kinds(), f.now()), make(map[uint64]bool)
-	if f.client.Transport == nil {
-		f.client.Transport = newPeerTransport(f.budget())
+	if f.client == nil {
+		f.client = response.NewClient(newPeerTransport(f.budget()), peerTimeout)
 	}
 	return f
 }
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -23,6 +23,7 @@
 	"hickorydrum/interval"
 	"hickorydrum/mirror"
 	"hickorydrum/platform"
+	"hickorydrum/response"
 )
 
 const (
@@ -32,10 +33,8 @@
 	// afterOutageTimeout is how long an instance waits for a peer's state after an outage of the
 	// store, before it watches the store again.
 	afterOutageTimeout = 500 * time.Millisecond
-	// maxHeaderBytes is the largest header of a peer's response.
-	maxHeaderBytes = 64 << 10
-	peerTimeout    = time.Second
-	maxStateBytes  = 16 << 20 // of an encoded state, before and after decompression
+	peerTimeout        = time.Second
+	maxStateBytes      = 16 << 20 // of an encoded state, before and after decompression
 	// minCompressBytes is the size from which an encoded state is compressed.
 	minCompressBytes = 16 << 10
 )
@@ -45,7 +44,7 @@
 func newPeerTransport(budget freshness.Budget) *http.Transport {
 	return &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: budget.Peer()}).DialContext,
-		DisableCompression: true, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression: true, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: response.MaxHeadBytes,
 		ResponseHeaderTimeout: budget.Peer(),
 	}
 }
--- a/hosted/withdraw_test.go
+++ b/hosted/withdraw_test.go
@@ -98,15 +98,15 @@
 	}
 }
 
-// response is a response with the time after which the caller should come back.
-type response struct {
+// retryResponse is a response with the time after which the caller should come back.
+type retryResponse struct {
 	status     int
 	retryAfter time.Duration
 	took       time.Duration
 }
 
 // sendForRetry sends a request and returns the response.
-func (c *cluster) sendForRetry(m *member, q callerRequest) response {
+func (c *cluster) sendForRetry(m *member, q callerRequest) retryResponse {
 	c.t.Helper()
 	r, err := q.build(m)
 	if err != nil {
@@ -115,11 +115,11 @@
 	begun := time.Now()
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		return response{}
+		return retryResponse{}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64) // 0 without one
-	return response{resp.StatusCode, time.Duration(seconds * float64(time.Second)), time.Since(begun)}
+	return retryResponse{resp.StatusCode, time.Duration(seconds * float64(time.Second)), time.Since(begun)}
 }
 
 // TestPause guards against requests to an upstream that refused one and named a time until which it
