trial: callers of the load tool see responses that are broken

Redirects were followed, and look-ups were read without a bound.

Change: callers ask for bodies of a fixed length and want just these. A response that is not valid counts as corrupt. The clients are those of response.NewClient; bodies over the bound are errors, not cut.

--- a/response/client.go
+++ b/response/client.go
@@ -1,6 +1,7 @@
 package response
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,9 @@
 // MaxHeadBytes bounds the head of a response, and of the interim responses before it.
 const MaxHeadBytes = 64 << 10
 
+// ErrInvalid is wrapped by the errors of calls whose response is not valid.
+var ErrInvalid = errors.New("the response is not valid")
+
 // NewClient returns a client that takes only responses for which Check finds no fault, and the ones of the server that
 // it calls: it follows no redirects. A timeout of 0 is none.
 func NewClient(transport http.RoundTripper, timeout time.Duration) *http.Client {
@@ -44,7 +48,7 @@
 	}
 	if err := Check(resp); err != nil {
 		_ = resp.Body.Close() // nothing of it is used
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	return resp, nil
 }
--- a/trial/caller.go
+++ b/trial/caller.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"hickorydrum/entry"
+	"hickorydrum/response"
 	"hickorydrum/standin"
 	"hickorydrum/upstream"
 )
@@ -39,9 +40,9 @@
 	dialer := &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: addr.AsSlice()}}
 	return &caller{
 		load: l, region: int(addr.As4()[1]) - standin.CallerOctetBase - 1, random: rand.New(rand.NewPCG(seed, 2)),
-		client: &http.Client{Transport: &http.Transport{
+		client: response.NewClient(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 20 * time.Second,
-		}},
+		}, 0),
 	}
 }
 
@@ -49,24 +50,24 @@
 // or does a new look-up when the response has expired.
 func (c *caller) instanceAddress(ctx context.Context) (string, error) {
 	c.mu.Lock()
-	response := c.cached
+	found := c.cached
 	pick := c.random.IntN(1 << 16)
 	c.mu.Unlock()
-	if time.Now().Before(response.Until) && len(response.Instances) > 0 {
-		return response.Instances[pick%len(response.Instances)].Address, nil
+	if time.Now().Before(found.Until) && len(found.Instances) > 0 {
+		return found.Instances[pick%len(found.Instances)].Address, nil
 	}
 	// The instances of the last response are asked before the seeds, which are the fallback.
 	candidates := append([]string(nil), c.load.plan.Seeds...)
-	for i := range response.Instances {
-		candidates = append([]string{response.Instances[(i+pick)%len(response.Instances)].Address}, candidates...)
+	for i := range found.Instances {
+		candidates = append([]string{found.Instances[(i+pick)%len(found.Instances)].Address}, candidates...)
 	}
 	var err error
 	for _, address := range candidates {
-		if response, err = c.lookup(ctx, address); err == nil {
+		if found, err = c.lookup(ctx, address); err == nil {
 			c.mu.Lock()
-			c.cached = response
+			c.cached = found
 			c.mu.Unlock()
-			return response.Instances[pick%len(response.Instances)].Address, nil
+			return found.Instances[pick%len(found.Instances)].Address, nil
 		}
 	}
 	return "", err
@@ -74,7 +75,7 @@
 
 // lookup does one look-up at an instance and records its outcome. A response that names
 // no instance is an error.
-func (c *caller) lookup(ctx context.Context, address string) (response entry.LookupResponse, err error) {
+func (c *caller) lookup(ctx context.Context, address string) (found entry.LookupResponse, err error) {
 	begun := time.Now()
 	o := outcome{class: ClassLookup, id: "lookup at " + address, execution: "no"}
 	defer func() {
@@ -85,21 +86,25 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+entry.LookupPath, nil)
 	if err != nil {
-		return response, err
+		return found, err
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return response, err
+		return found, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	o.code = resp.StatusCode
 	if resp.StatusCode != http.StatusOK {
-		return response, errors.New(resp.Status)
+		return found, errors.New(resp.Status)
 	}
-	if err = json.NewDecoder(resp.Body).Decode(&response); err == nil && len(response.Instances) == 0 {
+	body, err := response.ReadBody(resp, maxResponseBytes)
+	if err != nil {
+		return found, err
+	}
+	if err = json.Unmarshal(body, &found); err == nil && len(found.Instances) == 0 {
 		err = errors.New("the look-up response names no instance")
 	}
-	return response, err
+	return found, err
 }
 
 // send sends one request of a workload and records its outcome. Failed orders are sent
@@ -156,10 +161,10 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return outcome{err: err}
+		return outcome{err: err, corrupt: errors.Is(err, response.ErrInvalid)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := response.ReadBody(resp, maxResponseBytes)
 	o := outcome{code: resp.StatusCode, execution: resp.Header.Get(upstream.HeaderRan), err: err}
 	switch {
 	case err != nil:
@@ -167,7 +172,7 @@
 	case resp.StatusCode != http.StatusOK:
 		o.err = errors.New(string(body))
 	default:
-		o.corrupt = !bytes.Equal(body, standin.GenerateBody(id, len(body))) || resp.Header.Get(standin.HeaderLoadID) != id ||
+		o.corrupt = !bytes.Equal(body, standin.GenerateBody(id, responseBytes)) || resp.Header.Get(standin.HeaderLoadID) != id ||
 			resp.Header.Get(standin.HeaderSum) != sum
 	}
 	return o
@@ -194,6 +199,7 @@
 	req.GetBody = nil
 	req.ContentLength = int64(len(content))
 	req.Header.Set(standin.HeaderLoadID, id)
+	req.Header.Set(standin.HeaderSize, strconv.Itoa(responseBytes))
 	if w.Class == ClassOrder {
 		req.Header.Set(entry.HeaderKey, id)
 	}
--- a/trial/control.go
+++ b/trial/control.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"hickorydrum/interval"
+	"hickorydrum/response"
 )
 
 // waitFor polls until cond returns true. It fails after waitTimeout or when ctx is
@@ -25,7 +26,7 @@
 }
 
 // controlClient calls the control and status endpoints of the processes.
-var controlClient = &http.Client{Timeout: httpTimeout}
+var controlClient = response.NewClient(http.DefaultTransport, httpTimeout)
 
 // getStatusCode returns the status code of a GET request, or 0 if there is no response.
 func getStatusCode(ctx context.Context, url string) int {
--- a/trial/load.go
+++ b/trial/load.go
@@ -38,6 +38,7 @@
 	requestTimeout   = 70 * time.Second
 	listingTimeout   = 5 * time.Second
 	maxResponseBytes = 4 << 20
+	responseBytes    = 2 << 10 // of the body of a response that callers ask for
 )
 
 // Workload is one class of requests and the rate at which they are sent.
