server: a caller of HTTP/1.0 sees that its response is cut short

Found in the other places of the class: the end of a connection that ends a body, on the side of callers.

Seen: an upstream broke off a long response in chunks. Callers of HTTP/1.1 saw that the last chunk was missing. A caller of HTTP/1.0 gets such a response without a length; its connection was closed in order, and so the part looked whole, on both interfaces.

Change: a connection whose response is lost is reset if the caller speaks HTTP/1.0.

The stand-in of that test reset its connection behind every response; it does so only for responses before the end of an upload now, as it says, since the reset took the end of long ones with it.

--- a/restart/broken_test.go
+++ b/restart/broken_test.go
@@ -29,9 +29,14 @@
 	// reset.
 	early bool
 	body  int // bytes of the request's body
+	// old states that the caller speaks HTTP/1.0.
+	old   bool
 	whole bool
 }
 
+// longChunk begins a body in chunks that is too long to be kept until it is whole.
+var longChunk = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", 1<<20, strings.Repeat("x", 1<<20))
+
 // brokenHead begins a response that has all that the upstreams of both interfaces must send.
 const brokenHead = "HTTP/1.1 200 OK\r\nHickorydrum-Attempt-Id: %ID%\r\nHickorydrum-Server-Seal: x\r\n"
 
@@ -98,8 +103,10 @@
 		if _, err := io.WriteString(conn, response); err != nil {
 			return
 		}
-		if id != "" {
+		if id != "" && u.row.early {
 			_ = conn.SetLinger(0) // the instance may have gone
+		}
+		if id != "" {
 			return
 		}
 	}
@@ -149,8 +156,10 @@
 		"a body of an interim response": {
 			response: "HTTP/1.1 103 Early Hints\r\nContent-Length: 200\r\n\r\n" + brokenHead + "Content-Length: 4\r\n\r\nbody",
 		},
-		"HTTP/2.0":               {response: strings.Replace(brokenHead, "HTTP/1.1", "HTTP/2.0", 1) + "Content-Length: 4\r\n\r\nbody"},
-		"reset during an upload": {response: brokenHead + "\r\npart", early: true, body: uploadSize},
+		"HTTP/2.0":                       {response: strings.Replace(brokenHead, "HTTP/1.1", "HTTP/2.0", 1) + "Content-Length: 4\r\n\r\nbody"},
+		"chunks cut short, for HTTP/1.0": {response: brokenHead + longChunk, old: true},
+		"whole chunks, for HTTP/1.0":     {response: brokenHead + longChunk + "0\r\n\r\n", old: true, whole: true},
+		"reset during an upload":         {response: brokenHead + "\r\npart", early: true, body: uploadSize},
 	}
 	interfaces := map[string]struct {
 		start func(*brokenUpstream, *testing.T) string
@@ -164,7 +173,7 @@
 			t.Run(side+"/"+name, func(t *testing.T) {
 				t.Parallel()
 				address := i.start(newBrokenUpstream(t, row), t)
-				got, err := post(t, address, i.path, row.body)
+				got, err := post(t, address, i.path, row)
 				if whole := err == nil && got.StatusCode != http.StatusBadGateway; whole != row.whole {
 					t.Errorf("a whole response %v, want %v: %v, %v", whole, row.whole, got, err)
 				}
@@ -173,9 +182,9 @@
 	}
 }
 
-// post sends a request with a body of the size over a connection of its own. It returns the response once it has
+// post sends the request of a row over a connection of its own. It returns the response once it has
 // been read whole.
-func post(t *testing.T, address, path string, size int) (*http.Response, error) {
+func post(t *testing.T, address, path string, row brokenRow) (*http.Response, error) {
 	t.Helper()
 	conn, err := net.DialTimeout("tcp", address, waitTimeout)
 	if err != nil {
@@ -185,11 +194,16 @@
 	if err := conn.SetDeadline(time.Now().Add(waitTimeout)); err != nil {
 		t.Fatal(err)
 	}
+	minor := 1
+	if row.old {
+		minor = 0
+	}
 	var group errgroup.Group
 	group.Go(func() error {
-		_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: h.example\r\n%s: 1\r\nContent-Length: %d\r\n\r\n", path, attemptHeader, size)
+		_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.%d\r\nHost: h.example\r\n%s: 1\r\nContent-Length: %d\r\n\r\n",
+			path, minor, attemptHeader, row.body)
 		if err == nil {
-			_, err = conn.Write(make([]byte, size))
+			_, err = conn.Write(make([]byte, row.body))
 		}
 		return err
 	})
--- a/server/conn.go
+++ b/server/conn.go
@@ -52,6 +52,7 @@
 	handled  atomic.Bool // the handler has returned
 	left     atomic.Bool // the client closed the connection
 	failed   atomic.Bool // a write failed, or was made after left was set
+	old      atomic.Bool // the client speaks HTTP/1.0, so that the end of the connection may end a response
 
 	intake intake
 
@@ -202,15 +203,32 @@
 	if last == closing {
 		return net.ErrClosed
 	}
-	if last == serving {
-		c.reportLost()
-	}
+	lost := last == serving && c.reportLost()
 	if c.pipeline != nil {
 		c.reportLostAhead(c.pipeline.end())
 	}
+	if lost && c.old.Load() {
+		return c.reset()
+	}
 	return c.shut()
 }
 
+// reset closes the socket with a reset. A client of HTTP/1.0 would take an orderly close for the end of a response
+// that has no length.
+func (c *conn) reset() error {
+	c.intake.end()
+	if l, ok := c.Conn.(lingerer); ok {
+		_ = l.SetLinger(0) // it fails if the connection has ended
+	}
+	c.server.remove(c)
+	return c.Conn.Close()
+}
+
+// lingerer is a connection that can be closed with a reset.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
 // shut closes the socket. While bytes are unread, also by the HTTP server only, or the client has not acknowledged all,
 // it closes the connection for writing only and goes on reading in the background: a socket that is closed with unread
 // bytes, or gets some afterwards, is reset, and the response could be lost.
@@ -262,12 +280,14 @@
 	return nil
 }
 
-// reportLost logs and counts the request under way, unless its response was written whole.
-func (c *conn) reportLost() {
+// reportLost logs and counts the request under way, unless its response was written whole. It reports whether it
+// did.
+func (c *conn) reportLost() (lost bool) {
 	why, id, begun, lost := c.lostRequest()
 	if lost {
 		c.logLost(why, id, begun)
 	}
+	return lost
 }
 
 // reportLostAhead logs and counts requests that were started and wait for their turn.
