--- a/restart/broken_test.go
+++ b/restart/broken_test.go
@@ -27,8 +27,9 @@
 	response string
 	// early states that the response is written before the body of the request is read, and is followed by a
 	// reset.
-	early bool
-	body  int // bytes of the request's body
+	early  bool
+	header string // further lines of the request's header
+	body   int    // bytes of the request's body
 	// old states that the caller speaks HTTP/1.0.
 	old   bool
 	whole bool
@@ -200,8 +201,8 @@
 	}
 	var group errgroup.Group
 	group.Go(func() error {
-		_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.%d\r\nHost: h.example\r\n%s: 1\r\nContent-Length: %d\r\n\r\n",
-			path, minor, attemptHeader, row.body)
+		_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.%d\r\nHost: h.example\r\n%s: 1\r\nContent-Length: %d\r\n%s\r\n",
+			path, minor, attemptHeader, row.body, row.header)
 		if err == nil {
 			_, err = conn.Write(make([]byte, row.body))
 		}
@@ -217,3 +218,19 @@
 	}
 	return resp, err
 }
+
+// TestBrokenResponseNotStored guards against a part of a response that is stored as that of an idempotency key, and
+// sent to callers that repeat the request.
+func TestBrokenResponseNotStored(t *testing.T) {
+	t.Parallel()
+	row := brokenRow{
+		response: brokenHead + "\r\npart", early: true, body: uploadSize, header: "Idempotency-Key: some-key\r\n",
+	}
+	address := newBrokenUpstream(t, row).startOwn(t)
+	for i := range 3 {
+		got, err := post(t, address, "/orders/", row)
+		if err == nil && got.StatusCode < http.StatusBadRequest {
+			t.Errorf("send %d gets a whole response: %v", i, got)
+		}
+	}
+}
