response, dispatch: engineers see that a response was not valid

The line of a request whose upstream sent something that is no response, and `explain`, said that the connection had ended without an answer, with what was wrong behind it. They say that the answer is not valid now; an error wraps response.ErrInvalid then. What callers get is as before.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -312,7 +312,11 @@
 	if time.Until(x.deadline) <= 0 || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &failure{kind: fault.Expired, text: "the upstream did not answer in time", cause: err}
 	}
-	return &failure{kind: fault.Corrupt, text: "the connection to the upstream ended without an answer", cause: err}
+	text := "the connection to the upstream ended without an answer"
+	if errors.Is(err, response.ErrInvalid) {
+		text = "the upstream's answer is not valid"
+	}
+	return &failure{kind: fault.Corrupt, text: text, cause: err}
 }
 
 // forward forwards a response of the given class to the sink, if it is Accepted. It reports
--- a/hosted/operations_test.go
+++ b/hosted/operations_test.go
@@ -76,6 +76,15 @@
 				return "lost"
 			},
 		},
+		"502 after an invalid answer": {
+			documentedCause: "the upstream's answer is not valid",
+			want:            []string{"lost, status 502", "cause: the upstream's answer is not valid", "last upstream: i-", "sent to 1 in all"},
+			cause: func(c *cluster, m *member, w *standin.Worker) string {
+				w.Fail(standin.WorkerGarbage, -1)
+				c.send(m, callerRequest{method: http.MethodPost, path: "/order/x", id: "invalid", body: "b", object: "7"})
+				return "invalid"
+			},
+		},
 		"no whole response": {
 			documentedCause: "| `caller-left` |",
 			want:            []string{"its caller got no whole response: the caller closed the connection", "whether it ran: an upstream"},
--- a/response/body.go
+++ b/response/body.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httputil"
@@ -35,13 +33,13 @@
 	f := framing{length: length, chunked: len(codings) > 0}
 	switch {
 	case len(codings) > 1, f.chunked && !strings.EqualFold(codings[0], "chunked"):
-		return framing{}, fmt.Errorf("the transfer codings %.*q are not supported", maxQuoted, codings)
+		return framing{}, invalid("the transfer codings %.*q are not supported", maxQuoted, codings)
 	case f.chunked && !resp.ProtoAtLeast(1, 1):
-		return framing{}, errors.New("a transfer coding in HTTP/1.0")
+		return framing{}, invalid("a transfer coding in HTTP/1.0")
 	case f.chunked && length >= 0:
-		return framing{}, errors.New("a body in chunks with a length")
+		return framing{}, invalid("a body in chunks with a length")
 	case bodyless(resp.StatusCode) && (f.chunked || length > 0):
-		return framing{}, fmt.Errorf("a body behind the status %d", resp.StatusCode)
+		return framing{}, invalid("a body behind the status %d", resp.StatusCode)
 	}
 	return f, nil
 }
@@ -78,11 +76,11 @@
 	}
 	value, ok := Single(h, name)
 	if !ok {
-		return 0, fmt.Errorf("the lengths %.*q contradict each other", maxQuoted, h.Values(name))
+		return 0, invalid("the lengths %.*q contradict each other", maxQuoted, h.Values(name))
 	}
 	length, err := strconv.ParseUint(value, 10, 63)
 	if err != nil {
-		return 0, fmt.Errorf("%.*q is no length", maxQuoted, value)
+		return 0, invalid("%.*q is no length", maxQuoted, value)
 	}
 	h.Set(name, value)
 	return int64(length), nil
@@ -151,5 +149,5 @@
 			return err
 		}
 	}
-	return errors.New("the fields behind the body are too long")
+	return invalid("the fields behind the body are too long")
 }
--- a/response/client.go
+++ b/response/client.go
@@ -1,7 +1,6 @@
 package response
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,11 +12,8 @@
 // MaxHeadBytes bounds the head of a response, and of the interim responses before it.
 const MaxHeadBytes = 64 << 10
 
-// ErrInvalid is wrapped by the errors of calls whose response is not valid.
-var ErrInvalid = errors.New("the response is not valid")
-
 // NewClient returns a client that takes only responses for which Check finds no fault, and the ones of the server that
-// it calls: it follows no redirects. A timeout of 0 is none.
+// it calls: it follows no redirects. Errors about other ones wrap ErrInvalid. A timeout of 0 is none.
 func NewClient(transport http.RoundTripper, timeout time.Duration) *http.Client {
 	return &http.Client{
 		Transport: checkedTransport{transport}, Timeout: timeout,
@@ -48,7 +44,7 @@
 	}
 	if err := Check(resp); err != nil {
 		_ = resp.Body.Close() // nothing of it is used
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+		return nil, err
 	}
 	return resp, nil
 }
@@ -68,7 +64,7 @@
 	}
 	for name := range resp.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%.*q is no name of a field", maxQuoted, name)
+			return invalid("%.*q is no name of a field", maxQuoted, name)
 		}
 	}
 	return nil
--- a/response/head.go
+++ b/response/head.go
@@ -1,7 +1,6 @@
 package response
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -57,7 +56,7 @@
 	major, minor, ok := http.ParseHTTPVersion(proto)
 	number, err := strconv.Atoi(code)
 	if !ok || major != 1 || err != nil || len(code) != 3 || !httpguts.ValidHeaderFieldValue(line) {
-		return nil, fmt.Errorf("%.*q is no status line", maxQuoted, line)
+		return nil, invalid("%.*q is no status line", maxQuoted, line)
 	}
 	return &http.Response{Proto: proto, ProtoMajor: major, ProtoMinor: minor, Status: status, StatusCode: number}, nil
 }
@@ -68,7 +67,7 @@
 	name, value, ok := strings.Cut(line, ":")
 	value = strings.Trim(value, " \t")
 	if !ok || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
-		return "", "", fmt.Errorf("%.*q is no field", maxQuoted, line)
+		return "", "", invalid("%.*q is no field", maxQuoted, line)
 	}
 	return name, value, nil
 }
--- a/response/response.go
+++ b/response/response.go
@@ -37,6 +37,9 @@
 	maxStatus = 599
 )
 
+// ErrInvalid is wrapped by the errors about responses that are not valid.
+var ErrInvalid = errors.New("no valid response")
+
 // Read reads the next final response to a request with the method, up to its body. It skips interim responses.
 // It does not limit the bytes that it reads of heads.
 func Read(r *bufio.Reader, method string) (*http.Response, error) {
@@ -59,7 +62,7 @@
 		setBody(resp, f, r, method)
 		return resp, nil
 	}
-	return nil, errors.New("too many interim responses")
+	return nil, invalid("too many interim responses")
 }
 
 // interim reports whether a final response follows one with the status. It does not after a 101: the connection
@@ -71,7 +74,7 @@
 // checkStatus returns an error if a final response cannot have the status.
 func checkStatus(status int) error {
 	if status < http.StatusOK || status > maxStatus {
-		return fmt.Errorf("%d is no status of a response", status)
+		return invalid("%d is no status of a response", status)
 	}
 	return nil
 }
@@ -87,3 +90,8 @@
 	}
 	return h.Get(name), true
 }
+
+// invalid returns an error that wraps ErrInvalid.
+func invalid(format string, args ...any) error {
+	return fmt.Errorf("%w: "+format, append([]any{ErrInvalid}, args...)...)
+}
