standin: one stand-in for servers that send any bytes

Bytes without end now end: on a play of command TestBrokenResponses kept all of them and was ended by the machine for lack of memory. WriteRepeatedly stops at twice what the test allows.

In server, restart: http10 in place of old.

--- a/command/broken_test.go
+++ b/command/broken_test.go
@@ -1,47 +1,35 @@
 package command
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 
-	"golang.org/x/sync/errgroup"
+	"hickorydrum/standin"
 )
 
-// startInstance starts a server that writes the bytes of a response to one request, and then the endless ones until
-// the connection is closed. The returned function waits for its end and returns how many bytes were written.
-func startInstance(t *testing.T, response, endless string) (address string, wait func() int) {
+// maxWritten is the largest response, and what sockets hold of bytes that nobody reads.
+const maxWritten = 64<<20 + 16<<20
+
+// startInstance starts a server that writes the bytes of a response to a request, and then the endless ones until the
+// connection is closed, or far more than maxWritten are written. The returned function stops it and returns how many bytes were written.
+func startInstance(t *testing.T, response, endless string) (address string, stop func() int) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group errgroup.Group
 	written := 0
-	group.Go(func() error {
-		conn, err := listener.Accept()
-		if err != nil {
-			return err
-		}
-		defer func() { _ = conn.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return err
+	server, err := standin.NewRaw(func(conn *net.TCPConn, _ *http.Request) bool {
+		written, _ = io.WriteString(conn, response)
+		if endless != "" {
+			written += standin.WriteRepeatedly(conn, endless, 2*maxWritten)
 		}
-		written, err = io.WriteString(conn, response)
-		part := strings.Repeat(endless, 1+4096/max(1, len(endless)))
-		for err == nil && part != "" {
-			var n int
-			n, err = io.WriteString(conn, part)
-			written += n
-		}
-		return nil // the command has closed the connection
+		return false
 	})
-	return listener.Addr().String(), func() int {
-		_ = listener.Close()
-		if err := group.Wait(); err != nil {
+	if err != nil {
+		t.Fatal(err)
+	}
+	return server.Address(), func() int {
+		if err := server.Close(); err != nil {
 			t.Error(err)
 		}
 		return written
@@ -52,9 +40,7 @@
 // read them without end, or that print them as they are.
 func TestBrokenResponses(t *testing.T) {
 	const (
-		ok = "HTTP/1.1 200 OK\r\n"
-		// maxWritten is the largest response, and what sockets hold of bytes that nobody reads.
-		maxWritten = 64<<20 + 16<<20
+		ok         = "HTTP/1.1 200 OK\r\n"
 		maxPrinted = 1000
 		escape     = "\x1b[2J"
 	)
@@ -76,7 +62,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			address, wait := startInstance(t, test.response, test.endless)
+			address, stop := startInstance(t, test.response, test.endless)
 			code, out, errOut := run("status", "-instance", address)
 			if code != test.code {
 				t.Errorf("exit code %d, want %d", code, test.code)
@@ -84,7 +70,7 @@
 			if printed := out + errOut; len(printed) > maxPrinted || strings.Contains(printed, escape) {
 				t.Errorf("%d bytes are printed: %.100q", len(printed), printed)
 			}
-			if written := wait(); written > maxWritten {
+			if written := stop(); written > maxWritten {
 				t.Errorf("%d bytes were written, want at most %d", written, maxWritten)
 			}
 		})
--- a/restart/broken_test.go
+++ b/restart/broken_test.go
@@ -8,15 +8,18 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/platform"
+	"hickorydrum/standin"
 )
 
+// ownPath is the path of the service of the own interface.
+const ownPath = "/orders/"
+
 // uploadSize is more than the buffers of two sockets hold, so that an upload is still being written when an
 // upstream that does not read it ends the connection.
 const uploadSize = 24 << 20
@@ -30,9 +33,9 @@
 	early  bool
 	header string // further lines of the request's header
 	body   int    // bytes of the request's body
-	// old states that the caller speaks HTTP/1.0.
-	old   bool
-	whole bool
+	// http10 states that the caller speaks HTTP/1.0.
+	http10 bool
+	whole  bool
 }
 
 // longChunk begins a body in chunks that is too long to be kept until it is whole.
@@ -44,99 +47,52 @@
 // status returns brokenHead with another status.
 func status(code string) string { return strings.Replace(brokenHead, "200 OK", code+" Odd", 1) }
 
-// brokenUpstream is an upstream that answers each request with the response of a row.
-type brokenUpstream struct {
-	row      brokenRow
-	listener net.Listener
-	group    errgroup.Group
-
-	mu    sync.Mutex
-	conns []net.Conn
-}
-
-func newBrokenUpstream(t *testing.T, row brokenRow) *brokenUpstream {
+// start starts an upstream that answers each request with the response of the row, and returns its address. Requests
+// without an ID are for its health page.
+func (row brokenRow) start(t *testing.T) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	u := &brokenUpstream{row: row, listener: listener}
-	u.group.Go(u.accept)
-	t.Cleanup(u.close)
-	return u
-}
-
-func (u *brokenUpstream) address() string { return u.listener.Addr().String() }
-
-func (u *brokenUpstream) accept() error {
-	for {
-		conn, err := u.listener.Accept()
-		if err != nil {
-			return nil // the listener was closed
-		}
-		u.mu.Lock()
-		u.conns = append(u.conns, conn)
-		u.mu.Unlock()
-		u.group.Go(func() error {
-			u.serve(conn.(*net.TCPConn))
-			return nil
-		})
-	}
-}
-
-// serve answers the requests on a connection. Requests without an ID are for the health page.
-func (u *brokenUpstream) serve(conn *net.TCPConn) {
-	defer func() { _ = conn.Close() }()
-	r := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		id := req.Header.Get(attemptHeader)
-		response := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
-		if id != "" {
-			response = strings.ReplaceAll(u.row.response, "%ID%", id)
-		}
-		if id == "" || !u.row.early {
-			_, _ = io.Copy(io.Discard, req.Body) // the instance may have gone
-		}
-		if _, err := io.WriteString(conn, response); err != nil {
-			return
+	server, err := standin.NewRaw(func(conn *net.TCPConn, r *http.Request) bool {
+		id := r.Header.Get(attemptHeader)
+		if id == "" {
+			_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			return err == nil
 		}
-		if id != "" && u.row.early {
-			_ = conn.SetLinger(0) // the instance may have gone
+		if !row.early {
+			_, _ = io.Copy(io.Discard, r.Body) // the instance may have closed the connection
 		}
-		if id != "" {
-			return
+		_, _ = io.WriteString(conn, strings.ReplaceAll(row.response, "%ID%", id))
+		if row.early {
+			_ = conn.SetLinger(0) // so that it is reset
 		}
+		return false
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
-}
-
-func (u *brokenUpstream) close() {
-	_ = u.listener.Close()
-	u.mu.Lock()
-	for _, conn := range u.conns {
-		_ = conn.Close()
-	}
-	u.mu.Unlock()
-	_ = u.group.Wait()
+	t.Cleanup(func() {
+		if err := server.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return server.Address()
 }
 
 // startHosted starts an instance behind the platform's interface with the upstream, and returns the address for
 // callers.
-func (u *brokenUpstream) startHosted(t *testing.T) string {
+func startHosted(t *testing.T, upstream string) string {
+	t.Helper()
 	d := newDeployment(t, 6*time.Second)
 	d.configure(configuration{timeout: waitTimeout, bodyBytes: uploadSize})
 	d.put(platform.KindUpstreams+"/i-0", fmt.Appendf(nil,
-		`{"address":%q,"born":1,"info":{"service":"list","zone":"one-a","slots":4},"status":{"state":"ready"}}`, u.address()))
+		`{"address":%q,"born":1,"info":{"service":"list","zone":"one-a","slots":4},"status":{"state":"ready"}}`, upstream))
 	return d.start("a0", false).address(frontPort)
 }
 
 // startOwn starts an instance of the own interface with the upstream, and returns the address for callers.
-func (u *brokenUpstream) startOwn(t *testing.T) string {
+func startOwn(t *testing.T, upstream string) string {
+	t.Helper()
 	d := newOwnPlatform(t)
-	d.up = u.address()
+	d.up = upstream
 	d.start(waitTimeout)
 	return d.address(callerPort)
 }
@@ -158,22 +114,22 @@
 			response: "HTTP/1.1 103 Early Hints\r\nContent-Length: 200\r\n\r\n" + brokenHead + "Content-Length: 4\r\n\r\nbody",
 		},
 		"HTTP/2.0":                       {response: strings.Replace(brokenHead, "HTTP/1.1", "HTTP/2.0", 1) + "Content-Length: 4\r\n\r\nbody"},
-		"chunks cut short, for HTTP/1.0": {response: brokenHead + longChunk, old: true},
-		"whole chunks, for HTTP/1.0":     {response: brokenHead + longChunk + "0\r\n\r\n", old: true, whole: true},
+		"chunks cut short, for HTTP/1.0": {response: brokenHead + longChunk, http10: true},
+		"whole chunks, for HTTP/1.0":     {response: brokenHead + longChunk + "0\r\n\r\n", http10: true, whole: true},
 		"reset during an upload":         {response: brokenHead + "\r\npart", early: true, body: uploadSize},
 	}
 	interfaces := map[string]struct {
-		start func(*brokenUpstream, *testing.T) string
+		start func(t *testing.T, upstream string) (address string)
 		path  string
 	}{
-		"hosted": {(*brokenUpstream).startHosted, unsafe.path},
-		"own":    {(*brokenUpstream).startOwn, "/orders/"},
+		"hosted": {startHosted, unsafe.path},
+		"own":    {startOwn, ownPath},
 	}
 	for side, i := range interfaces {
 		for name, row := range rows {
 			t.Run(side+"/"+name, func(t *testing.T) {
 				t.Parallel()
-				address := i.start(newBrokenUpstream(t, row), t)
+				address := i.start(t, row.start(t))
 				got, err := post(t, address, i.path, row)
 				if whole := err == nil && got.StatusCode != http.StatusBadGateway; whole != row.whole {
 					t.Errorf("a whole response %v, want %v: %v, %v", whole, row.whole, got, err)
@@ -196,7 +152,7 @@
 		t.Fatal(err)
 	}
 	minor := 1
-	if row.old {
+	if row.http10 {
 		minor = 0
 	}
 	var group errgroup.Group
@@ -226,9 +182,9 @@
 	row := brokenRow{
 		response: brokenHead + "\r\npart", early: true, body: uploadSize, header: "Idempotency-Key: some-key\r\n",
 	}
-	address := newBrokenUpstream(t, row).startOwn(t)
+	address := startOwn(t, row.start(t))
 	for i := range 3 {
-		got, err := post(t, address, "/orders/", row)
+		got, err := post(t, address, ownPath, row)
 		if err == nil && got.StatusCode < http.StatusBadRequest {
 			t.Errorf("send %d gets a whole response: %v", i, got)
 		}
--- a/restart/serve_test.go
+++ b/restart/serve_test.go
@@ -294,7 +294,7 @@
 // order is a kind of request that is not idempotent, with bodies of the given sizes in bytes.
 func order(body, response int) kind {
 	header := fmt.Sprintf("%s: %d\r\n", standin.HeaderSize, response)
-	return kind{method: http.MethodPost, path: "/orders/", body: body, header: header}
+	return kind{method: http.MethodPost, path: ownPath, body: body, header: header}
 }
 
 // ownRow is one planned stop under load.
--- a/server/conn.go
+++ b/server/conn.go
@@ -52,7 +52,7 @@
 	handled  atomic.Bool // the handler has returned
 	left     atomic.Bool // the client closed the connection
 	failed   atomic.Bool // a write failed, or was made after left was set
-	old      atomic.Bool // the client speaks HTTP/1.0, so that the end of the connection may end a response
+	http10   atomic.Bool // the client speaks HTTP/1.0, so that the end of the connection may end a response
 
 	intake intake
 
@@ -207,7 +207,7 @@
 	if c.pipeline != nil {
 		c.reportLostAhead(c.pipeline.end())
 	}
-	if lost && c.old.Load() {
+	if lost && c.http10.Load() {
 		return c.reset()
 	}
 	return c.shut()
--- a/server/server.go
+++ b/server/server.go
@@ -204,7 +204,7 @@
 	if !c.begin() {
 		panic(http.ErrAbortHandler) // the caller sees its connection end, and the request is not run
 	}
-	c.old.Store(!r.ProtoAtLeast(1, 1))
+	c.http10.Store(!r.ProtoAtLeast(1, 1))
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/trial/caller_test.go
+++ b/trial/caller_test.go
@@ -3,8 +3,9 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -44,19 +45,17 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				_, _ = conn.Write([]byte(test.response))
-			}))
-			defer server.Close()
+			server, err := standin.NewRaw(func(conn *net.TCPConn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, test.response)
+				return false
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Close() }()
 			c := newCaller(&Load{}, netip.MustParseAddr("127.1.0.1"), 1)
 			defer c.client.CloseIdleConnections()
-			o := c.sendOnce(t.Context(), Workload{Class: ClassDirect, Path: "/x"}, id, strings.TrimPrefix(server.URL, "http://"))
+			o := c.sendOnce(t.Context(), Workload{Class: ClassDirect, Path: "/x"}, id, server.Address())
 			if got := (result{o.code, o.corrupt}); got != test.want {
 				t.Errorf("code and corrupt are %v, want %v: %v", got, test.want, o.err)
 			}
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -1,51 +1,39 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 
-	"golang.org/x/sync/errgroup"
+	"hickorydrum/standin"
 )
 
-// startPage starts a health page that writes the bytes to one request, and then the endless ones until the connection
-// is closed. The returned function waits for its end.
-func startPage(t *testing.T, response, endless string) (address string, wait func()) {
+// manyBytes is more than package net/http reads of a head if it is told nothing else.
+const manyBytes = 64 << 20
+
+// startPage starts a health page that writes the bytes to each request, and then the endless ones until the connection
+// is closed, or manyBytes are written.
+func startPage(t *testing.T, response, endless string) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := standin.NewRaw(func(conn *net.TCPConn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, response)
+		if endless != "" {
+			standin.WriteRepeatedly(conn, endless, manyBytes)
+		}
+		return false
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	var group errgroup.Group
-	group.Go(func() error {
-		conn, err := listener.Accept()
-		if err != nil {
-			return err
-		}
-		defer func() { _ = conn.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return err
-		}
-		if _, err := io.WriteString(conn, response); err != nil {
-			return err
-		}
-		part := strings.Repeat(endless, 1+4096/max(1, len(endless)))
-		for err == nil && part != "" {
-			_, err = io.WriteString(conn, part)
-		}
-		return nil // the prober has closed the connection
-	})
-	return listener.Addr().String(), func() {
-		_ = listener.Close()
-		if err := group.Wait(); err != nil {
+	t.Cleanup(func() {
+		if err := server.Close(); err != nil {
 			t.Error(err)
 		}
-	}
+	})
+	return server.Address()
 }
 
 // countedConn counts the bytes that are read from a connection.
@@ -77,13 +65,12 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			address, wait := startPage(t, test.response, "")
+			address := startPage(t, test.response, "")
 			p := NewProber(&Pool{})
 			page, err := p.fetch(t.Context(), address, "/health")
 			if (err == nil) != test.ok {
 				t.Errorf("the page is %v, %v", page, err)
 			}
-			wait()
 		})
 	}
 }
@@ -103,7 +90,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			address, wait := startPage(t, test.response, test.endless)
+			address := startPage(t, test.response, test.endless)
 			var read atomic.Int64
 			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -114,7 +101,6 @@
 				t.Errorf("the page is %v", page)
 			}
 			p.client.CloseIdleConnections()
-			wait()
 			if n := read.Load(); n > maxRead {
 				t.Errorf("%d bytes were read, want at most %d", n, maxRead)
 			}
