--- a/response/response.go
+++ b/response/response.go
@@ -41,7 +41,7 @@
 var ErrInvalid = errors.New("no valid response")
 
 // Read reads the next final response to a request with the method, up to its body. It skips interim responses.
-// It does not limit the bytes that it reads of heads.
+// It does not limit the bytes that it reads of heads. The body need not be closed; closing it reads nothing.
 func Read(r *bufio.Reader, method string) (*http.Response, error) {
 	text := textproto.Reader{R: r}
 	for range maxHeads {
