dispatch: a refusal's Retry-After is read in one way

Two functions read it: one for pauses, with fractions and dates, and one for refused requests, which took whole seconds only: a refusal with 0.5 was sent again after 0.2 s. The second one is gone.

--- a/dispatch/receive.go
+++ b/dispatch/receive.go
@@ -140,8 +140,8 @@
 // response's Retry-After header, at most maxRetryAfter, or else after defaultRetryAfter.
 func overloaded(resp *http.Response) *failure {
 	wait := defaultRetryAfter
-	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds >= 0 {
-		wait = min(time.Duration(seconds)*time.Second, maxRetryAfter)
+	if stated, ok, _ := ParseRetryAfter(resp.Header, time.Now()); ok {
+		wait = min(stated, maxRetryAfter)
 	}
 	return &failure{
 		kind: fault.Overloaded, text: "the upstream sheds load",
--- a/dispatch/retryafter_test.go
+++ b/dispatch/retryafter_test.go
@@ -3,7 +3,10 @@
 import (
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"hickorydrum/fault"
 )
 
 // TestParseRetryAfter guards against an upstream that gets requests before the time that it named, or
@@ -63,3 +66,32 @@
 		}
 	})
 }
+
+// TestRefusalRetryAfter checks when a request may be retried that its upstream refused.
+func TestRefusalRetryAfter(t *testing.T) {
+	tests := map[string]struct {
+		value string
+		want  time.Duration
+	}{
+		"seconds":        {"2", 2 * time.Second},
+		"with fractions": {"0.5", 500 * time.Millisecond},
+		"too long":       {"3600", maxRetryAfter},
+		"not valid":      {"soon", defaultRetryAfter},
+		"none":           {"", defaultRetryAfter},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := make(http.Header)
+				if test.value != "" {
+					h.Set("Retry-After", test.value)
+				}
+				f := overloaded(&http.Response{Header: h})
+				got := time.Until(fault.New(f.kind, f.text, "", f.opts...).RetryAt())
+				if got != test.want {
+					t.Errorf("a retry after %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
