response: a head has at most 1,000 fields

Reported by other operators: the machine that had called a faulty upstream ran out of memory.

Found: the bytes of a head were bounded, its fields were not.

Change: a head with more than 1,000 fields, the bound that callers have, is no response.

--- a/flood/flood_test.go
+++ b/flood/flood_test.go
@@ -171,7 +171,12 @@
 // check sends the crowd to an instance of its own.
 func (r row) check(t *testing.T) {
 	t.Helper()
-	p := start(t)
+	r.checkAt(t, start(t))
+}
+
+// checkAt sends the crowd to the instance.
+func (r row) checkAt(t *testing.T, p *process) {
+	t.Helper()
 	stop := p.sampleDescriptors()
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
--- a/flood/process_test.go
+++ b/flood/process_test.go
@@ -28,6 +28,9 @@
 	logBytes    = 2000                  // of the log that are shown
 	samplePause = 20 * time.Millisecond // between two counts of open descriptors
 
+	// ordinaryID is the ID of a request that checks whether an instance answers.
+	ordinaryID = "ordinary"
+
 	// The limits of the settings. The bounds that the tests check are the same figures: a process that
 	// takes more than the memory of its machine is terminated.
 	memoryMb        = 96
@@ -98,8 +101,19 @@
 	return fmt.Sprintf("127.%d.%d.%d", 201+os.Getpid()%50, 1+addresses.next/250, 1+addresses.next%250)
 }
 
-// start starts an instance and waits until it is ready.
+// start starts an instance with an ordinary upstream and waits until it is ready.
 func start(t *testing.T) *process {
+	t.Helper()
+	w, err := standin.NewWorker(standin.WorkerConfig{ID: "i-0", Slots: workerSlots, Queue: workerSlots, Warm: workTime, Cold: workTime})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = w.Close() })
+	return startWith(t, w.Entry("list", "one-a", "ready", time.Now().Add(-time.Minute), 0))
+}
+
+// startWith starts an instance and waits until it is ready. The entry in the store is that of the upstream i-0.
+func startWith(t *testing.T, entry []byte) *process {
 	t.Helper()
 	p := &process{t: t, ip: newAddress(), dir: t.TempDir(), store: standin.NewStore(), exited: make(chan struct{})}
 	p.api = httptest.NewServer(standin.PlatformHandler(p.store))
@@ -107,12 +121,7 @@
 		p.api.CloseClientConnections()
 		p.api.Close()
 	})
-	w, err := standin.NewWorker(standin.WorkerConfig{ID: "i-0", Slots: workerSlots, Queue: workerSlots, Warm: workTime, Cold: workTime})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = w.Close() })
-	p.put(platform.KindUpstreams+"/"+w.ID(), w.Entry("list", "one-a", "ready", time.Now().Add(-time.Minute), 0))
+	p.put(platform.KindUpstreams+"/i-0", entry)
 	p.put(platform.KindConfiguration+"/main", configuration(t))
 	if err := os.WriteFile(p.settingsPath(), []byte(p.settings()), 0o600); err != nil {
 		t.Fatal(err)
@@ -262,7 +271,7 @@
 		return 0
 	}
 	r.Host, r.Close = host, true
-	r.Header.Set("Hickorydrum-Attempt-Id", "ordinary")
+	r.Header.Set("Hickorydrum-Attempt-Id", ordinaryID)
 	client := http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
--- a/response/head.go
+++ b/response/head.go
@@ -24,7 +24,7 @@
 		return nil, err
 	}
 	resp.Header = make(http.Header)
-	for {
+	for range maxFields + 1 {
 		line, err := readLine(r)
 		if err != nil {
 			return nil, err
@@ -38,6 +38,7 @@
 		}
 		resp.Header.Add(name, value)
 	}
+	return nil, invalid("more than %d fields", maxFields)
 }
 
 // readLine reads a line without its end. A head has no line that ends with the connection.
--- a/response/response.go
+++ b/response/response.go
@@ -33,6 +33,8 @@
 const (
 	// maxHeads is how many heads are read for one response, those of interim responses included.
 	maxHeads = 8
+	// maxFields is how many fields a head may have. Each takes some 100 bytes of memory, however short it is.
+	maxFields = 1000
 	// maxStatus is the highest status (RFC 9110, 15).
 	maxStatus = 599
 )
--- a/response/response_test.go
+++ b/response/response_test.go
@@ -66,6 +66,8 @@
 		"a sign below zero":            {"GET", "HTTP/1.1 -00 x\r\n\r\n" + ok, readResult{}},
 		"two digits":                   {"GET", "HTTP/1.1 20 OK\r\n\r\n" + ok, readResult{}},
 		"four digits":                  {"GET", "HTTP/1.1 2000 OK\r\n\r\n" + ok, readResult{}},
+		"as many fields as may be":     {"GET", okLine + "\r\n" + strings.Repeat("A: b\r\n", maxFields-1) + "Content-Length: 2\r\n\r\nhi", whole(200, "hi")},
+		"a field more than may be":     {"GET", okLine + "\r\n" + strings.Repeat("A: b\r\n", maxFields) + "Content-Length: 2\r\n\r\nhi", readResult{}},
 		"all bytes of a token":         {"GET", "HTTP/1.1 200 OK\r\n0a!#$%&'*+-.^_`|~Z: 1\r\nContent-Length: 2\r\n\r\nhi", whole(200, "hi")},
 		"a value of odd bytes":         {"GET", "HTTP/1.1 200 OK\r\nA: \t\xe9 \"(\r\nContent-Length: 2\r\n\r\nhi", whole(200, "hi")},
 		"a value with a NUL":           {"GET", "HTTP/1.1 200 OK\r\nA: b\x00c\r\nContent-Length: 2\r\n\r\nhi", readResult{}},
