gossip: what is said of a member rests on its last sign of life

Callers saw: look-ups named a machine that had been lost for up to 8.4 s (6 s are allowed) after another machine of its failure domain had been suspended; in other orders of loss and suspension up to 12.7 s.

Cause: an instance that went on after a suspension moved the last sign of life of all others forward by the time of the pause, and answered from that one time two questions: what is left to a member, and what is said of it. So it named a lost one, listed it in its summaries and passed it on to members as seen lately. A third: a reader trusts the contacts of a summary for 3 s, and they were up to 3 s old when it was made, which with the time on the way is more than 6 s.

Change: memberState keeps two times, and its comment says which use belongs to which. What is said of a member (look-ups, summaries, the members passed on, the part that reports to this instance) needs a recent sign of life by a clock that pauses do not stop; what is left to it (rank, and so roles and rights) is not taken away by a pause, as before. Datagrams that may have waited count as of the last heartbeat before the pause. The age of a contact's last sign of life is bounded as a whole (maxNamedAge).

Why it works: nothing that an instance says of another is newer than a heartbeat which that one sent, whatever the instance itself went through.

The model's sockets now keep the datagrams of a paused instance, also for TestRights and TestQuota.

--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -36,12 +36,14 @@
 	down   bool
 	cut    bool // sends and receives nothing
 	paused bool
-	side   int       // of a partition: datagrams reach only instances of the same side
-	dueAt  time.Time // of the next heartbeat
-	bucket budget.TokenBucket
-	limits map[limit.ID]limit.State // what the instance knows of limits
-	old    bool                     // of an earlier version, which knows no limits
-	quota  *quotaInstance           // nil without client accounts
+	// waiting are the datagrams that arrived while the instance was paused: it reads them when it goes on.
+	waiting []delivery
+	side    int       // of a partition: datagrams reach only instances of the same side
+	dueAt   time.Time // of the next heartbeat
+	bucket  budget.TokenBucket
+	limits  map[limit.ID]limit.State // what the instance knows of limits
+	old     bool                     // of an earlier version, which knows no limits
+	quota   *quotaInstance           // nil without client accounts
 }
 
 type delivery struct {
@@ -115,6 +117,7 @@
 // play advances the virtual time by d and calls each after every tick, if it is set.
 func (s *simulation) play(d time.Duration, each func()) {
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(tickInterval) {
+		s.goOn()
 		for _, p := range s.members {
 			if !p.down && !p.paused && !s.now.Before(p.dueAt) {
 				p.dueAt = p.dueAt.Add(heartbeatInterval)
@@ -149,28 +152,62 @@
 	}
 }
 
+// maxWaiting is how many datagrams a socket holds for a paused instance.
+const maxWaiting = 200
+
+// goOn has the instances that are no longer paused read the datagrams that arrived meanwhile, some before and some after
+// their next heartbeat.
+func (s *simulation) goOn() {
+	for _, p := range s.members {
+		if p.paused || len(p.waiting) == 0 {
+			continue
+		}
+		waiting := p.waiting
+		p.waiting = nil
+		first := s.random.IntN(len(waiting) + 1)
+		for _, d := range waiting[:first] {
+			s.read(p, d)
+		}
+		for _, d := range waiting[first:] {
+			d.at = s.now
+			heap.Push(&s.queue, d)
+		}
+	}
+}
+
 func (s *simulation) deliver(until time.Time) {
 	for len(s.queue) > 0 && s.queue[0].at.Before(until) {
 		d := heap.Pop(&s.queue).(delivery)
 		to, ok := s.byIP[d.to]
-		if !ok || to.down || to.cut || to.paused || to.side != s.byIP[d.from].side {
+		if !ok || to.down || to.cut || to.side != s.byIP[d.from].side {
 			continue
 		}
-		if isLimits(d.data) {
-			s.deliverLimits(to, d)
-			continue
-		}
-		if isQuotas(d.data) {
-			s.deliverQuotas(to, d)
+		if to.paused {
+			if len(to.waiting) < maxWaiting {
+				to.waiting = append(to.waiting, d)
+			}
 			continue
 		}
-		m, err := decode(d.data)
-		if err != nil {
-			panic(err)
-		}
-		replies, _ := to.view.handle(m, d.from, s.now)
-		s.post(to, replies)
+		s.read(to, d)
+	}
+}
+
+// read has an instance handle a datagram.
+func (s *simulation) read(to *simInstance, d delivery) {
+	if isLimits(d.data) {
+		s.deliverLimits(to, d)
+		return
+	}
+	if isQuotas(d.data) {
+		s.deliverQuotas(to, d)
+		return
+	}
+	m, err := decode(d.data)
+	if err != nil {
+		panic(err)
 	}
+	replies, _ := to.view.handle(m, d.from, s.now)
+	s.post(to, replies)
 }
 
 // missing counts the pairs of live members of one failure domain of which the first takes
@@ -185,7 +222,7 @@
 			if q == p || q.down || q.cut || q.paused || q.view.domain != p.view.domain {
 				continue
 			}
-			if m, ok := p.view.others[q.view.self.Address]; !ok || s.now.Sub(m.lastSeen) >= deadAfter {
+			if m, ok := p.view.others[q.view.self.Address]; !ok || s.now.Sub(m.seenAt) >= deadAfter {
 				n++
 			}
 		}
@@ -202,7 +239,7 @@
 			continue
 		}
 		for _, q := range s.members {
-			if m, ok := p.view.others[q.view.self.Address]; q.down && ok && s.now.Sub(m.lastSeen) < deadAfter {
+			if m, ok := p.view.others[q.view.self.Address]; q.down && ok && s.now.Sub(m.seenAt) < deadAfter {
 				n++
 			}
 		}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -78,7 +78,7 @@
 				v.mergeMember(u.member, epoch.Add(u.at), u.direct)
 			}
 			m := v.others[addressOf(2)]
-			live := epoch.Add(test.at).Sub(m.lastSeen) < deadAfter
+			live := epoch.Add(test.at).Sub(m.seenAt) < deadAfter
 			if diff := cmp.Diff([]any{test.live, test.run}, []any{live, m.member.Run}); diff != "" {
 				t.Error(diff)
 			}
@@ -447,7 +447,7 @@
 func FuzzTake(f *testing.F) {
 	from := Member{Address: addressOf(2), Run: 1, Heartbeat: 1, Demand: map[string]int{"s": 1}}
 	summaries := []*Summary{{Domain: "two", Live: 1, Present: 1, Contacts: []netip.Addr{addressOf(9)}, madeAt: epoch}}
-	data, err := encode(&message{Domain: "one", Query: true}, &from, []*memberState{{member: Member{Address: addressOf(3)}, lastSeen: epoch}}, summaries, epoch)
+	data, err := encode(&message{Domain: "one", Query: true}, &from, []*memberState{{member: Member{Address: addressOf(3)}, seenAt: epoch, silentSince: epoch}}, summaries, epoch)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/gossip/merge.go
+++ b/gossip/merge.go
@@ -19,18 +19,19 @@
 	if !v.accepts(m.Domain, m.From.Address, from) {
 		return nil, false
 	}
+	at := v.arrivedAt(now)
 	_, known := v.others[from]
 	if m.Domain == v.domain {
-		v.mergeMember(decodeMember(&m.From, m.Services), now, true)
+		v.mergeMember(decodeMember(&m.From, m.Services), at, true)
 		for i := range m.Members {
 			r := &m.Members[i]
-			v.mergeMember(decodeMember(r, m.Services), now.Add(-r.age()), false)
+			v.mergeMember(decodeMember(r, m.Services), at.Add(-r.age()), false)
 		}
 	} else {
 		v.addContact(m.Domain, from)
 	}
 	for i := range m.Summaries {
-		v.mergeSummary(decodeSummary(&m.Summaries[i], m.Services, now))
+		v.mergeSummary(decodeSummary(&m.Summaries[i], m.Services, at))
 	}
 	for _, address := range m.Contacts[:min(len(m.Contacts), maxContactsSent)] {
 		if _, ok := v.others[address]; !ok && address != v.self.Address {
@@ -82,14 +83,15 @@
 	switch {
 	case !ok && len(v.others) >= maxMembers:
 	case !ok:
-		v.others[other.Address] = &memberState{member: other, lastSeen: at}
+		v.others[other.Address] = &memberState{member: other, seenAt: at, silentSince: at}
 		event.MemberJoined.Log(context.Background(), v.log, slog.String("member", other.Address.String()))
 	case m.member.Run == other.Run:
 		if other.Heartbeat > m.member.Heartbeat {
-			m.member, m.lastSeen = other, later(m.lastSeen, at)
+			m.member = other
+			m.refresh(at)
 		}
-	case direct, at.Sub(m.lastSeen) > replacedAfter && int32(other.Run-m.member.Run) > 0:
-		m.member, m.lastSeen = other, at
+	case direct, at.Sub(m.seenAt) > replacedAfter && int32(other.Run-m.member.Run) > 0:
+		m.member, m.seenAt, m.silentSince = other, at, at
 	}
 }
 
--- a/gossip/role.go
+++ b/gossip/role.go
@@ -150,8 +150,9 @@
 	return out
 }
 
-// servingIn returns the members of a failure domain that serve callers: all that are alive
-// of this instance's failure domain, and the contacts in a recent summary of another.
+// servingIn returns the members of a failure domain that serve callers: all with a recent sign of life
+// of this instance's failure domain, and the contacts in a recent summary of another. The last sign of life of none is
+// older than maxNamedAge.
 func (v *view) servingIn(domain string, now time.Time) []netip.Addr {
 	if domain != v.domain {
 		if s, ok := v.summaries[domain]; ok && now.Sub(s.madeAt) < freshFor {
@@ -164,7 +165,7 @@
 		out = append(out, v.self.Address)
 	}
 	for _, address := range v.addresses() {
-		if m := v.others[address]; m.member.serves() && m.lives(now) {
+		if m := v.others[address]; m.member.serves() && m.seen(now) {
 			out = append(out, address)
 		}
 	}
--- a/gossip/summary.go
+++ b/gossip/summary.go
@@ -32,20 +32,20 @@
 // ownSummary returns the summary of this instance's failure domain.
 func (v *view) ownSummary(now time.Time) *Summary {
 	s := &Summary{
-		Domain: v.domain, Region: v.regions[v.domain], Live: 1, Present: 1 + len(v.others), Demand: make(map[string]int), madeAt: now,
+		Domain: v.domain, Region: v.regions[v.domain], Present: 1 + len(v.others), Demand: make(map[string]int), madeAt: now,
 	}
-	add := func(m *Member) {
+	add := func(m *Member, contact bool) {
 		for service, millislots := range m.Demand {
 			s.Demand[service] += millislots
 		}
-		if m.serves() {
+		if contact && m.serves() {
 			s.Contacts = append(s.Contacts, m.Address)
 		}
 	}
-	add(&v.self)
+	add(&v.self, true)
+	s.Live = v.live(now)
 	for _, m := range v.members(now) {
-		s.Live++
-		add(&m.member)
+		add(&m.member, now.Sub(m.seenAt) < maxContactAge)
 	}
 	v.random.Shuffle(len(s.Contacts), func(i, j int) { s.Contacts[i], s.Contacts[j] = s.Contacts[j], s.Contacts[i] })
 	s.Contacts = s.Contacts[:min(len(s.Contacts), maxContactsSent)]
--- a/gossip/target.go
+++ b/gossip/target.go
@@ -82,7 +82,7 @@
 func (v *view) suspects(now time.Time) []netip.Addr {
 	var out, dead []netip.Addr
 	for _, address := range v.addresses() {
-		switch silent := now.Sub(v.others[address].lastSeen); {
+		switch silent := now.Sub(v.others[address].silentSince); {
 		case silent > deadAfter:
 			dead = append(dead, address)
 		case silent > suspectAfter:
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -52,9 +52,14 @@
 	// forgetSummaryAfter is the age at which the summary of another failure domain is removed.
 	// How many instances it had is kept, since a partition may last for longer.
 	forgetSummaryAfter = time.Minute
+	// maxNamedAge is the age of its last sign of life up to which an instance is given to callers, by any instance. Callers
+	// may be given an instance that is lost for 6 s; the difference allows for the time that datagrams take, which
+	// their ages do not show.
+	maxNamedAge = 5 * time.Second
 	// freshFor is the age up to which the contacts in a summary are given to callers and
-	// the summary is passed on.
-	freshFor = 3 * time.Second
+	// the summary is passed on, and maxContactAge the age of their last signs of life when it is made.
+	freshFor      = 3 * time.Second
+	maxContactAge = maxNamedAge - freshFor
 	// demandFor is the age up to which the demand in a summary is used, and up to which its failure
 	// domain does not count as silent. In a large failure domain a summary takes seconds to reach all
 	// members.
@@ -65,6 +70,10 @@
 	// pausedAfter is the delay of a heartbeat from which this instance counts as paused: its
 	// view then dates from before the pause.
 	pausedAfter = 1500 * time.Millisecond
+	// lateAfter is the delay of a heartbeat from which the datagrams that this instance reads may have waited since the
+	// heartbeat before, and drainTime how long after its next heartbeat it has read all of these.
+	lateAfter = 250 * time.Millisecond
+	drainTime = 200 * time.Millisecond
 	// rightsFor is how long after its last heartbeat an instance may use its rights to cold
 	// upstreams.
 	rightsFor = 1500 * time.Millisecond
@@ -105,6 +114,8 @@
 	next        []netip.Addr                // targets of the next heartbeats
 	settledAt   time.Time                   // until then, after a start or a pause, the instance uses no rights to cold upstreams
 	heartbeatAt time.Time                   // of the last heartbeat
+	// Until drainedAt, the datagrams that are read may have arrived as early as waitedSince.
+	drainedAt, waitedSince time.Time
 }
 
 func newView(self Member, domain string, regions map[string]string, random *rand.Rand, log *slog.Logger, now time.Time) *view {
@@ -144,27 +155,42 @@
 }
 
 // detectPause checks whether this instance was paused since its last heartbeat. After a
-// pause the others seem to have been silent since before it, so the time of the pause is
-// not counted as their silence; and rights to cold upstreams may have moved to other
+// pause the others seem to have been silent since before it, so what is theirs is left to them for the
+// time of the pause (see memberState); and rights to cold upstreams may have moved to other
 // members, so this instance may not use any for settleTime.
 func (v *view) detectPause(now time.Time) {
 	late := now.Sub(v.heartbeatAt) - heartbeatInterval
+	if late >= lateAfter {
+		v.waitedSince, v.drainedAt = v.heartbeatAt, now.Add(drainTime)
+	}
 	v.heartbeatAt = now
 	if late < pausedAfter {
 		return
 	}
 	v.settledAt = now.Add(settleTime)
 	for _, m := range v.others {
-		m.lastSeen = m.lastSeen.Add(late)
+		m.silentSince = m.silentSince.Add(late)
 	}
 }
 
+// arrivedAt returns the earliest time at which a datagram that is handled now can have arrived: all ages in it count from
+// then. Datagrams wait in the socket while this instance is paused.
+func (v *view) arrivedAt(now time.Time) time.Time {
+	switch {
+	case now.Sub(v.heartbeatAt) >= heartbeatInterval+lateAfter:
+		return v.heartbeatAt
+	case now.Before(v.drainedAt):
+		return v.waitedSince
+	}
+	return now
+}
+
 // forget removes members that have been silent for longer than forgetAfter, or that were
 // leaving and are dead, and summaries older than forgetSummaryAfter, and logs members that
 // have just died. The contacts in other failure domains stay.
 func (v *view) forget(now time.Time) {
 	for address, m := range v.others {
-		silent := now.Sub(m.lastSeen)
+		silent := now.Sub(m.silentSince)
 		if silent > deadAfter && silent <= deadAfter+heartbeatInterval {
 			event.MemberGone.Log(context.Background(), v.log, slog.String("member", address.String()), slog.Duration("silent", silent))
 		}
@@ -191,7 +217,7 @@
 	return data
 }
 
-// members returns the other live members of the failure domain, those with the newest
+// members returns the other members of the failure domain that may be alive, those with the newest
 // heartbeats first.
 func (v *view) members(now time.Time) []*memberState {
 	var out []*memberState
@@ -201,15 +227,15 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *memberState) int {
-		return cmp.Or(b.lastSeen.Compare(a.lastSeen), a.member.Address.Compare(b.member.Address))
+		return cmp.Or(b.seenAt.Compare(a.seenAt), a.member.Address.Compare(b.member.Address))
 	})
 	return out
 }
 
-// membersToSend returns the members whose state one datagram carries: all, or if they are
+// membersToSend returns the members whose state one datagram carries: all with a recent sign of life, or if they are
 // too many those with the newest heartbeats and a random choice of the rest.
 func (v *view) membersToSend(now time.Time) []*memberState {
-	members := v.members(now)
+	members := slices.DeleteFunc(v.members(now), func(m *memberState) bool { return !m.seen(now) })
 	if len(members) <= maxMembersSent {
 		return members
 	}
@@ -218,11 +244,11 @@
 	return members[:maxMembersSent]
 }
 
-// live counts the live members of the failure domain, this one included.
+// live counts the members of the failure domain with a recent sign of life, this one included.
 func (v *view) live(now time.Time) int {
 	n := 1
 	for _, m := range v.others {
-		if m.lives(now) {
+		if m.seen(now) {
 			n++
 		}
 	}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -193,7 +193,7 @@
 	m.From = encodeMember(from, m.Services)
 	for _, one := range members {
 		r := encodeMember(&one.member, m.Services)
-		r.Age = encodeAge(one.lastSeen, now)
+		r.Age = encodeAge(one.seenAt, now)
 		m.Members = append(m.Members, r)
 	}
 	for _, one := range summaries {
