gossip: a panic about a datagram releases the lock, for each format

Callers saw: nothing yet; found while the handlers of datagrams were read for the fault of suspended instances. A panic in the handling of a datagram about limits, quotas or a confirmation is contained, but left the lock of the mesh locked: the instance would answer no look-up and send no heartbeat again.

Cause: only the handler of heartbeats deferred the release. Evidence: TestContainedLock fails on the code before for these three formats.

Change: Mesh.locked releases it in any case and serves all four handlers, and handle counts and contains once for all formats, which now covers their decoding too.

--- a/gossip/confirm.go
+++ b/gossip/confirm.go
@@ -88,22 +88,21 @@
 	return m.view.askPosition(now)
 }
 
-func (m *Mesh) handleConfirmation(data []byte, from netip.Addr) {
+// handleConfirmation processes a datagram with a confirmation.
+func (m *Mesh) handleConfirmation(data []byte, from netip.Addr, now time.Time) error {
 	msg, err := decodeConfirmation(data)
 	if err != nil {
-		unreadable.Inc()
-		return
+		return err
 	}
-	received.Inc()
-	defer m.contain(from)
-	now := m.now()
-	m.mu.Lock()
-	ok, sameDomain := m.view.accepts(msg.Domain, msg.From, from), msg.Domain == m.view.domain
-	m.mu.Unlock()
+	var ok, sameDomain bool
+	m.locked(func(v *view) {
+		ok, sameDomain = v.accepts(msg.Domain, msg.From, from), msg.Domain == v.domain
+	})
 	if ok {
 		at := now.Add(-time.Duration(msg.AgeMillis) * time.Millisecond)
 		m.onConfirmed(Confirmation{From: from, SameDomain: sameDomain, Newest: msg.Newest, Digests: msg.Digests, At: at})
 	}
+	return nil
 }
 
 // confirm returns the datagrams of one confirmation. It does not count as a heartbeat.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -229,50 +229,58 @@
 	return nil
 }
 
-// handle processes a datagram.
+// handle processes a datagram of any format.
 func (m *Mesh) handle(data []byte, from netip.Addr) {
-	if isLimits(data) {
-		limits, err := decodeLimits(data)
-		if err != nil {
-			unreadable.Inc()
-			return
-		}
-		m.handleLimits(limits, from)
-		return
-	}
-	if isQuotas(data) {
-		m.handleQuotas(data, from)
+	defer m.contain(from)
+	if err := m.handlerOf(data)(data, from, m.now()); err != nil {
+		unreadable.Inc()
 		return
 	}
-	if isConfirmation(data) {
-		m.handleConfirmation(data, from)
-		return
+	received.Inc()
+}
+
+// handlerOf returns the method that processes a datagram, by its format. The method returns an error for one that cannot
+// be decoded.
+func (m *Mesh) handlerOf(data []byte) func(data []byte, from netip.Addr, now time.Time) error {
+	switch {
+	case isLimits(data):
+		return m.handleLimits
+	case isQuotas(data):
+		return m.handleQuotas
+	case isConfirmation(data):
+		return m.handleConfirmation
 	}
+	return m.handleMessage
+}
+
+// handleMessage processes a heartbeat or a query.
+func (m *Mesh) handleMessage(data []byte, from netip.Addr, now time.Time) error {
 	msg, err := decode(data)
 	if err != nil {
-		unreadable.Inc()
-		return
+		return err
 	}
-	received.Inc()
-	defer m.contain(from)
-	now := m.now()
-	replies, sameDomain, ok := m.apply(msg, from, now)
+	var replies []datagram
+	var ok, sameDomain bool
+	m.locked(func(v *view) {
+		replies, ok = v.handle(msg, from, now)
+		sameDomain = msg.Domain == v.domain
+	})
 	m.send(replies)
-	if ok {
-		m.onRevisions(RevisionNotice{From: from, SameDomain: sameDomain, Newest: msg.Newest})
+	if !ok {
+		return nil
 	}
-	if ok && sameDomain && len(msg.LoadReports) > 0 {
+	m.onRevisions(RevisionNotice{From: from, SameDomain: sameDomain, Newest: msg.Newest})
+	if sameDomain && len(msg.LoadReports) > 0 {
 		m.onLoadReports(decodeLoadReports(msg.LoadReports, now))
 	}
+	return nil
 }
 
-// apply applies a message to the view. It returns the replies to send, whether the sender
-// is in this instance's failure domain, and whether the message was accepted.
-func (m *Mesh) apply(msg *message, from netip.Addr, now time.Time) (replies []datagram, sameDomain, ok bool) {
+// locked calls f with the lock held. It releases the lock also if f panics, since contain lets the process go on.
+func (m *Mesh) locked(f func(v *view)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	replies, ok = m.view.handle(msg, from, now)
-	return replies, msg.Domain == m.view.domain, ok
+	f(m.view)
 }
 
 // contain recovers from a panic in the handling of a datagram: no datagram may end the
--- a/gossip/limit.go
+++ b/gossip/limit.go
@@ -37,17 +37,19 @@
 func (m *Mesh) OnLimits(f func([]limit.State)) { m.onLimits = f }
 
 // handleLimits processes a datagram about limits.
-func (m *Mesh) handleLimits(msg *limitMessage, from netip.Addr) {
-	received.Inc()
-	defer m.contain(from)
-	now := m.now()
-	m.mu.Lock()
-	datagrams, states := m.view.handleLimits(msg, from, now)
-	m.mu.Unlock()
+func (m *Mesh) handleLimits(data []byte, from netip.Addr, now time.Time) error {
+	msg, err := decodeLimits(data)
+	if err != nil {
+		return err
+	}
+	var datagrams []datagram
+	var states []limit.State
+	m.locked(func(v *view) { datagrams, states = v.handleLimits(msg, from, now) })
 	m.send(datagrams)
 	if len(states) > 0 {
 		m.onLimits(states)
 	}
+	return nil
 }
 
 // exchangeLimits returns the datagrams of one exchange. It records the demands of which this
--- a/gossip/quota.go
+++ b/gossip/quota.go
@@ -38,22 +38,19 @@
 func (m *Mesh) OnQuotas(f func([]quota.Answer)) { m.onQuotas = f }
 
 // handleQuotas processes a datagram about quotas.
-func (m *Mesh) handleQuotas(data []byte, from netip.Addr) {
+func (m *Mesh) handleQuotas(data []byte, from netip.Addr, now time.Time) error {
 	msg, err := decodeQuotas(data)
 	if err != nil {
-		unreadable.Inc()
-		return
+		return err
 	}
-	received.Inc()
-	defer m.contain(from)
-	now := m.now()
-	m.mu.Lock()
-	datagrams, answers := m.view.handleQuotas(msg, from, now)
-	m.mu.Unlock()
+	var datagrams []datagram
+	var answers []quota.Answer
+	m.locked(func(v *view) { datagrams, answers = v.handleQuotas(msg, from, now) })
 	m.send(datagrams)
 	if len(answers) > 0 {
 		m.onQuotas(answers)
 	}
+	return nil
 }
 
 // exchangeQuotas returns the datagrams of one exchange, and the answers to reports whose holder is this instance.
--- a/gossip/suspend_test.go
+++ b/gossip/suspend_test.go
@@ -3,10 +3,14 @@
 import (
 	"flag"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
+
+	"hickorydrum/clock"
+	"hickorydrum/quota"
 )
 
 var suspendSeeds = flag.Int("suspend-seeds", 5, "seeds of each order of losses and suspensions")
@@ -210,3 +214,30 @@
 		}
 	}
 }
+
+// TestContainedLock guards against a panic in the handling of a datagram that leaves the lock locked, so that the instance
+// hangs: for each format.
+func TestContainedLock(t *testing.T) {
+	v := newTestView()
+	quotas := newQuotaBatch(v, addressOf(2), epoch)
+	quotas.addAnswer(addressOf(1), &quota.Answer{State: quota.State{Key: 1, At: epoch}})
+	tests := map[string][]byte{
+		"heartbeat":    v.encode(&message{}, nil, nil, epoch),
+		"limit":        encodeDatagram(v.newLimitMessage(addressOf(2))),
+		"quota":        quotas.datagrams()[0].data,
+		"confirmation": encodeDatagram(&confirmMessage{Format: confirmFormat, Domain: "one", From: addressOf(2)}),
+	}
+	for name, data := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := &Mesh{now: clock.Now, conn: nowhere{}, log: slog.New(slog.DiscardHandler)} // without a view, each handler panics
+			before := panics.Get()
+			m.handle(data, addressOf(2))
+			if panics.Get() == before {
+				t.Fatal("nothing panicked")
+			}
+			if !m.mu.TryLock() {
+				t.Error("the lock is still locked")
+			}
+		})
+	}
+}
