gossip: ages in a datagram that waited count from before the suspension

After a suspension an instance read datagrams that had waited in its socket for seconds, and took what they say of limits, quotas, load and of the state of the store for new: it acted on permissions that had run out, and took its state for confirmed at a time at which nobody had confirmed it.

Cause: ages in a datagram were counted from the moment it was read. Evidence: TestWaitedDatagrams fails on the code before in 8 of 12 rows, by the whole suspension (5 s); heartbeats and summaries were mended before.

Change: all formats count from view.arrivedAt, the earliest time at which the datagram can have arrived.

--- a/gossip/confirm.go
+++ b/gossip/confirm.go
@@ -95,11 +95,12 @@
 		return err
 	}
 	var ok, sameDomain bool
+	var at time.Time
 	m.locked(func(v *view) {
 		ok, sameDomain = v.accepts(msg.Domain, msg.From, from), msg.Domain == v.domain
+		at = v.arrivedAt(now).Add(-time.Duration(msg.AgeMillis) * time.Millisecond)
 	})
 	if ok {
-		at := now.Add(-time.Duration(msg.AgeMillis) * time.Millisecond)
 		m.onConfirmed(Confirmation{From: from, SameDomain: sameDomain, Newest: msg.Newest, Digests: msg.Digests, At: at})
 	}
 	return nil
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -261,9 +261,10 @@
 	}
 	var replies []datagram
 	var ok, sameDomain bool
+	var at time.Time
 	m.locked(func(v *view) {
 		replies, ok = v.handle(msg, from, now)
-		sameDomain = msg.Domain == v.domain
+		sameDomain, at = msg.Domain == v.domain, v.arrivedAt(now)
 	})
 	m.send(replies)
 	if !ok {
@@ -271,7 +272,7 @@
 	}
 	m.onRevisions(RevisionNotice{From: from, SameDomain: sameDomain, Newest: msg.Newest})
 	if sameDomain && len(msg.LoadReports) > 0 {
-		m.onLoadReports(decodeLoadReports(msg.LoadReports, now))
+		m.onLoadReports(decodeLoadReports(msg.LoadReports, at))
 	}
 	return nil
 }
--- a/gossip/limit.go
+++ b/gossip/limit.go
@@ -137,10 +137,11 @@
 	if !v.accepts(m.Domain, m.From, from) {
 		return nil, nil
 	}
+	at := v.arrivedAt(now)
 	states := make([]limit.State, len(m.States))
 	index := make(map[limit.ID]int, len(m.States))
 	for i := range m.States {
-		states[i] = m.state(&m.States[i], now)
+		states[i] = m.state(&m.States[i], at)
 		index[states[i].ID] = i
 	}
 	reply, passOn := v.newLimitMessage(v.self.Address), make(map[netip.Addr]*limitMessage)
--- a/gossip/quota.go
+++ b/gossip/quota.go
@@ -103,15 +103,16 @@
 	if !v.accepts(m.Domain, m.From, from) {
 		return nil, nil
 	}
+	at := v.arrivedAt(now)
 	answers := make([]quota.Answer, len(m.Answers))
 	for i := range m.Answers {
-		answers[i] = m.Answers[i].answer(now)
+		answers[i] = m.Answers[i].answer(at)
 		v.quotas.Apply(&answers[i], now)
 	}
 	keys := make(map[uint64]bool)
 	replies, passedOn := newQuotaBatch(v, v.self.Address, now), newQuotaBatch(v, m.Origin, now)
 	for i := range m.Reports {
-		r := m.Reports[i].report(now)
+		r := m.Reports[i].report(at)
 		if to, ok := v.passOn(m, r.Key, from, now); ok {
 			passedOn.addReport(to, &r)
 			continue
--- a/gossip/suspend_test.go
+++ b/gossip/suspend_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hickorydrum/clock"
+	"hickorydrum/limit"
 	"hickorydrum/quota"
 )
 
@@ -215,6 +216,57 @@
 	}
 }
 
+// TestWaitedDatagrams guards against a datagram that waited while the instance was suspended, and whose content counts as
+// new when it is read.
+func TestWaitedDatagrams(t *testing.T) {
+	const suspended = 5 * time.Second
+	from := newTestView()
+	from.self.Address = addressOf(2)
+	other := newView(Member{Address: addressOf(3), Ready: true}, "two", from.regions, from.random, from.log, epoch)
+	quotas := newQuotaBatch(from, from.self.Address, epoch)
+	quotas.addAnswer(addressOf(1), &quota.Answer{State: quota.State{Key: 1, At: epoch, Holder: addressOf(2), Fraction: 1}})
+	limits := from.newLimitMessage(from.self.Address)
+	limits.addState(&limit.State{ID: limit.ID{Key: 1}, Domain: "one", InForce: true, PerSecond: 1, NamedAt: epoch, FractionAt: epoch, Fraction: 1}, epoch)
+	var got time.Time // of what the datagram says
+	tests := map[string]struct {
+		data []byte
+		from netip.Addr
+		at   func(v *view) time.Time
+	}{
+		"heartbeat":    {from.encode(&message{}, nil, nil, epoch), addressOf(2), func(v *view) time.Time { return v.others[addressOf(2)].seenAt }},
+		"summary":      {other.encode(&message{}, nil, other.allSummaries(epoch), epoch), addressOf(3), func(v *view) time.Time { return v.summaries["two"].madeAt }},
+		"load report":  {from.encode(&message{LoadReports: encodeLoadReports([]LoadReport{{Key: 1, At: epoch}}, epoch)}, nil, nil, epoch), addressOf(2), nil},
+		"limit":        {encodeDatagram(limits), addressOf(2), nil},
+		"quota":        {quotas.datagrams()[0].data, addressOf(2), nil},
+		"confirmation": {encodeDatagram(&confirmMessage{Format: confirmFormat, Domain: "one", From: addressOf(2)}), addressOf(2), nil},
+	}
+	for name, test := range tests {
+		for when, heartbeat := range map[string]bool{"before the next heartbeat": false, "after it": true} {
+			t.Run(name+" "+when, func(t *testing.T) {
+				now, v := epoch.Add(suspended), newTestView()
+				m := &Mesh{
+					now: func() time.Time { return now }, view: v, conn: nowhere{}, log: slog.New(slog.DiscardHandler), onRevisions: func(RevisionNotice) {},
+					onLoadReports: func(l []LoadReport) { got = l[0].At },
+					onLimits:      func(s []limit.State) { got = later(s[0].NamedAt, s[0].FractionAt) },
+					onQuotas:      func(a []quota.Answer) { got = a[0].State.At },
+					onConfirmed:   func(c Confirmation) { got = c.At },
+				}
+				if heartbeat {
+					m.heartbeat()
+				}
+				got = time.Time{}
+				m.handle(test.data, test.from)
+				if test.at != nil {
+					got = test.at(v)
+				}
+				if !got.Equal(epoch) {
+					t.Errorf("it counts as of %s after the suspension began", got.Sub(epoch))
+				}
+			})
+		}
+	}
+}
+
 // TestContainedLock guards against a panic in the handling of a datagram that leaves the lock locked, so that the instance
 // hangs: for each format.
 func TestContainedLock(t *testing.T) {
