quota: an instance that starts assumes nothing of others and of what was admitted

Cause: an instance took what it did not know for nothing. It knew no other, so that it was the holder of each account, and so was each of them; its bucket was full; its gate admitted a burst until an answer came; and hosted asked for a second whether there are quotas at all before it exchanged reports. The meters of offers had seen nothing before the start either, so that the fraction was 1 while the account was far over its quota.

Change: the rule is in the package comment, its times in quota.Start. A bucket counts as empty at the start of the instance that begins it, unless a report carries the state of the holder before. No reports are taken while the view of the fleet grows. A request of an account of which nothing is known waits for the first answer. Offers are measured since the start. The exchange begins with the first quota.

Why it works: what all instances admit after a start is at most the rate since then, whatever was used before it. A single holder gives it out, since none answers before the views agree, and it has collected the reports of all.

hosted TestQuotaOverInstances and TestQuotaReturned began right after the start and asked for a full bucket, which was the fault; they begin a window later now, and ask for the same.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -82,12 +82,19 @@
 }
 
 // TokenBucket bounds the rate of requests to one upstream. Its rate and size are passed
-// in; it is full at its first use.
+// in; it is full at its first use, unless Begin was called.
 type TokenBucket struct {
 	tokens  float64
 	updated time.Time
 }
 
+// Begin sets what the bucket holds before its first use. It does nothing afterwards.
+func (b *TokenBucket) Begin(tokens float64, now time.Time) {
+	if b.updated.IsZero() {
+		b.tokens, b.updated = tokens, now
+	}
+}
+
 // Spend takes one token and reports whether there was one. The bucket fills with
 // perSecond tokens a second and holds at most burst.
 func (b *TokenBucket) Spend(now time.Time, perSecond, burst float64) bool {
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -44,6 +44,8 @@
 	limits  map[limit.ID]limit.State // what the instance knows of limits
 	old     bool                     // of an earlier version, which knows no limits
 	quota   *quotaInstance           // nil without client accounts
+
+	startedAt time.Time
 }
 
 type delivery struct {
@@ -103,7 +105,7 @@
 		Demand: map[string]int{"catalogue": 1000, "orders": 500, "files": 200},
 	}
 	random := rand.New(rand.NewPCG(s.random.Uint64(), 1))
-	p := &simInstance{view: newView(self, domain, s.regions, random, slog.New(slog.DiscardHandler), s.now)}
+	p := &simInstance{startedAt: s.now, view: newView(self, domain, s.regions, random, slog.New(slog.DiscardHandler), s.now)}
 	p.view.seeds = s.seeds
 	p.dueAt = s.now.Add(time.Duration(s.random.Int64N(int64(300 * time.Millisecond))))
 	if i == len(s.members) {
--- a/gossip/merge.go
+++ b/gossip/merge.go
@@ -83,6 +83,7 @@
 	switch {
 	case !ok && len(v.others) >= maxMembers:
 	case !ok:
+		v.grow(at)
 		v.others[other.Address] = &memberState{member: other, seenAt: at, silentSince: at}
 		event.MemberJoined.Log(context.Background(), v.log, slog.String("member", other.Address.String()))
 	case m.member.Run == other.Run:
@@ -102,6 +103,13 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // addContact stores the sender of a datagram from another failure domain as a contact
 // there, in place of the oldest contact if they are maxContactsSent.
 func (v *view) addContact(domain string, from netip.Addr) {
@@ -124,6 +132,9 @@
 	if old, ok := v.summaries[s.Domain]; ok && !s.madeAt.After(old.madeAt) {
 		return
 	}
+	if _, ok := v.lastPresent[s.Domain]; !ok {
+		v.grow(s.madeAt)
+	}
 	s.Region = region
 	v.summaries[s.Domain], v.lastPresent[s.Domain] = s, s.Present
 	if len(s.Contacts) > 0 {
--- a/gossip/quota.go
+++ b/gossip/quota.go
@@ -64,6 +64,9 @@
 			out.addReport(to, r)
 			continue
 		}
+		if !v.grown(now) {
+			continue
+		}
 		v.quotas.Record(to, r, now)
 		if a, ok := v.quotas.Answer(r.Key, to, v.quotaScope(r.Key, now), now); ok {
 			own = append(own, a)
@@ -111,6 +114,9 @@
 	}
 	keys := make(map[uint64]bool)
 	replies, passedOn := newQuotaBatch(v, v.self.Address, now), newQuotaBatch(v, m.Origin, now)
+	if !v.grown(now) {
+		m.Reports = nil
+	}
 	for i := range m.Reports {
 		r := m.Reports[i].report(at)
 		if to, ok := v.passOn(m, r.Key, from, now); ok {
--- a/gossip/quota_test.go
+++ b/gossip/quota_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math"
@@ -30,8 +31,25 @@
 type quotaInstance struct {
 	gate       *quota.Gate
 	exchangeAt time.Time
+	waiting    []waitingRequest
 }
 
+// waitingRequest is a request that waits for an answer of the holder.
+type waitingRequest struct {
+	answered <-chan struct{}
+	offered  time.Duration
+}
+
+// patience is how long a request waits for an answer.
+const patience = 2 * time.Second
+
+// done is the context of a request that waits no longer.
+var done = func() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}()
+
 // quotaModel plays the requests of one account at a simulated fleet.
 type quotaModel struct {
 	*simulation
@@ -61,7 +79,7 @@
 	random := rand.New(rand.NewPCG(m.random.Uint64(), 2))
 	p.view.quotas.SetQuotas(map[uint64]quota.Quota{m.account.Hash(): {Rate: m.account.Rate, Burst: m.account.Burst}}, testTerms)
 	p.quota = &quotaInstance{exchangeAt: m.now.Add(time.Duration(m.random.Int64N(int64(quotaExchange))))}
-	p.quota.gate = quota.NewGate(testTerms, func() int { _, all := p.view.count(""); return all }, random)
+	p.quota.gate = quota.NewGate(testTerms, func() int { _, all := p.view.count(""); return all }, random, quota.NewStart(p.startedAt))
 }
 
 func (m *quotaModel) elapsed() time.Duration { return m.now.Sub(m.begun) }
@@ -75,6 +93,7 @@
 		if p.down || p.paused {
 			continue
 		}
+		m.decideWaiting(p)
 		for range poisson(m.random, m.demand(m.elapsed(), i)*tickInterval.Seconds()) {
 			m.offer(p)
 		}
@@ -89,13 +108,41 @@
 
 func (m *quotaModel) offer(p *simInstance) {
 	m.offered = append(m.offered, m.elapsed())
-	if p.quota.gate.Admit(m.account, m.now).Admitted {
+	m.note(p, p.quota.gate.Admit(m.account, m.now), m.elapsed())
+}
+
+// note notes what becomes of a request.
+func (m *quotaModel) note(p *simInstance, d quota.Decision, offered time.Duration) {
+	switch {
+	case d.Answered != nil:
+		p.quota.waiting = append(p.quota.waiting, waitingRequest{d.Answered, offered})
+	case d.Admitted:
 		m.admitted = append(m.admitted, m.elapsed())
-	} else {
+	default:
 		m.rejected = append(m.rejected, m.elapsed())
 	}
 }
 
+// decideWaiting decides on the requests that an answer or the end of their patience has reached.
+func (m *quotaModel) decideWaiting(p *simInstance) {
+	waiting := p.quota.waiting
+	p.quota.waiting = nil
+	for _, w := range waiting {
+		ctx := context.Background()
+		if m.elapsed()-w.offered >= patience {
+			ctx = done
+		}
+		select {
+		case <-w.answered:
+		case <-ctx.Done():
+		default:
+			p.quota.waiting = append(p.quota.waiting, w)
+			continue
+		}
+		m.note(p, p.quota.gate.Decide(ctx, m.account, m.now), w.offered)
+	}
+}
+
 func (s *simulation) deliverQuotas(to *simInstance, d delivery) {
 	msg, err := decodeQuotas(d.data)
 	if err != nil {
@@ -129,13 +176,15 @@
 	return float64(most) / bound
 }
 
+// ends is how many requests more or fewer may be admitted in a time by what the bucket holds at its ends.
+const ends = 3
+
 // used returns the part of what could be admitted in a time that was: the requests that the quota allows, or those
 // that were offered if these are fewer. The part of instances that do not run is not used, since the others cannot
 // tell whether they are cut off.
 //
-// ends is added to what was admitted: the bucket may hold more at the end than at the begin.
+// The bucket may hold more at the end than at the begin: ends is added to what was admitted.
 func (m *quotaModel) used(from, to time.Duration) float64 {
-	const ends = 3
 	running := 0
 	m.each(func(_ int, p *simInstance) {
 		if !p.down && !p.paused {
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -67,6 +67,9 @@
 	// settleTime is how long an instance needs to learn of the others after a start or a
 	// pause.
 	settleTime = 2 * time.Second
+	// growTime is how long the view of an instance that has started still grows, and how long after each newcomer: the seeds
+	// are queried at each heartbeat, so that the next one is known within that.
+	growTime = heartbeatInterval + 150*time.Millisecond
 	// pausedAfter is the delay of a heartbeat from which this instance counts as paused: its
 	// view then dates from before the pause.
 	pausedAfter = 1500 * time.Millisecond
@@ -114,6 +117,8 @@
 	next        []netip.Addr                // targets of the next heartbeats
 	settledAt   time.Time                   // until then, after a start or a pause, the instance uses no rights to cold upstreams
 	heartbeatAt time.Time                   // of the last heartbeat
+	// growsUntil is when the view counts as grown after a start. Each newcomer moves it, up to mostGrowsUntil.
+	growsUntil, mostGrowsUntil time.Time
 	// Until drainedAt, the datagrams that are read may have arrived as early as waitedSince.
 	drainedAt, waitedSince time.Time
 }
@@ -122,8 +127,8 @@
 	return &view{
 		domain: domain, regions: regions, log: log, random: random, self: self, checkGroup: checkGroup(domain, regions),
 		others: make(map[netip.Addr]*memberState), summaries: make(map[string]*Summary), contacts: make(map[string][]netip.Addr),
-		holder: limit.NewHolder(self.Address), quotas: quota.NewHolder(self.Address, random), lastPresent: make(map[string]int),
-		settledAt: now.Add(settleTime), heartbeatAt: now,
+		holder: limit.NewHolder(self.Address), quotas: quota.NewHolder(self.Address, random, quota.NewStart(now)), lastPresent: make(map[string]int),
+		settledAt: now.Add(settleTime), growsUntil: now.Add(growTime), mostGrowsUntil: now.Add(settleTime), heartbeatAt: now,
 	}
 }
 
@@ -185,6 +190,17 @@
 	return now
 }
 
+// grow records that a member or a failure domain has become known.
+func (v *view) grow(now time.Time) {
+	if now.Before(v.growsUntil) {
+		v.growsUntil = earlier(later(v.growsUntil, now.Add(growTime)), v.mostGrowsUntil)
+	}
+}
+
+// grown reports whether this instance knows of enough others to agree with them on the holder of an account. Before, those
+// that start together have different holders.
+func (v *view) grown(now time.Time) bool { return !now.Before(v.growsUntil) }
+
 // forget removes members that have been silent for longer than forgetAfter, or that were
 // leaving and are dead, and summaries older than forgetSummaryAfter, and logs members that
 // have just died. The contacts in other failure domains stay.
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
+	"hickorydrum/clock"
 	"hickorydrum/dispatch"
 	"hickorydrum/event"
 	"hickorydrum/fault"
@@ -61,11 +62,13 @@
 	planner   *planner.Planner
 	quotas    *quota.Gate
 	hasQuotas atomic.Bool // an account of the configuration in force has a quota
-	ingress   *ingress.Ingress
-	servers   servers
-	group     errgroup.Group
-	bounds    atomic.Pointer[platform.Bounds] // as last read from the settings file
-	refresh   chan struct{}                   // see refreshView
+	// quotasBegun has a value after hasQuotas has become true.
+	quotasBegun chan struct{}
+	ingress     *ingress.Ingress
+	servers     servers
+	group       errgroup.Group
+	bounds      atomic.Pointer[platform.Bounds] // as last read from the settings file
+	refresh     chan struct{}                   // see refreshView
 	// withdrawalLines bounds the lines about upstreams that leave or are gone.
 	withdrawalLines *event.Limiter
 	// entryLines bounds those about entries that are not usable.
@@ -89,6 +92,7 @@
 	i := &Instance{
 		file: file, settings: settings, limits: newBounds(settings.Limits), log: log, store: platform.New("http://" + settings.Store),
 		evacuated: make(map[string]bool), decoded: make(map[string]decodedUpstream), refresh: make(chan struct{}, 1),
+		quotasBegun:     make(chan struct{}, 1),
 		withdrawalLines: event.NewLimiter(event.LinesPerSecond(maxWithdrawalLines)),
 		entryLines:      event.NewLimiter(event.LinesPerSecond(maxEntryLines)),
 		quotaLines:      event.NewLimiter(event.LinesPerSecond(maxQuotaLines)),
@@ -115,7 +119,7 @@
 	i.planner = planner.New(location, i.tracker, i.mesh, retryBounds(settings.Bounds))
 	i.follower = newFollower(i.store, i.mesh, control.Port(), log, i.apply, withRanBefore(!settings.Bootstrap),
 		withHeartbeat(settings.HeartbeatInterval), withBound(settings.Bounds.Propagation))
-	i.quotas = newQuotaGate(quotaTerms(&settings.Bounds), i.instances)
+	i.quotas = newQuotaGate(quotaTerms(&settings.Bounds), i.instances, quota.NewStart(clock.Now()))
 	i.ingress = ingress.New(i.planner, log, ingress.WithOnLeaving(i.refreshView), ingress.WithMemory(i.limits.bodies), ingress.WithQuotas(i.quotas),
 		ingress.WithConfirmed(func() freshness.Confirmation { return i.follower.confirmation(platform.KindConfiguration) }))
 	i.mesh.OnRevisions(i.follower.handleNotice)
--- a/hosted/quota.go
+++ b/hosted/quota.go
@@ -19,8 +19,6 @@
 const (
 	// quotasInterval is how often the offers of client accounts are checked for what must be reported.
 	quotasInterval = 50 * time.Millisecond
-	// noQuotasInterval is how often it is checked whether accounts have quotas, while none has.
-	noQuotasInterval = time.Second
 	// maxQuotaLines limits the log lines a second about quotas.
 	maxQuotaLines = 10
 )
@@ -30,8 +28,8 @@
 	quotaLinesOmitted = metrics.GetOrCreateCounter(`hickorydrum_quota_lines_omitted_total`)
 )
 
-func newQuotaGate(terms quota.Terms, instances func() int) *quota.Gate {
-	return quota.NewGate(terms, instances, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+func newQuotaGate(terms quota.Terms, instances func() int, start quota.Start) *quota.Gate {
+	return quota.NewGate(terms, instances, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), start)
 }
 
 // instances returns how many instances may be running.
@@ -56,14 +54,20 @@
 			}
 		}
 	}
-	i.hasQuotas.Store(len(quotas) > 0)
 	i.mesh.SetQuotas(quotas, terms)
+	if i.hasQuotas.Swap(len(quotas) > 0) || len(quotas) == 0 {
+		return
+	}
+	select {
+	case i.quotasBegun <- struct{}{}:
+	default: // the exchange begins already
+	}
 }
 
 // exchangeQuotas exchanges the reports about client accounts with the other instances, every quotasInterval until the
-// context is done, and logs which accounts are over their quotas. While no account has a quota, it wakes up seldom.
+// context is done, and logs which accounts are over their quotas. It sleeps while no account has a quota.
 func (i *Instance) exchangeQuotas(ctx context.Context) error {
-	for interval.Sleep(ctx, i.quotasWait()) {
+	for i.awaitQuotas(ctx) {
 		answers := i.mesh.ExchangeQuotas(i.quotas.Reports(clock.Now()))
 		i.receiveQuotas(answers)
 		i.logQuotas(ctx, i.quotas.Changes(clock.Now()))
@@ -71,11 +75,17 @@
 	return nil
 }
 
-func (i *Instance) quotasWait() time.Duration {
+// awaitQuotas waits until the next exchange is due. It returns false if the context is done.
+func (i *Instance) awaitQuotas(ctx context.Context) bool {
 	if i.hasQuotas.Load() {
-		return quotasInterval
+		return interval.Sleep(ctx, quotasInterval)
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-i.quotasBegun:
+		return true
 	}
-	return noQuotasInterval
 }
 
 // receiveQuotas applies the answers of other instances.
--- a/hosted/quota_test.go
+++ b/hosted/quota_test.go
@@ -103,6 +103,7 @@
 	for _, m := range members {
 		c.ready(m, 1)
 	}
+	time.Sleep(window) // before, the buckets count as empty
 	client := newQuotaClient(t)
 	begun := time.Now()
 	var group errgroup.Group
@@ -154,6 +155,7 @@
 	c.configureAccounts([]testAccount{{name: "bakery", keys: []string{"bakery-key"}, rate: 1, burst: 1}},
 		reads, testRoute{prefix: "/none/", kind: "safe", service: "none"})
 	c.ready(m, 1)
+	time.Sleep(5 * time.Second) // the window of the quota: before, the bucket counts as empty
 	client := newQuotaClient(t)
 	const refused = 60
 	for n := range refused {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -163,5 +163,18 @@
 	}
 }
 
+// leastMeasured is the least time over which RateSince counts events.
+const leastMeasured = 500 * time.Millisecond
+
+// RateSince returns the rates of a meter that could not record events before an instant: those of the time since then, if
+// that is shorter than the times of the estimates.
+func (e *Meter) RateSince(since, now time.Time) Rates {
+	measured, rates := max(leastMeasured, now.Sub(since)).Seconds(), e.Rate(now)
+	rates.Mean /= 1 - math.Exp(-measured/offerTime.Seconds())
+	rates.Recent /= 1 - math.Exp(-measured/recentTime.Seconds())
+	rates.long /= 1 - math.Exp(-measured/ownOfferTime.Seconds())
+	return rates
+}
+
 // NewMeter returns a meter with the rates that were estimated at an instant.
 func NewMeter(rates Rates, at time.Time) Meter { return Meter{rates: rates, at: at} }
--- a/quota/gate.go
+++ b/quota/gate.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 	maxSpread = 2 * time.Second
 	// overFor is how long after its last rejection an account counts as over its quota.
 	overFor = 5 * time.Second
+	// soonAnswer is the time in which a holder answers that ran before an instance started: those that start with the
+	// instance take longer until they take reports.
+	soonAnswer = time.Second
 	// maxAccounts bounds the accounts that are kept for the answers of holders.
 	maxAccounts = 8192
 )
@@ -28,6 +32,9 @@
 // Decision is what becomes of a request.
 type Decision struct {
 	Admitted bool
+	// Answered is nil once it is decided. Otherwise the instance knows too little to admit or to reject the request. The
+	// channel is closed when it may know more: then Decide is to be called.
+	Answered <-chan struct{}
 	// Alone states that the instance decided by its own part of the quota, since its reports are not answered.
 	Alone bool
 }
@@ -48,6 +55,7 @@
 // Gate decides at one instance which requests of accounts are admitted. It is safe for concurrent use.
 type Gate struct {
 	instances func() int // how many may be running
+	start     Start
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -65,6 +73,12 @@
 	// offeredAt is when the last request was offered.
 	offeredAt time.Time
 	usedAt    time.Time // of the last offer or answer
+	// answered is closed at the next answer, and waiting counts the requests that wait for it.
+	answered     chan struct{}
+	waiting      int
+	waitingSince time.Time // of the first one
+	// allowed is how many of the requests that have waited may be admitted after the answer.
+	allowed float64
 	// credit is the part of a request that may be admitted. Each offer adds the fraction to it.
 	credit float64
 	capped budget.TokenBucket // above the quota
@@ -113,9 +127,9 @@
 	return out
 }
 
-// NewGate returns a gate. instances returns how many instances may be running.
-func NewGate(terms Terms, instances func() int, random *rand.Rand) *Gate {
-	return &Gate{terms: terms, instances: instances, random: random, accounts: make(map[uint64]*entry)}
+// NewGate returns the gate of an instance. instances returns how many instances may be running.
+func NewGate(terms Terms, instances func() int, random *rand.Rand, start Start) *Gate {
+	return &Gate{terms: terms, instances: instances, start: start, random: random, accounts: make(map[uint64]*entry)}
 }
 
 // SetTerms sets the bound that later decisions keep.
@@ -135,6 +149,36 @@
 	e := g.entry(a, now)
 	e.offers.Add(now)
 	e.offeredAt, e.usedAt = now, now
+	return e.decide(g, now)
+}
+
+// Decide decides on a request that Admit, or an earlier call, left undecided. If it is called with the context of the
+// request done, it does not leave it undecided again.
+func (g *Gate) Decide(ctx context.Context, a *account.Account, now time.Time) Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.entry(a, now)
+	e.waiting--
+	asks := e.asks(g, now)
+	switch {
+	case asks && ctx.Err() == nil:
+		return e.wait(now)
+	case !asks && e.state.At.IsZero(): // there was no answer
+		return e.decide(g, now)
+	case e.allowed < 1:
+		e.reject(true, now)
+		return Decision{Alone: true}
+	}
+	e.allowed--
+	e.admitted++
+	return Decision{Admitted: true}
+}
+
+// decide decides on a request, unless the instance knows too little.
+func (e *entry) decide(g *Gate, now time.Time) Decision {
+	if e.asks(g, now) && float64(e.waiting) < max(1, e.quota.Rate*countTime.Seconds()+e.quota.Burst) {
+		return e.wait(now)
+	}
 	d := Decision{Alone: e.unanswered(now), Admitted: e.admits(g, now)}
 	if d.Admitted {
 		e.admitted++
@@ -144,6 +188,46 @@
 	return d
 }
 
+// wait returns that a request waits.
+func (e *entry) wait(now time.Time) Decision {
+	if e.answered == nil {
+		e.answered = make(chan struct{})
+	}
+	if e.waitingSince.IsZero() {
+		e.waitingSince = now
+	}
+	e.waiting++
+	return Decision{Answered: e.answered}
+}
+
+// allow sets how many of the requests that wait may be admitted by the first answer. A holder that ran before answers soon: then
+// that is what the bucket holds. After a longer wait others wait too, so that it is this instance's part of it, or none of an
+// account over its quota, whose later requests use it up.
+func (e *entry) allow(g *Gate, now time.Time) {
+	e.allowed = e.state.Room
+	switch {
+	case now.Sub(e.waitingSince) < soonAnswer:
+	case e.state.Fraction < 1:
+		e.allowed = 0
+	default:
+		offered := e.offered(g, now).Mean
+		e.allowed *= offered / max(e.state.Offered, offered, minOffered)
+	}
+}
+
+// asks reports whether the instance has to wait for the first answer of the holder.
+func (e *entry) asks(g *Gate, now time.Time) bool {
+	return e.state.At.IsZero() && g.start.recent(g.terms.Window, now) && !(e.unanswered(now) && g.start.counts(now))
+}
+
+// wake has the requests that wait for an answer decided.
+func (e *entry) wake() {
+	if e.answered != nil {
+		close(e.answered)
+		e.answered = nil
+	}
+}
+
 // RetryAt returns when the account of a request that was rejected now is expected to have room for it. Its caller
 // waits until the given instant. Later calls return later times, so that the callers do not return at the same
 // time; the random part spreads out those of different instances.
@@ -191,8 +275,11 @@
 func (e *entry) admits(g *Gate, now time.Time) bool {
 	extra := g.terms.extra(e.quota)
 	switch {
+	case e.asks(g, now):
+		return false // too many others wait already
 	case e.unanswered(now):
 		part := e.part(1/float64(max(1, g.instances())), now)
+		e.own.Begin(part*g.start.level(e.quota, g.terms, now), now)
 		if !e.own.Spend(now, part*e.quota.Rate, max(1, part*(e.quota.Burst+extra))) {
 			return false
 		}
@@ -215,12 +302,17 @@
 	return true
 }
 
+// offered returns the rates of the offers at this instance.
+func (e *entry) offered(g *Gate, now time.Time) limit.Rates {
+	return e.offers.RateSince(g.start.at, now)
+}
+
 // share returns the rate that this instance expects to admit, in requests a second.
 func (e *entry) share(g *Gate, now time.Time) float64 {
 	equal := 1 / float64(max(1, g.instances()))
 	part := equal
 	if e.knows(now) && e.state.Offered > 0 {
-		part = clamp(e.offers.Rate(now).Mean/e.state.Offered, equal, 1)
+		part = clamp(e.offered(g, now).Mean/e.state.Offered, equal, 1)
 	}
 	return part * e.quota.Rate
 }
@@ -236,8 +328,14 @@
 			delete(g.accounts, key)
 			continue
 		}
-		offers, fresh := e.offers.Rate(now), e.offeredAt.After(e.reportedAt)
-		if e.due(e.quota, offers, fresh, calm*e.quota.Rate, now) {
+		if e.answered != nil && !e.asks(g, now) {
+			e.wake()
+		}
+		offers, fresh, calmRate := e.offered(g, now), e.offeredAt.After(e.reportedAt), calm*e.quota.Rate
+		if e.asks(g, now) {
+			calmRate = 0
+		}
+		if e.due(e.quota, offers, fresh, calmRate, now) {
 			out = append(out, e.report(key, e.quota, offers, now))
 		}
 	}
@@ -259,6 +357,11 @@
 			e = g.add(key, now)
 		}
 		e.usedAt = now
-		e.apply(&answers[i], e.offers.Rate(now).Mean)
+		first := e.state.At.IsZero()
+		e.apply(&answers[i], e.offered(g, now).Mean)
+		if first {
+			e.allow(g, now)
+		}
+		e.wake()
 	}
 }
--- a/quota/gate_test.go
+++ b/quota/gate_test.go
@@ -22,9 +22,11 @@
 	silent bool // reports are not answered
 }
 
+// newAlone returns an instance that has run for long.
 func newAlone(instances int) *alone {
+	started := NewStart(epoch.Add(-time.Hour))
 	random := rand.New(rand.NewPCG(1, 2))
-	a := &alone{gate: NewGate(testTerms, func() int { return instances }, random), holder: NewHolder(netip.AddrFrom4([4]byte{10}), random), now: epoch}
+	a := &alone{gate: NewGate(testTerms, func() int { return instances }, random, started), holder: NewHolder(netip.AddrFrom4([4]byte{10}), random, started), now: epoch}
 	a.holder.SetQuotas(nil, testTerms)
 	return a
 }
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -23,6 +23,8 @@
 	reserveFor      = 5 * time.Second
 	// settleTime is how long a new holder collects reports, if another one held the account shortly before.
 	settleTime = 600 * time.Millisecond
+	// collectTime is how long a holder collects reports after a start, when all may report for the first time.
+	collectTime = 3 * busyInterval
 	// otherFor is the age up to which the state of another holder shows that there is one.
 	otherFor = 1500 * time.Millisecond
 	// pushEvery is how often the state of an account above its quota is sent to all instances of the failure
@@ -55,6 +57,7 @@
 // domain. It is not safe for concurrent use.
 type Holder struct {
 	self   netip.Addr
+	start  Start
 	random *rand.Rand
 	terms  Terms
 	quotas map[uint64]Quota
@@ -92,8 +95,8 @@
 }
 
 // NewHolder returns the holder at an instance, which has no reports yet.
-func NewHolder(self netip.Addr, random *rand.Rand) *Holder {
-	return &Holder{self: self, random: random, held: make(map[uint64]*held)}
+func NewHolder(self netip.Addr, random *rand.Rand, start Start) *Holder {
+	return &Holder{self: self, start: start, random: random, held: make(map[uint64]*held)}
 }
 
 // SetQuotas sets the quotas of the accounts by the hash of their names, and the terms of their bounds. The holder
@@ -115,7 +118,7 @@
 	}
 	one.recordedAt = now
 	one.setQuota(h.quotas, r)
-	one.recordKnown(&r.Known, h.self, now)
+	one.recordKnown(&r.Known, h, now)
 	s, ok := one.sources[from]
 	if !ok && len(one.sources) >= maxSources {
 		return
@@ -153,12 +156,12 @@
 
 // recordKnown records the state that a reporter had received before. From that of another holder a new holder learns
 // what the bucket holds, and an old one that there is another.
-func (one *held) recordKnown(known *State, self netip.Addr, now time.Time) {
-	if known.Holder == self || !known.Holder.IsValid() || !known.At.After(now.Add(-holdFor)) {
+func (one *held) recordKnown(known *State, h *Holder, now time.Time) {
+	if known.Holder == h.self && known.At.After(h.start.at) || !known.Holder.IsValid() || !known.At.After(now.Add(-holdFor)) {
 		return // that of a failure domain repeats what this holder sent
 	}
 	if !one.own || now.Sub(one.since) < settleTime {
-		one.state.newer(known)
+		one.learn(known, h, now)
 		return
 	}
 	if known.At.Before(one.since.Add(settleTime)) {
@@ -169,6 +172,24 @@
 	}
 }
 
+// learn takes over the state of the holder before, also once this holder has begun to keep the bucket.
+func (one *held) learn(known *State, h *Holder, now time.Time) {
+	if !known.At.After(one.state.At) {
+		return
+	}
+	one.state = *known
+	if one.own && one.scope.Whole {
+		level := one.levelOf(known, h, now) - one.quota.Rate*now.Sub(one.since).Seconds()
+		one.level += one.scope.Part * (level - one.begunLevel)
+		one.begunLevel = level
+	}
+}
+
+// levelOf returns what the bucket of the account holds by a state of its holder.
+func (one *held) levelOf(s *State, h *Holder, now time.Time) float64 {
+	return min(one.quota.Burst, s.Room-h.terms.extra(one.quota)+one.quota.Rate*now.Sub(s.At).Seconds())
+}
+
 // Answer returns the answer to the last report of an account by a reporter. It returns false while too little is
 // known.
 func (h *Holder) Answer(key uint64, from netip.Addr, scope Scope, now time.Time) (Answer, bool) {
@@ -234,19 +255,23 @@
 // Report returns the report of a failure domain about an account, if it is due.
 func (h *Holder) Report(key uint64, scope Scope, now time.Time) (Report, bool) {
 	if one, ok := h.held[key]; ok {
-		return one.reportDue(key, scope, now)
+		return one.reportDue(h, key, scope, now)
 	}
 	return Report{}, false
 }
 
-func (one *held) reportDue(key uint64, scope Scope, now time.Time) (Report, bool) {
+func (one *held) reportDue(h *Holder, key uint64, scope Scope, now time.Time) (Report, bool) {
 	if scope.Whole {
-		one.acked, one.askedAt = one.admitted, time.Time{}
+		if one.own { // its bucket has what was admitted
+			one.acked, one.askedAt = one.admitted, time.Time{}
+		}
 		return Report{}, false
 	}
-	offers := one.total(now)
-	if now.Sub(one.reportedAt) < minInterval ||
-		!one.due(one.quota, offers, one.recordedAt.After(one.reportedAt), calmPart*scope.Part*one.quota.Rate, now) {
+	offers, calmRate := one.total(now), calmPart*scope.Part*one.quota.Rate
+	if one.asks(h, now) {
+		calmRate = 0
+	}
+	if now.Sub(one.reportedAt) < minInterval || !one.due(one.quota, offers, one.recordedAt.After(one.reportedAt), calmRate, now) {
 		return Report{}, false
 	}
 	return one.report(key, one.quota, offers, now), true
@@ -266,7 +291,10 @@
 		if one.knows(now) {
 			return one.braked(h, now), true
 		}
-		return one.calm(h, now), true
+		return one.calm(h, now), !one.asks(h, now)
+	}
+	if !scope.Whole && !h.start.counts(now) {
+		return State{}, false
 	}
 	if !one.own || one.scope.Whole != scope.Whole {
 		one.begin(h, scope, now)
@@ -275,7 +303,7 @@
 		scope.Part = one.part(scope.Part, now)
 	}
 	one.scope = scope
-	if scope.Whole && one.knows(now) && now.Sub(one.since) < settleTime {
+	if scope.Whole && now.Sub(one.since) < one.collectsFor(h, now) {
 		return State{}, false
 	}
 	if one.computed.At.Before(one.since) || now.Sub(one.computedAt) >= computeEvery {
@@ -284,6 +312,11 @@
 	return one.computed, true
 }
 
+// asks reports whether the holder of a failure domain has to wait for the first answer of the holder of the account.
+func (one *held) asks(h *Holder, now time.Time) bool {
+	return one.state.At.IsZero() && h.start.recent(h.terms.Window, now)
+}
+
 // braked returns the last state of the holder of the account, with a lower fraction if this failure domain alone offers
 // more than the bucket still allows: reports and answers may be late.
 func (one *held) braked(h *Holder, now time.Time) State {
@@ -311,6 +344,17 @@
 	}
 }
 
+// collectsFor returns for how long this holder of the account only collects reports after it began.
+func (one *held) collectsFor(h *Holder, now time.Time) time.Duration {
+	switch {
+	case one.knows(now):
+		return settleTime
+	case h.start.recent(h.terms.Window, now):
+		return collectTime
+	}
+	return 0
+}
+
 // begin begins to keep the bucket, of which the last state of the holder before shows what it holds. Later, as the
 // holder of the account, the bucket also has the parts of the other failure domains, which report what they used.
 func (one *held) begin(h *Holder, scope Scope, now time.Time) {
@@ -324,10 +368,9 @@
 	if !scope.Whole {
 		part = one.part(scope.Part, now)
 	}
-	one.begunLevel = one.quota.Burst
+	one.begunLevel = h.start.level(one.quota, h.terms, now)
 	if one.knows(now) {
-		level := one.state.Room - h.terms.extra(one.quota) + one.quota.Rate*now.Sub(one.state.At).Seconds()
-		one.begunLevel = min(level, one.quota.Burst)
+		one.begunLevel = one.levelOf(&one.state, h, now)
 	}
 	one.level = part*one.begunLevel - float64(one.pending())
 	one.own, one.since, one.computedAt, one.overSince = true, now, now, time.Time{}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -8,6 +8,20 @@
 // the sum keeps the quota while instances fail or cannot reach each other. An account that offers far less
 // than its quota needs no messages.
 //
+// # After a start
+//
+// An instance that has just started does not know how many others there are, nor what was admitted before. Both count
+// in full: a window that begins before the start still has the bound of the quota, whatever was admitted in it and
+// however many instances started at the same time. So it keeps the following rule, which is in type Start.
+//
+//   - A bucket that the instance begins counts as empty at its start, and fills from then on, until a Window has
+//     passed. Only the state of the holder before, which a report carries, shows that there is more.
+//   - It takes no reports while its view of the fleet still grows: instances that start together do not agree on the holders
+//     yet, and report to one after the other. Reports are repeated until they are answered.
+//   - A request of an account of which no holder has told it anything is neither admitted nor rejected: it waits for the
+//     answer. If there is none, the instance uses its part of the quota once it knows how many
+//     parts there are (countTime).
+//
 // The package does no input or output, and every time is passed in.
 package quota
 
