quota: an instance that has just started holds no account beside older ones

Change: a member of a failure domain with fewer than four heartbeats does not rank for accounts while one with ten lives. Instances that started together all rank, as before.

--- a/gossip/member.go
+++ b/gossip/member.go
@@ -39,7 +39,7 @@
 // An instance that was paused knows nothing of what happened meanwhile, so there are two questions about a
 // member, and each has a time of its own:
 //
-//   - What does this instance say of it? Callers are given a member, other instances are told of it, and this
+//   - What does this instance say of it? Callers are given a member, other instances get its state, and this
 //     instance counts on it only while its last sign of life (seenAt) is recent, see seen and maxNamedAge. A pause
 //     of this instance changes nothing in that, and a datagram that may have waited through the pause is no
 //     sign of life since (see view.arrivedAt).
--- a/gossip/quota.go
+++ b/gossip/quota.go
@@ -12,6 +12,13 @@
 // part of the quota, so that the two parts overlap for a short time only.
 const quotaPresentFor = 5 * time.Second
 
+// A member with fewer than youngHeartbeats, which it sends in two seconds, holds no account while one with oldHeartbeats
+// lives. Members that started at the same time are closer to each other than that.
+const (
+	youngHeartbeats = 4
+	oldHeartbeats   = 10
+)
+
 // ExchangeQuotas sends reports about accounts to their holders, as this instance and as the holder of its failure
 // domain, and the states of accounts above their quotas to the members. It returns the answers that this
 // instance gives itself.
@@ -59,7 +66,7 @@
 	out := newQuotaBatch(v, v.self.Address, now)
 	for i := range reports {
 		r := &reports[i]
-		to := v.first(r.Key, (*Member).serves, now)
+		to := v.quotaMember(r.Key, now)
 		if to != v.self.Address {
 			out.addReport(to, r)
 			continue
@@ -84,13 +91,28 @@
 func (v *view) quotaHolder(key uint64, now time.Time) (to netip.Addr, whole, ok bool) {
 	owner := v.ownerAmong("", key, func(s *Summary) bool { return now.Sub(s.madeAt) < quotaPresentFor })
 	if owner == v.domain {
-		to = v.first(key, (*Member).serves, now)
+		to = v.quotaMember(key, now)
 		return to, to == v.self.Address, true
 	}
 	to, ok = v.contact(owner)
 	return to, false, ok
 }
 
+// quotaMember returns the member of the failure domain that holds an account there. One that has just started does not while
+// another has run for longer: it does not answer yet.
+func (v *view) quotaMember(key uint64, now time.Time) netip.Addr {
+	longest := v.self.Heartbeat
+	for _, m := range v.others {
+		if m.lives(now) {
+			longest = max(longest, m.member.Heartbeat)
+		}
+	}
+	holds := func(m *Member) bool {
+		return m.serves() && (m.Heartbeat >= youngHeartbeats || longest < oldHeartbeats)
+	}
+	return v.first(key, holds, now)
+}
+
 // quotaScope returns for which instances this one answers about an account.
 func (v *view) quotaScope(key uint64, now time.Time) quota.Scope {
 	if _, whole, _ := v.quotaHolder(key, now); whole {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,8 +18,8 @@
 //     passed. Only the state of the holder before, which a report carries, shows that there is more.
 //   - It takes no reports while its view of the fleet still grows: instances that start together do not agree on the holders
 //     yet, and report to one after the other. Reports are repeated until they are answered.
-//   - A request of an account of which no holder has told it anything is neither admitted nor rejected: it waits for the
-//     answer. If there is none, the instance uses its part of the quota once it knows how many
+//   - A request of an account whose holder has not answered since the start is neither admitted nor rejected: it waits for the
+//     first answer. If there is none, the instance uses its part of the quota once it knows how many
 //     parts there are (countTime).
 //
 // The package does no input or output, and every time is passed in.
