quota: an instance that waits for the first answer uses its part meanwhile

Callers saw: after all processes were killed, requests of accounts with quotas waited 1.2 to 2 s for the first answer of a holder, and were late.

Change: from 1 s after its start, when it knows roughly how many others there are, an instance admits what its equal part of the quota allows, from a bucket that was empty at the start; other requests wait on. What it admits is reported, so that the holder counts it.

--- a/quota/gate.go
+++ b/quota/gate.go
@@ -161,9 +161,7 @@
 	e.waiting--
 	asks := e.asks(g, now)
 	switch {
-	case asks && ctx.Err() == nil:
-		return e.wait(now)
-	case !asks && e.state.At.IsZero(): // there was no answer
+	case e.state.At.IsZero() && (!asks || ctx.Err() == nil): // there was no answer yet
 		return e.decide(g, now)
 	case e.allowed < 1:
 		e.reject(true, now)
@@ -176,8 +174,14 @@
 
 // decide decides on a request, unless the instance knows too little.
 func (e *entry) decide(g *Gate, now time.Time) Decision {
-	if e.asks(g, now) && float64(e.waiting) < max(1, e.quota.Rate*countTime.Seconds()+e.quota.Burst) {
-		return e.wait(now)
+	if e.asks(g, now) {
+		if g.start.shares(now) && e.spend(g, now) {
+			e.admitted++
+			return Decision{Admitted: true, Alone: true}
+		}
+		if float64(e.waiting) < max(1, e.quota.Rate*countTime.Seconds()+e.quota.Burst) {
+			return e.wait(now)
+		}
 	}
 	d := Decision{Alone: e.unanswered(now), Admitted: e.admits(g, now)}
 	if d.Admitted {
@@ -278,9 +282,7 @@
 	case e.asks(g, now):
 		return false // too many others wait already
 	case e.unanswered(now):
-		part := e.part(1/float64(max(1, g.instances())), now)
-		e.own.Begin(part*g.start.level(e.quota, g.terms, now), now)
-		if !e.own.Spend(now, part*e.quota.Rate, max(1, part*(e.quota.Burst+extra))) {
+		if !e.spend(g, now) {
 			return false
 		}
 		if now.Sub(e.askedAt) >= silentAfter {
@@ -307,6 +309,25 @@
 	return e.offers.RateSince(g.start.at, now)
 }
 
+// spend takes a request from this instance's own part of the quota.
+func (e *entry) spend(g *Gate, now time.Time) bool {
+	perSecond, size := e.ownPart(g, now)
+	return e.own.Spend(now, perSecond, size)
+}
+
+// hasPart reports whether spend would find a request.
+func (e *entry) hasPart(g *Gate, now time.Time) bool {
+	perSecond, size := e.ownPart(g, now)
+	return e.own.Allows(now, perSecond, size)
+}
+
+// ownPart returns the rate and the size of the bucket of this instance's own part of the quota.
+func (e *entry) ownPart(g *Gate, now time.Time) (perSecond, size float64) {
+	part := e.part(1/float64(max(1, g.instances())), now)
+	e.own.Begin(part*g.start.level(e.quota, g.terms, now), now)
+	return part * e.quota.Rate, max(1, part*(e.quota.Burst+g.terms.extra(e.quota)))
+}
+
 // share returns the rate that this instance expects to admit, in requests a second.
 func (e *entry) share(g *Gate, now time.Time) float64 {
 	equal := 1 / float64(max(1, g.instances()))
@@ -328,7 +349,7 @@
 			delete(g.accounts, key)
 			continue
 		}
-		if e.answered != nil && !e.asks(g, now) {
+		if e.answered != nil && (!e.asks(g, now) || g.start.shares(now) && e.hasPart(g, now)) {
 			e.wake()
 		}
 		offers, fresh, calmRate := e.offered(g, now), e.offeredAt.After(e.reportedAt), calm*e.quota.Rate
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -19,8 +19,8 @@
 //   - It takes no reports while its view of the fleet still grows: instances that start together do not agree on the holders
 //     yet, and report to one after the other. Reports are repeated until they are answered.
 //   - A request of an account whose holder has not answered since the start is neither admitted nor rejected: it waits for the
-//     first answer. If there is none, the instance uses its part of the quota once it knows how many
-//     parts there are (countTime).
+//     first answer. Meanwhile the instance admits what its part of the quota allows, once it knows roughly how many parts
+//     there are (shareTime). If there is no answer, it decides by its part alone, once it knows that well (countTime).
 //
 // The package does no input or output, and every time is passed in.
 package quota
--- a/quota/start.go
+++ b/quota/start.go
@@ -3,18 +3,27 @@
 import "time"
 
 // Start is when an instance started. Its methods are the rule of the package comment for the time after that.
-type Start struct{ at, countsAt time.Time }
+type Start struct{ at, sharesAt, countsAt time.Time }
 
-// countTime is the time in which instances that start together learn how many they are.
-const countTime = 2 * time.Second
+// countTime is the time in which instances that start together learn how many they are, and shareTime that in which they learn
+// it well enough to use their parts for a moment.
+const (
+	countTime = 2 * time.Second
+	shareTime = time.Second
+)
 
 // NewStart returns the start of an instance.
-func NewStart(at time.Time) Start { return Start{at: at, countsAt: at.Add(countTime)} }
+func NewStart(at time.Time) Start {
+	return Start{at: at, sharesAt: at.Add(shareTime), countsAt: at.Add(countTime)}
+}
 
 // recent reports whether a window that ends now may have begun before the start.
 func (s *Start) recent(window time.Duration, now time.Time) bool { return now.Sub(s.at) < window }
 
-// counts reports whether the instance may use its part of a quota.
+// shares reports whether the instance may use its part of a quota while it waits for the first answer.
+func (s *Start) shares(now time.Time) bool { return !now.Before(s.sharesAt) }
+
+// counts reports whether the instance may decide by its part of a quota alone.
 func (s *Start) counts(now time.Time) bool { return !now.Before(s.countsAt) }
 
 // level returns what the bucket of an account holds that the instance begins to keep now. At the start that is less than
--- a/quota/start_test.go
+++ b/quota/start_test.go
@@ -63,6 +63,7 @@
 	}{
 		"no answer yet":            {nil, 500 * time.Millisecond, context.Background(), 25, 0, 15},
 		"no answer in time":        {nil, 500 * time.Millisecond, ended, 0, 0, 40},
+		"no answer, with a part":   {nil, 1600 * time.Millisecond, context.Background(), 24, 1, 15},
 		"no answer at all":         {nil, 2500 * time.Millisecond, context.Background(), 0, 1, 39},
 		"an answer at once":        {state(1, 8), 100 * time.Millisecond, context.Background(), 0, 8, 32},
 		"a late answer":            {state(1, 8), 1500 * time.Millisecond, context.Background(), 0, 8, 32},
