quota: requests that waited get this instance's part of what the bucket holds

Cause: requests that had waited for less than a second were all admitted up to what the bucket holds, at each instance, on the assumption that a holder which answers that soon ran before. An instance that gets ready late, or whose first request comes late, waits for less although all have started.

Change: the time does not count. Of an account below its quota the requests that waited get the part of the bucket that the offers of this instance are of all, and at least two; of one over its quota none.

--- a/quota/gate.go
+++ b/quota/gate.go
@@ -22,9 +22,8 @@
 	maxSpread = 2 * time.Second
 	// overFor is how long after its last rejection an account counts as over its quota.
 	overFor = 5 * time.Second
-	// soonAnswer is the time in which a holder answers that ran before an instance started: those that start with the
-	// instance take longer until they take reports.
-	soonAnswer = time.Second
+	// leastAllowed is how many of the requests that wait are admitted at least, of an account below its quota.
+	leastAllowed = 2.0
 	// maxAccounts bounds the accounts that are kept for the answers of holders.
 	maxAccounts = 8192
 )
@@ -74,9 +73,8 @@
 	offeredAt time.Time
 	usedAt    time.Time // of the last offer or answer
 	// answered is closed at the next answer, and waiting counts the requests that wait for it.
-	answered     chan struct{}
-	waiting      int
-	waitingSince time.Time // of the first one
+	answered chan struct{}
+	waiting  int
 	// allowed is how many of the requests that have waited may be admitted after the answer.
 	allowed float64
 	// credit is the part of a request that may be admitted. Each offer adds the fraction to it.
@@ -180,7 +178,7 @@
 			return Decision{Admitted: true, Alone: true}
 		}
 		if float64(e.waiting) < max(1, e.quota.Rate*countTime.Seconds()+e.quota.Burst) {
-			return e.wait(now)
+			return e.wait()
 		}
 	}
 	d := Decision{Alone: e.unanswered(now), Admitted: e.admits(g, now)}
@@ -193,30 +191,23 @@
 }
 
 // wait returns that a request waits.
-func (e *entry) wait(now time.Time) Decision {
+func (e *entry) wait() Decision {
 	if e.answered == nil {
 		e.answered = make(chan struct{})
 	}
-	if e.waitingSince.IsZero() {
-		e.waitingSince = now
-	}
 	e.waiting++
 	return Decision{Answered: e.answered}
 }
 
-// allow sets how many of the requests that wait may be admitted by the first answer. A holder that ran before answers soon: then
-// that is what the bucket holds. After a longer wait others wait too, so that it is this instance's part of it, or none of an
-// account over its quota, whose later requests use it up.
+// allow sets how many of the requests that wait may be admitted by the first answer: this instance's part of what the bucket
+// holds, or none of an account over its quota, whose later requests use it up.
 func (e *entry) allow(g *Gate, now time.Time) {
-	e.allowed = e.state.Room
-	switch {
-	case now.Sub(e.waitingSince) < soonAnswer:
-	case e.state.Fraction < 1:
+	if e.state.Fraction < 1 {
 		e.allowed = 0
-	default:
-		offered := e.offered(g, now).Mean
-		e.allowed *= offered / max(e.state.Offered, offered, minOffered)
+		return
 	}
+	offered := e.offered(g, now).Mean
+	e.allowed = max(leastAllowed, e.state.Room*offered/max(e.state.Offered, offered, minOffered))
 }
 
 // asks reports whether the instance has to wait for the first answer of the holder.
--- a/quota/start_test.go
+++ b/quota/start_test.go
@@ -66,6 +66,7 @@
 		"no answer, with a part":   {nil, 1600 * time.Millisecond, context.Background(), 24, 1, 15},
 		"no answer at all":         {nil, 2500 * time.Millisecond, context.Background(), 0, 1, 39},
 		"an answer at once":        {state(1, 8), 100 * time.Millisecond, context.Background(), 0, 8, 32},
+		"little room":              {state(1, 0.5), 100 * time.Millisecond, context.Background(), 0, 2, 38},
 		"a late answer":            {state(1, 8), 1500 * time.Millisecond, context.Background(), 0, 8, 32},
 		"a late answer, over":      {state(0.5, 8), 1500 * time.Millisecond, context.Background(), 0, 0, 40},
 		"an answer with a debt":    {state(0.5, -8), 100 * time.Millisecond, context.Background(), 0, 0, 40},
