review: without a tenant left, requests run with any key or none

Seen: when the operator takes away the only tenant, all machines run requests with the dropped key, with keys that no configuration ever held and without a key, on routes that need one, and pass the keys on to the workers.

--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -45,8 +45,8 @@
 // host is the host of all routes.
 const host = "jepu9.example"
 
-// call sends one request to a machine and waits for its answer.
-func call(client *http.Client, m *machine, method, path string, body string, remaining time.Duration) sent {
+// call sends one request to a machine, with a key unless that is empty, and waits for its answer.
+func call(client *http.Client, m *machine, method, path, body, key string, remaining time.Duration) sent {
 	out := sent{attempt: nextAttempt(), path: path, machine: m.name, at: time.Now()}
 	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", m.ip, m.ports.front, path), strings.NewReader(body))
 	if err != nil {
@@ -56,6 +56,9 @@
 	r.Host = host
 	r.Header.Set("Hickorydrum-Attempt-Id", out.attempt)
 	r.Header.Set("Hickorydrum-Deadline-Remaining", fmt.Sprint(remaining.Milliseconds()))
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		out.took, out.note = time.Since(out.at), "no answer"
@@ -77,6 +80,11 @@
 
 // traffic sends requests for a path to each machine, every so often, until the rig is closed or stop is closed.
 func (g *rig) traffic(all *sents, method, path, body string, every time.Duration, stop <-chan struct{}) {
+	g.trafficWithKey(all, method, path, body, "", every, stop)
+}
+
+// trafficWithKey does the same with a key.
+func (g *rig) trafficWithKey(all *sents, method, path, body, key string, every time.Duration, stop <-chan struct{}) {
 	for _, m := range g.machines {
 		g.group.Add(1)
 		go func() {
@@ -93,7 +101,7 @@
 				g.group.Add(1)
 				go func() {
 					defer g.group.Done()
-					all.add(call(client, m, method, fmt.Sprintf("%s%d", path, n), body, 1200*time.Millisecond))
+					all.add(call(client, m, method, fmt.Sprintf("%s%d", path, n), body, key, 1200*time.Millisecond))
 				}()
 			}
 		}()
--- a/review/rig3/config.go
+++ b/review/rig3/config.go
@@ -1,5 +1,7 @@
 package main
 
+import "fmt"
+
 // rule is a route of the configuration.
 type rule struct {
 	prefix, service, kind string
@@ -28,3 +30,20 @@
 		"clusters":  clusters,
 	}
 }
+
+// withTenants adds a number of tenants to a configuration, and says of its routes whether they need a key.
+func withTenants(config map[string]any, count int, anonymous bool) map[string]any {
+	tenants := []map[string]any{}
+	for i := range count {
+		tenants = append(tenants, map[string]any{
+			"name": fmt.Sprintf("cuka%d", i), "apiKeys": []string{tenantKey(i)}, "priority": 1, "ratePerS": 934, "burst": 934, "homeRegions": []string{},
+		})
+	}
+	config["tenants"] = tenants
+	for _, listener := range config["listeners"].([]map[string]any) {
+		for _, r := range listener["rules"].([]map[string]any) {
+			r["allowAnonymous"] = anonymous
+		}
+	}
+	return config
+}
--- a/review/rig3/memory.go
+++ b/review/rig3/memory.go
@@ -33,7 +33,7 @@
 // kills a process that exceeds the memory of its machine and starts it again.
 func playMemory(g *rig, trouble bool) (bool, error) {
 	config := configuration("r5", []rule{{"/a/", "dele69a", "safe", 1200}, {"/b/", "dele69a", "unsafe", 2500}, {"/s/", "xano55b", "safe", 1200}}, []string{"dele69a", "xano55b"})
-	g.store.put("config", "main", withTenants(config))
+	g.store.put("config", "main", withTenants(config, memoryTenants, true))
 	zonesUsed := []string{"catania-porto", "palermo-kalsa", "ragusa-ibla"}
 	for i, zone := range zonesUsed {
 		for _, service := range []string{"dele69a", "xano55b"} {
@@ -106,23 +106,6 @@
 	return broken >= memoryMachines, nil
 }
 
-// withTenants adds tenants to a configuration, and names them on its routes as the operator does.
-func withTenants(config map[string]any) map[string]any {
-	var tenants []map[string]any
-	for i := range memoryTenants {
-		tenants = append(tenants, map[string]any{
-			"name": fmt.Sprintf("cuka%d", i), "apiKeys": []string{tenantKey(i)}, "priority": 1, "ratePerS": 934, "burst": 934, "homeRegions": []string{},
-		})
-	}
-	config["tenants"] = tenants
-	for _, listener := range config["listeners"].([]map[string]any) {
-		for _, r := range listener["rules"].([]map[string]any) {
-			r["allowAnonymous"] = true
-		}
-	}
-	return config
-}
-
 func tenantKey(i int) string { return fmt.Sprintf("%s%d", memoryTenantKey, i%memoryTenants) }
 
 // watched is what was seen of the memory of a process.
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -17,6 +17,7 @@
 	path    string
 	worker  string
 	service string
+	key     string // the credential that reached the worker
 	at      time.Time
 }
 
@@ -129,7 +130,7 @@
 		return
 	}
 	defer w.end()
-	w.runs.add(run{attempt: attempt, path: r.URL.Path, worker: w.id, service: w.service, at: time.Now()})
+	w.runs.add(run{attempt: attempt, path: r.URL.Path, worker: w.id, service: w.service, key: r.Header.Get("Authorization"), at: time.Now()})
 	time.Sleep(w.work)
 	out.Header().Set("Hickorydrum-Server-Seal", "seal-"+attempt)
 	out.Header().Set("Content-Length", strconv.Itoa(w.bytes))
