review: orders of clients that read slowly lose their answers

Seen: a client that reads the answer to its order steadily, at 5,200 bytes a second through a small window, has its connection reset by the machine after 5.5 s, inside its time budget. The worker has run the order.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(g *rig, trouble bool) (brokenRule bool, err error){
 	"era":  playEra,
 	"keys": playKeys,
+	"slow": playSlow,
 }
 
 func main() { os.Exit(play()) }
