standin: the store comes back from a copy, and names its era

Cause: no test of the project could play a store that comes back from an older copy, so that nothing showed what instances do with revisions that go back.

Change: Store.Copy and Store.Restore; revisions go on from that of the copy and are given out again, a watch from one that the store does not have is refused, and Store-Era is in all answers of PlatformHandler.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -31,6 +31,7 @@
 		writes: rate.NewLimiter(writesPerSecond, writesPerSecond),
 	}
 	server := echo.New()
+	server.Use(p.nameEra)
 	server.GET("/objects/:kind", p.list)
 	server.POST("/objects/:kind", p.create)
 	server.GET("/objects/:kind/:name", p.get)
@@ -50,6 +51,17 @@
 	writes *rate.Limiter
 }
 
+// headerEra is the header with the era of the store.
+const headerEra = "Store-Era"
+
+// nameEra adds the era to each response, also to one that refuses the call.
+func (p *platformServer) nameEra(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() { c.Response().Header().Set(headerEra, strconv.FormatUint(p.store.Era(), 10)) })
+		return next(c)
+	}
+}
+
 // writeError maps an error of the store to an HTTP status. For an error after which the call
 // may have been executed, it drops the connection.
 func writeError(c echo.Context, err error) error {
--- a/standin/store.go
+++ b/standin/store.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -33,9 +34,13 @@
 
 const slowCallDelay = 500 * time.Millisecond
 
+// firstEra is the era of a store that has never come back from a copy.
+const firstEra = 1
+
 // Store is an in-memory implementation of the platform's object API.
 type Store struct {
 	mu         sync.Mutex
+	era        uint64 // rises each time that the store comes back from a copy
 	cursor     uint64 // revision of the last change
 	objects    map[string]platform.Object
 	changed    chan struct{}
@@ -47,7 +52,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{objects: make(map[string]platform.Object), changed: make(chan struct{}), faults: make(map[StoreFault]int)}
+	return &Store{era: firstEra, objects: make(map[string]platform.Object), changed: make(chan struct{}), faults: make(map[StoreFault]int)}
 }
 
 // Fail injects a fault into the next n calls that it applies to: -1 for all, 0 to end the
@@ -61,6 +66,36 @@
 	}
 }
 
+// Copy is what a store held at an instant.
+type Copy struct {
+	cursor  uint64
+	objects map[string]platform.Object
+}
+
+// Copy returns a copy of what the store holds now.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{cursor: s.cursor, objects: maps.Clone(s.objects)}
+}
+
+// Restore makes the store come back from a copy: what was written since is gone, revisions go on from that of the
+// copy and are given out again, and a new era begins.
+func (s *Store) Restore(from Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cursor, s.objects = from.cursor, maps.Clone(from.objects)
+	s.era++
+	s.notifyWatches()
+}
+
+// Era returns the era of the store.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Calls returns the numbers of reads and writes so far.
 func (s *Store) Calls() (reads, writes int) {
 	s.mu.Lock()
@@ -224,12 +259,15 @@
 	}
 	for {
 		s.mu.Lock()
-		down, stalled := s.faults[StoreDown] != 0, s.faults[StoreStallWatch] != 0
+		down, stalled, unknown := s.faults[StoreDown] != 0, s.faults[StoreStallWatch] != 0, cursor > s.cursor
 		page, changed := s.page(prefix, cursor, true), s.changed
 		s.mu.Unlock()
 		if down {
 			return platform.Page{}, unavailable(fault.NotExecuted)
 		}
+		if unknown {
+			return platform.Page{}, fault.New(fault.Conflict, "the store has no such revision", "list again")
+		}
 		if len(page.Objects) > 0 && !stalled {
 			return page, nil
 		}
