mirror, hosted: what an older copy of the store may not undo, played by drills

Cause: what a copy lacks was retained by the retention after outages. That keeps what is removed meanwhile too, and it ended for upstreams only. And an upstream counted as one that the copy brought back if the copy had the last known entry; an instance to which the last change and the removal came together, or which dropped the upstream at the end of a retention, had never known that entry.

Change: a retention of its own for what the first state of an era lacks, which only something written in the era ends early, and which peers cannot extend for each other; expiry for every kind; the revision of the removal decides what an older copy has. `explain` tells of a return of the store for a minute after it.

--- a/hosted/current_test.go
+++ b/hosted/current_test.go
@@ -294,7 +294,7 @@
 		exempt := s.is.dead || slices.ContainsFunc(s.exemptions, func(e exemption) bool { return e.covers(c.at, at) })
 		s.mu.Unlock()
 		if d := at.Sub(c.at); !exempt && d > w.most() {
-			w.tell("%s in %s knows %s at revision %d after %s", s.address, s.domain, c.key, c.revision, d)
+			w.tell("%s in %s knows %s at revision %s after %s", s.address, s.domain, c.key, c.revision, d)
 		}
 		if !exempt {
 			out = append(out, max(0, at.Sub(c.at)))
--- a/hosted/outage.go
+++ b/hosted/outage.go
@@ -9,7 +9,6 @@
 
 	"hickorydrum/event"
 	"hickorydrum/mirror"
-	"hickorydrum/platform"
 )
 
 var storeOutages = metrics.GetOrCreateCounter(`hickorydrum_store_outages_total`)
@@ -76,14 +75,22 @@
 	event.WatchRecovered.Log(context.Background(), f.log, slog.Duration("away", now.Sub(since)))
 }
 
-// scheduleExpiry makes the next retention of an upstream entry end in time. f.mu must be held.
+// scheduleExpiry makes the next object that is retained or hidden end to be so in time. f.mu must be held.
 func (f *follower) scheduleExpiry() {
-	if until, ok := f.mirrors[platform.KindUpstreams].NextExpiry(); ok {
-		f.expiry.Reset(time.Until(until))
+	var next time.Time
+	for _, m := range f.mirrors {
+		if until, ok := m.NextExpiry(); ok && (next.IsZero() || until.Before(next)) {
+			next = until
+		}
+	}
+	if !next.IsZero() {
+		f.expiry.Reset(time.Until(next))
 	}
 }
 
-// expire drops upstream entries whose retention is over.
+// expire drops objects whose retention is over, and shows those that are hidden no longer.
 func (f *follower) expire() {
-	f.applyChange(platform.KindUpstreams, false, func(m *mirror.Mirror) bool { return m.Expire(time.Now()) })
+	for _, kind := range kinds() {
+		f.applyChange(kind, false, func(m *mirror.Mirror) bool { return m.Expire(time.Now()) })
+	}
 }
--- a/hosted/soak_test.go
+++ b/hosted/soak_test.go
@@ -48,6 +48,8 @@
 	group        errgroup.Group
 	// servedSince is since when the store serves each instance again.
 	servedSince []time.Time
+	// held is set while no step is played: the store has come back from a copy, and what was lost is not written again.
+	held bool
 }
 
 // soakUpstream is one upstream of a soak, with its present run.
@@ -227,35 +229,107 @@
 	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t)
-			s := newSoak(c, seed)
-			ctx, cancel := context.WithTimeout(t.Context(), *soakTime)
-			defer cancel()
-			var group errgroup.Group
-			next := time.Now()
-			group.Go(func() error { return s.watchStalls(ctx) })
-			group.Go(func() error {
-				for interval.Sleep(ctx, 5*time.Millisecond) {
-					if time.Now().After(next) {
-						s.step()
-						next = time.Now().Add(time.Duration(s.random.Int64N(int64(300 * time.Millisecond))))
-					}
-					if err := s.check(); err != nil {
-						return err
-					}
-				}
-				return nil
-			})
-			err := group.Wait()
-			_ = s.group.Wait() // always nil
-			t.Logf("longest stall of the process: %s", time.Duration(s.longestStall.Load()))
-			if err != nil {
-				for _, m := range s.members {
-					t.Logf("%s", m.logs.String())
-				}
-				t.Logf("steps:\n%s", strings.Join(s.steps, "\n"))
-				t.Error(err)
+			newSoak(newCluster(t), seed).play(t, func() {})
+		})
+	}
+}
+
+// play plays steps at random times, and calls also before each check of what instances send to.
+func (s *soak) play(t *testing.T, also func()) {
+	ctx, cancel := context.WithTimeout(t.Context(), *soakTime)
+	defer cancel()
+	var group errgroup.Group
+	next := time.Now()
+	group.Go(func() error { return s.watchStalls(ctx) })
+	group.Go(func() error {
+		for interval.Sleep(ctx, 5*time.Millisecond) {
+			if time.Now().After(next) && !s.held {
+				s.step()
+				next = time.Now().Add(time.Duration(s.random.Int64N(int64(300 * time.Millisecond))))
 			}
+			also()
+			if err := s.check(); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	err := group.Wait()
+	_ = s.group.Wait() // always nil
+	t.Logf("longest stall of the process: %s", time.Duration(s.longestStall.Load()))
+	if err != nil {
+		for _, m := range s.members {
+			t.Logf("%s", m.logs.String())
+		}
+		t.Logf("steps:\n%s", strings.Join(s.steps, "\n"))
+		t.Error(err)
+	}
+}
+
+// drills are returns of the store from a copy during a soak: a copy is taken, the store comes back from it, and what was
+// lost is written again, each at a random time after the one before.
+type drills struct {
+	soak   *soak
+	random *rand.Rand
+	backup *standin.Copy // nil before it is taken
+	next   time.Time
+}
+
+// step does what is due.
+func (d *drills) step() {
+	if time.Now().Before(d.next) {
+		return
+	}
+	wait := 1500 * time.Millisecond
+	switch {
+	case d.soak.held:
+		d.rewrite()
+	case d.backup == nil:
+		backup := d.soak.c.store.Copy()
+		d.backup, wait = &backup, 4*time.Second
+		d.soak.did("a copy of the store is taken")
+	default:
+		d.soak.c.store.Restore(*d.backup)
+		d.backup, d.soak.held = nil, true
+		for i := range d.soak.servedSince {
+			d.soak.servedSince[i] = time.Now()
+		}
+		d.soak.did("the store is back from the copy")
+	}
+	d.next = time.Now().Add(time.Duration(d.random.Int64N(int64(wait))))
+}
+
+// rewrite writes again what the operators and the upstreams had written.
+func (d *drills) rewrite() {
+	s := d.soak
+	for _, u := range s.upstreams {
+		key := platform.KindUpstreams + "/" + u.worker.ID()
+		_, err := s.c.store.Get(context.Background(), key)
+		switch {
+		case u.listed && u.leftAt.IsZero():
+			s.c.put(key, u.worker.Entry("list", "one-a", "ready", u.start, 0))
+		case u.listed:
+			s.c.put(key, u.worker.Entry("list", "one-a", "draining", u.start, 0))
+		case err == nil:
+			s.c.remove(key)
+		}
+	}
+	s.c.configure(reads)
+	s.held = false
+	s.did("what was lost is written again")
+}
+
+// TestDrillSoak guards against an instance that sends again to an upstream which had left, or too late to one that
+// leaves, since the store comes back from copies that do not know of it, while single instances lose the store. By hand:
+//
+//	go test ./hosted -run TestDrillSoak -args -seeds 50 -soak 20s
+func TestDrillSoak(t *testing.T) {
+	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSoak(newCluster(t), seed)
+			d := &drills{soak: s, random: rand.New(rand.NewPCG(seed, 2))}
+			s.play(t, d.step)
 		})
 	}
 }
--- a/hosted/world_test.go
+++ b/hosted/world_test.go
@@ -44,6 +44,7 @@
 	instances []*simulated // the running processes, and those that ended and were not started again
 	processes []*simulated // all that were ever started
 	changes   []change
+	versions  uint64 // of the configuration, so far
 	calls     map[string]int
 }
 
@@ -76,7 +77,7 @@
 	mu         sync.Mutex
 	is         condition
 	exemptions []exemption
-	knownAt    map[uint64]time.Time // by revision
+	knownAt    map[revision.Revision]time.Time
 }
 
 func (s *simulated) set(change func(c *condition)) {
@@ -129,8 +130,9 @@
 type change struct {
 	kind, key string
 	removes   bool
-	revision  uint64
+	revision  revision.Revision
 	at        time.Time
+	value     []byte // nil if it removes
 }
 
 // changed returns the changes that the store has acknowledged.
@@ -153,17 +155,39 @@
 	return c
 }
 
-// put writes an object.
-func (w *world) put(key string) change {
+// put writes an object with a new value.
+func (w *world) put(key string) change { return w.write(key, w.value(key, "ready")) }
+
+// value returns a value for an object: a configuration of a higher version, or the entry of an upstream in a state.
+func (w *world) value(key, state string) []byte {
+	kind, _, _ := strings.Cut(key, "/")
+	w.versions++
+	switch kind {
+	case platform.KindConfiguration:
+		return fmt.Appendf(nil, `{"version":"r%d"}`, w.versions)
+	case platform.KindUpstreams:
+		return fmt.Appendf(nil, `{"address":"10.9.0.1:80","born":1,"info":{"service":"s","zone":"d-0","slots":4},"status":{"state":%q,"coldRemainingMs":%d}}`,
+			state, w.versions)
+	}
+	return []byte("{}")
+}
+
+// write writes an object with a value.
+func (w *world) write(key string, value []byte) change {
 	version := uint64(0)
 	if o, err := w.store.Get(w.t.Context(), key); err == nil {
 		version = o.Version
 	}
-	version, err := w.store.Put(w.t.Context(), key, []byte("{}"), version)
+	version, err := w.store.Put(w.t.Context(), key, value, version)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	return w.record(change{key: key, revision: version})
+	return w.record(change{key: key, revision: w.revision(version), value: value})
+}
+
+// revision returns a revision of the store's era.
+func (w *world) revision(number uint64) revision.Revision {
+	return revision.Revision{Era: w.store.Era() + 1, Number: number}
 }
 
 // remove deletes an object.
@@ -179,12 +203,12 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	return w.record(change{key: key, removes: true, revision: page.Cursor.Number})
+	return w.record(change{key: key, removes: true, revision: page.Cursor})
 }
 
 // start starts the process of an instance, in place of an earlier one at its address.
 func (w *world) start(i int, domain string) *simulated {
-	s := &simulated{world: w, address: simAddress(i), domain: domain, knownAt: make(map[uint64]time.Time)}
+	s := &simulated{world: w, address: simAddress(i), domain: domain, knownAt: make(map[revision.Revision]time.Time)}
 	s.conn = &simConn{of: s, inbox: make(chan packet, 256), closed: make(chan struct{})}
 	log := slog.New(slog.DiscardHandler)
 	if w.out != nil {
@@ -236,11 +260,11 @@
 	entries, _ := s.follower.entries(c.kind)
 	for _, e := range entries {
 		if e.Object.Key == c.key {
-			return e.Object.Version.Number >= c.revision && (!c.removes || e.Object.Version.Number > c.revision)
+			return !c.revision.After(e.Object.Version) && (!c.removes || e.Object.Version.After(c.revision))
 		}
 	}
 	return c.removes || slices.ContainsFunc(s.world.changed(), func(later change) bool {
-		return later.key == c.key && later.removes && later.revision > c.revision
+		return later.key == c.key && later.removes && later.revision.After(c.revision)
 	})
 }
 
--- a/mirror/era.go
+++ b/mirror/era.go
@@ -25,16 +25,19 @@
 	hideFor   time.Duration                              // see WithHiding
 	same      func(removed, copied platform.Object) bool // see WithHiding
 
-	hidden  map[string]bool    // objects that are not shown before hideEnd, unless they are written again
-	hideEnd time.Time          // fixed when the era begins, so that peers do not extend it for each other
-	removed map[string]removal // by name, the objects that were removed lately
-	change  *EraChange         // see TakeEraChange
+	// retainEnd and hideEnd are fixed when the era begins, so that peers do not extend them for each other.
+	retainEnd time.Time
+	hideEnd   time.Time
+	hidden    map[string]bool    // objects that are not shown before hideEnd, unless they are written again
+	removed   map[string]removal // by name, the objects that were removed lately
+	change    *EraChange         // see TakeEraChange
 }
 
-// removal is an object as it was before its removal.
+// removal is an object as it was last known before its removal, and a revision at which it no longer existed.
 type removal struct {
-	object platform.Object
-	at     time.Time
+	object   platform.Object
+	revision revision.Revision
+	at       time.Time
 }
 
 const (
@@ -87,7 +90,7 @@
 
 // beginEra prepares the mirror for the first state of an era.
 func (m *Mirror) beginEra(cursor revision.Revision, from Origin, retain time.Duration) {
-	m.retentionEnd = from.At.Add(retain)
+	m.era.retainEnd = from.At.Add(retain)
 	m.newest = revision.Revision{Era: cursor.Era}
 	m.digested = false
 	m.era.hideEnd = from.At.Add(m.era.hideFor)
@@ -121,11 +124,11 @@
 	m.era.hidden[name] = true
 }
 
-// broughtBack reports whether an object of the first state of an era was removed here before, in a later version than
-// the one that the copy has.
+// broughtBack reports whether an object of the first state of an era was removed here before, at a later revision than
+// that of the version which the copy has. The mirror may never have had that version.
 func (m *Mirror) broughtBack(o platform.Object) bool {
 	r, ok := m.era.removed[o.Name()]
-	return ok && m.era.same != nil && o.Version.Number <= r.object.Version.Number && m.era.same(r.object, o)
+	return ok && m.era.same != nil && o.Version.Number <= r.revision.Number && m.era.same(r.object, o)
 }
 
 // noteHidden counts a hidden object.
@@ -136,6 +139,26 @@
 	}
 }
 
+// retainMissing retains an object that the first state of an era lacks until the retention of the era ends, or drops it
+// if that has ended. It reports whether it was dropped.
+func (m *Mirror) retainMissing(name string, cursor revision.Revision, from Origin) bool {
+	if !from.At.Before(m.era.retainEnd) {
+		m.drop(name, cursor, from.At)
+		return true
+	}
+	m.digested = false
+	m.retainedUntil[name] = m.era.retainEnd
+	return false
+}
+
+// retainedForEra reports whether an object is retained at an instant since the first state of the present era lacked it.
+// Only what is written in the era ends that, not another state without the object.
+func (m *Mirror) retainedForEra(name string, now time.Time) bool {
+	version := m.objects[name].Object.Version
+	_, retained := m.retainedUntil[name]
+	return retained && version.Number == 0 && version.Era == m.cursor.Era && now.Before(m.era.retainEnd)
+}
+
 // renumberRetained gives the retained objects of earlier eras the revision before all others of an era: whatever the
 // store writes in it replaces them.
 func (m *Mirror) renumberRetained(era uint64) {
@@ -152,19 +175,19 @@
 	}
 }
 
-// recordRemoval records an object that is removed at a revision of its own era, in case that a copy of the store brings
-// it back.
-func (m *Mirror) recordRemoval(old *Entry, at revision.Revision, from Origin) {
-	if m.era.same == nil || old.Object.Version.Era != at.Era || old.Object.Version.IsZero() {
+// recordRemoval records an object that no longer exists at a revision, in case that a copy of the store brings it back.
+func (m *Mirror) recordRemoval(name string, at revision.Revision, now time.Time) {
+	old, ok := m.objects[name]
+	if m.era.same == nil || !ok {
 		return
 	}
 	if m.era.removed == nil {
 		m.era.removed = make(map[string]removal)
 	}
 	if len(m.era.removed) >= maxRemovals {
-		m.forgetRemovals(from.At)
+		m.forgetRemovals(now)
 	}
-	m.era.removed[old.Object.Name()] = removal{object: old.Object, at: from.At}
+	m.era.removed[name] = removal{object: old.Object, revision: at, at: now}
 }
 
 // forgetRemovals forgets the removals that are older than any copy of the store, or all if there are none.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -184,10 +184,14 @@
 		}
 	}
 	for name, o := range m.objects {
-		if listed[name] || o.Object.Version.After(page.Cursor) {
+		if listed[name] || o.Object.Version.After(page.Cursor) || m.retainedForEra(name, from.At) {
 			continue
 		}
-		if _, retained := m.retainedUntil[name]; !retained && !begins {
+		if begins {
+			changed = m.retainMissing(name, page.Cursor, from) || changed
+			continue
+		}
+		if _, retained := m.retainedUntil[name]; !retained {
 			m.newest = revision.Max(m.newest, page.Cursor) // the revision of the removal is not known
 		}
 		changed = m.remove(name, page.Cursor, from) || changed
@@ -269,14 +273,13 @@
 		return false
 	}
 	m.digested = false
-	m.recordRemoval(&old, version, from)
 	if from.At.Before(m.retentionEnd) {
 		if _, retained := m.retainedUntil[name]; !retained {
 			m.retainedUntil[name] = m.retentionEnd
 		}
 		return false
 	}
-	m.drop(name)
+	m.drop(name, at, from.At)
 	return true
 }
 
@@ -293,8 +296,9 @@
 	clear(m.tombstones)
 }
 
-// drop deletes an object and the end of its retention.
-func (m *Mirror) drop(name string) {
+// drop deletes an object, of which it is known at an instant that it no longer exists at a revision.
+func (m *Mirror) drop(name string, at revision.Revision, now time.Time) {
+	m.recordRemoval(name, at, now)
 	m.digested = false
 	delete(m.objects, name)
 	delete(m.retainedUntil, name)
@@ -307,7 +311,7 @@
 	changed := m.showHidden(now)
 	for name, until := range m.retainedUntil {
 		if !now.Before(until) {
-			m.drop(name)
+			m.drop(name, m.cursor, now)
 			changed = true
 		}
 	}
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -32,9 +32,7 @@
 func (m *Mirror) Since(cursor revision.Revision, now time.Time) State {
 	s := State{Cursor: m.cursor, Newest: m.newest}
 	s.Full = m.tombstonesFrom.After(cursor) || cursor.IsZero() || cursor.Era != m.cursor.Era
-	if remaining := m.retentionEnd.Sub(now); remaining > 0 {
-		s.Retention = remaining
-	}
+	s.Retention = max(0, m.retentionEnd.Sub(now), m.era.retainEnd.Sub(now))
 	removed := func(name string, at revision.Revision) {
 		s.Objects = append(s.Objects, platform.Object{Key: m.Prefix() + name, Version: at, Deleted: true})
 	}
@@ -66,13 +64,12 @@
 	return !ok && !o.Version.After(m.cursor)
 }
 
-// mergeFinal applies the objects that a peer has and those that it has no more, without a retention
-// unless a new era begins.
+// mergeFinal applies the objects that a peer has and those that it has no more, without a retention but that of an
+// era that begins.
 func (m *Mirror) mergeFinal(s *State, present, removed []platform.Object, from Origin) bool {
-	if end := m.retentionEnd; !s.Cursor.NewEra(m.cursor) {
-		m.retentionEnd = time.Time{}
-		defer func() { m.retentionEnd = end }()
-	}
+	end := m.retentionEnd
+	m.retentionEnd = time.Time{}
+	defer func() { m.retentionEnd = end }()
 	changed := false
 	if s.Full {
 		changed = m.list(platform.Page{Cursor: s.Cursor, Objects: present}, from, min(s.Retention, m.era.retention))
@@ -95,19 +92,32 @@
 	}
 	if m.cursor.IsZero() {
 		m.era.hideEnd = from.At.Add(m.era.hideFor)
+		m.era.retainEnd = from.At.Add(min(s.Retention, m.era.retention))
 	}
-	if s.Retention > 0 && m.retention > 0 && from.At.Add(s.Retention).After(m.retentionEnd) {
+	afterOutage := m.retention > 0 && !s.Cursor.NewEra(m.cursor) && !from.At.Before(m.era.retainEnd)
+	if s.Retention > 0 && afterOutage && from.At.Add(s.Retention).After(m.retentionEnd) {
 		m.retentionEnd = from.At.Add(s.Retention)
 	}
 	parts := m.divide(s.Objects)
 	changed := m.mergeFinal(&s, parts.present, parts.removed, from)
-	changed = m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: parts.retained}, from) || changed
+	changed = m.retainAll(&s, parts.retained, from) || changed
 	changed = m.hideAll(parts.hidden, from) || changed
 	m.cursor = revision.Max(m.cursor, s.Cursor)
 	m.newest = revision.Max(m.newest, s.Newest)
 	return changed
 }
 
+// retainAll retains what a peer retains, if this mirror has it. That is no change of its own: the peer says with the
+// state which one was the last.
+func (m *Mirror) retainAll(s *State, retained []platform.Object, from Origin) bool {
+	end, newest := m.retentionEnd, m.newest
+	defer func() { m.retentionEnd, m.newest = end, newest }()
+	if m.era.retainEnd.After(end) {
+		m.retentionEnd = m.era.retainEnd
+	}
+	return m.ApplyEvents(platform.Page{Cursor: s.Cursor, Objects: retained}, from)
+}
+
 // stateParts are the objects of a State by what the peer says of them.
 type stateParts struct {
 	present, removed, retained, hidden []platform.Object
--- a/requestlog/requestlog.go
+++ b/requestlog/requestlog.go
@@ -49,6 +49,8 @@
 	ConfirmedBy  string `json:"confirmed_by"`
 	ConfirmedAge int64  `json:"confirmed_ms"`
 
+	eraFields
+
 	// Fields of the lines about a planned stop.
 	Step     string        `json:"step"`
 	StepTook time.Duration `json:"took"`
--- a/requestlog/story.go
+++ b/requestlog/story.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"hickorydrum/event"
@@ -46,6 +47,7 @@
 	if a.end == nil || a.end.Outcome != outcomeAnswered || a.lost != nil {
 		w.printf("  whether it ran: %s\n", a.execution())
 	}
+	w.writeEras(first)
 	if a.stop != nil {
 		w.writeStop(a)
 	} else if a.lostReason() == reasonStopped {
@@ -76,8 +78,8 @@
 		w.printf("  last upstream: %s in %s; sent to %d in all\n", l.Upstream, l.Domain, l.Sends)
 	}
 	if l.Source != "" {
-		w.printf("  what was known of it: its entry at revision %d, from the source %q %s, %d ms before it was chosen\n",
-			l.Entry, l.Source, l.Peer, l.Known)
+		w.printf("  what was known of it: its entry at revision %s, from the source %q %s, %d ms before it was chosen\n",
+			l.entryRevision(), l.Source, l.Peer, l.Known)
 	}
 	if text := l.Reason.Text(); text != "" {
 		w.printf("  last choice: %s (%s)", l.Reason, text)
@@ -88,6 +90,15 @@
 	}
 }
 
+// entryRevision returns the revision of the upstream's entry, after its era if that is known.
+func (l *line) entryRevision() string {
+	number := strconv.FormatUint(l.Entry, 10)
+	if l.Era == "" {
+		return number
+	}
+	return l.Era + ":" + number
+}
+
 // writeLost writes why the caller got no whole response, if it got none.
 func (w *story) writeLost(a *attempt) {
 	reason := a.lostReason()
--- a/requestlog/story_test.go
+++ b/requestlog/story_test.go
@@ -141,6 +141,20 @@
   request abc: no line about its end; the process ended before, or the line was left out
   its caller got no whole response: the instance closed the connection at the end of its stop (stopped, 1001 ms after the request arrived)
 ` + storyUnknown + `  no line about the begin of the stop (event 102) is in this log
+`,
+		},
+		"after the store came back from a copy": {
+			log: `front-1 {"time":"2026-01-01T00:00:01Z","msg":"the platform's store came back from a copy","event":323,"kind":"servers","from_era":"1","era":"2","from_revision":46,"revision":42,"source":"list","retained":0,"kept":1,"hidden":1,"first_hidden":["i-4"]}
+front-2 {"time":"2026-01-01T00:00:01Z","msg":"the platform's store came back from a copy","event":323,"kind":"config","from_era":"1","era":"2"}
+front-1 {"time":"2026-01-01T00:00:02.6Z","event":501,"id":"abc","outcome":"refused","status":503,"took_ms":100,"limit_ms":900,"sends":1,"upstream":"i-1","domain":"one-a","entry":23,"era":"2","source":"list","known_ms":750}
+`,
+			want: `2026-01-01T00:00:02.6Z front-1
+  request abc: refused, status 503 after 100 ms of 900
+  last upstream: i-1 in one-a; sent to 1 in all
+  what was known of it: its entry at revision 2:23, from the source "list" , 750 ms before it was chosen
+  whether it ran: no upstream ran it
+  the store came back from a copy, known here 1600 ms before: era 1 to 2, servers from revision 46 to 42; retained 0 that the copy lacks, kept 1 as they were, hid 1 that had been removed (i-4)
+  before it, 2026-01-01T00:00:01Z: the platform's store came back from a copy (event 323)
 `,
 		},
 	} {
--- a/restart/soak_test.go
+++ b/restart/soak_test.go
@@ -150,5 +150,9 @@
 		// It is the last step, since the others write to the store. A start needs the store.
 		r.drawn = append(r.drawn, fmt.Sprintf("store %s at %v", f, last))
 		r.steps = append(r.steps, step{last, failStore(f)})
+	} else if random.IntN(3) == 0 {
+		at := between(random, -r.load*3/4, 0)
+		r.drawn = append(r.drawn, fmt.Sprintf("store back from a copy at %v", at))
+		r.steps = append(r.steps, step{at, drill})
 	}
 }
--- a/restart/step_test.go
+++ b/restart/step_test.go
@@ -98,6 +98,15 @@
 	return func(p *play) { p.deployment.store.Fail(f, -1) }
 }
 
+// drill makes the store come back from a copy that lacks two changes of the configuration, which are written again.
+func drill(p *play) {
+	backup := p.deployment.store.Copy()
+	unroute(p)
+	p.deployment.store.Restore(backup)
+	time.Sleep(300 * time.Millisecond)
+	p.deployment.configure(configuration{timeout: p.timeout, idle: p.idle})
+}
+
 // startBusy starts a process that keeps a core busy until the test ends.
 func startBusy(t *testing.T) {
 	t.Helper()
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -492,3 +492,34 @@
 		t.Errorf("an update with a wrong digest gave %v", err)
 	}
 }
+
+// TestOlderCopy guards against a set that replaces a later one, with what that has withdrawn, since the store came back
+// from a copy which has it under a later era, and against a set that is refused for good after that.
+func TestOlderCopy(t *testing.T) {
+	applied := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	in := func(era, number uint64) revision.Revision { return revision.Revision{Era: era, Number: number} }
+	tests := map[string]struct {
+		at        revision.Revision
+		appliedAt time.Time
+		want      bool
+	}{
+		"an older set of the copy":             {in(2, 12), applied.Add(-time.Second), false},
+		"the same set, from the copy":          {in(2, 15), applied, true},
+		"a later set":                          {in(2, 13), applied.Add(time.Second), true},
+		"an earlier era":                       {in(0, 20), applied.Add(time.Second), false},
+		"a set of which no time is known":      {in(2, 12), time.Time{}, true},
+		"the same era, by a clock that is off": {in(1, 16), applied.Add(-time.Hour), true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState(func(*declaration.Set, revision.Revision) {})
+			if _, err := s.apply(testSet(t, 1).Records(), in(1, 15), applied, time.Now()); err != nil {
+				t.Fatal(err)
+			}
+			got, err := s.apply(testSet(t, 2).Records(), test.at, test.appliedAt, time.Now())
+			if err != nil || got != test.want {
+				t.Errorf("it comes into force: %t, %v, want %t", got, err, test.want)
+			}
+		})
+	}
+}
