idempotency: the end of a request is kept after the store came back from a copy

What callers would have seen (own interface): an order with a key is answered, its claim was lost with the copy meanwhile, and a repeat of the order runs it again.

Cause: the record of the end is written under the claim's version, which the store does not have any more; the conflict counted as the claim of another request.

Change: after a conflict the object is read. If it is missing, the record is created; if it is this claim's, it is written under the version that it has now. Another request's claim stays.

Evidence: TestResend, 'answered, after the store came back from a copy without the claim' gave the claim to the repeat before, and gives it the response now.

What remains: a claim whose request has ended before the return, and which the copy lacks, is not written again.

--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -317,6 +317,9 @@
 	defer cancel()
 	for failures := 0; ; failures++ {
 		err := c.put(ctx, c.version)
+		if fault.KindOf(err) == fault.Conflict {
+			err = c.putAgain(ctx)
+		}
 		if err == nil {
 			return
 		}
@@ -327,6 +330,23 @@
 	}
 }
 
+// putAgain writes the record after the store came back from a copy in which the claim is missing or has another version.
+// The error is of kind fault.Conflict if the object is another request's.
+func (c *Claim) putAgain(ctx context.Context) error {
+	found, err := c.claimer.store.Get(ctx, c.object)
+	if fault.KindOf(err) == fault.Missing {
+		return c.put(ctx, revision.Revision{})
+	}
+	if err != nil {
+		return err
+	}
+	var rec record
+	if json.Unmarshal(found.Value, &rec) != nil || rec.Nonce != c.rec.Nonce {
+		return fault.New(fault.Conflict, "the claim is another request's", "")
+	}
+	return c.put(ctx, found.Version)
+}
+
 // Clean deletes claims that expired longer than Retention ago. Only one instance of the
 // fleet needs to call it.
 func (cl *Claimer) Clean(ctx context.Context) error {
--- a/idempotency/idempotency_test.go
+++ b/idempotency/idempotency_test.go
@@ -120,6 +120,25 @@
 			first: func(f *fixture) { f.mustClaim().Fail(unknown()) },
 			want:  result{Kind: fault.Conflict, Execution: fault.MaybeExecuted},
 		},
+		"answered, after the store came back from a copy without the claim": {
+			first: func(f *fixture) {
+				backup := f.store.Copy()
+				c := f.mustClaim()
+				f.store.Restore(backup)
+				c.Finish(NewResponse(http.StatusOK, nil, []byte("done")))
+			},
+			want: result{Body: "done"},
+		},
+		"answered, after another request got the claim that the copy lacks": {
+			first: func(f *fixture) {
+				backup := f.store.Copy()
+				c := f.mustClaim()
+				f.store.Restore(backup)
+				f.mustClaim() // at the revision of the first one
+				c.Finish(NewResponse(http.StatusOK, nil, []byte("done")))
+			},
+			want: inProgressResult,
+		},
 		"another request under the key": {
 			first: func(f *fixture) { f.mustClaim().Fail(notExecuted()) }, resend: "POST /orders/other",
 			want: result{Kind: fault.Invalid, Execution: fault.NotExecuted},
