standin, trial: try plays a return of the platform from a copy

Change: the stand-in takes a copy and comes back from it by calls under /standin; fault 'drill' of try does so 6 s apart, beside the planned stop and before the apply. TestDrillCalls bounds what one return costs the store.

--- a/hosted/drill_test.go
+++ b/hosted/drill_test.go
@@ -266,3 +266,31 @@
 		})
 	}
 }
+
+// TestDrillCalls guards against a load on the store after its return from a copy that grows with the instances, or does
+// not end: those that watch it load each kind anew, and tell the others.
+func TestDrillCalls(t *testing.T) {
+	const lasts = 10 * time.Second
+	for _, size := range append(slices.Clone(drillSizes), largeSize) {
+		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1, size.bound)
+				w.startAll(size.instances, size.domains)
+				defer w.end()
+				time.Sleep(settleFor)
+				lists, watches := w.countCalls(lasts)
+				backup := w.store.Copy()
+				w.drawChange(platform.KindConfiguration)
+				time.Sleep(time.Second)
+				w.store.Restore(backup)
+				listsAfter, watchesAfter := w.countCalls(lasts)
+				extra := listsAfter + watchesAfter - lists - watches
+				t.Logf("%d calls more than in calm, %d instances of %d watch", extra, len(w.watchers()), size.instances)
+				// A watch that is refused, a list and a watch again for each kind, and as much once more.
+				if most := len(w.watchers())*len(kinds())*6 + size.instances/10; extra > most {
+					t.Errorf("%d calls more than in calm after the return, want at most %d", extra, most)
+				}
+			})
+		})
+	}
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -23,7 +24,8 @@
 )
 
 // PlatformHandler serves a store as the platform's object API. It limits the rates of reads
-// and writes. The paths under /standin are for tests: they set faults and count calls.
+// and writes. The paths under /standin are for tests: they set faults, take copies, come back from
+// them and count calls.
 func PlatformHandler(s *Store) http.Handler {
 	p := &platformServer{
 		store:  s,
@@ -38,6 +40,8 @@
 	server.PUT("/objects/:kind/:name", p.replace)
 	server.DELETE("/objects/:kind/:name", p.remove)
 	server.POST("/standin/fault", p.setFault)
+	server.POST("/standin/copy", p.takeCopy)
+	server.POST("/standin/restore", p.restore)
 	server.GET("/standin/calls", func(c echo.Context) error {
 		reads, writes := s.Calls()
 		return c.JSON(http.StatusOK, map[string]int{"reads": reads, "writes": writes})
@@ -49,6 +53,9 @@
 	store  *Store
 	reads  *rate.Limiter
 	writes *rate.Limiter
+
+	mu     sync.Mutex
+	backup *Copy // the last copy that was taken, nil if none was
 }
 
 // headerEra is the header with the era of the store.
@@ -278,6 +285,24 @@
 	return c.JSON(http.StatusOK, out)
 }
 
+func (p *platformServer) takeCopy(c echo.Context) error {
+	backup := p.store.Copy()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backup = &backup
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *platformServer) restore(c echo.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.backup == nil {
+		return c.String(http.StatusConflict, "no copy was taken")
+	}
+	p.store.Restore(*p.backup)
+	return c.NoContent(http.StatusNoContent)
+}
+
 func (p *platformServer) setFault(c echo.Context) error {
 	n, err := strconv.Atoi(c.QueryParam("calls"))
 	if err != nil {
--- a/trial/try.go
+++ b/trial/try.go
@@ -55,11 +55,12 @@
 	FaultOneWay   Fault = "one-way"  // network partition in one direction between two regions, then healed
 	FaultSilent   Fault = "silent"   // open connections within a region carry no data from then on, but are not closed
 	FaultPlatform Fault = "platform" // the platform is unreachable, then recovers
+	FaultDrill    Fault = "drill"    // the platform comes back at healFraction from a copy taken before
 	FaultUpstream Fault = "upstream" // SIGKILL to an upstream
 )
 
 // AllFaults lists the faults of a try.
-var AllFaults = []Fault{FaultKill, FaultPause, FaultCut, FaultOneWay, FaultSilent, FaultPlatform, FaultUpstream}
+var AllFaults = []Fault{FaultKill, FaultPause, FaultCut, FaultOneWay, FaultSilent, FaultPlatform, FaultDrill, FaultUpstream}
 
 // Check is a promise of hickorydrum with the number of times that a try checked it and
 // found it broken.
@@ -314,6 +315,13 @@
 			return post(ctx, url, nil)
 		}
 		return func() error { return down(0) }, down(-1)
+	case FaultDrill:
+		t.say("copying the platform")
+		restore := func() error {
+			t.say("the platform comes back from the copy")
+			return post(ctx, "http://"+platformAddress+"/standin/restore", nil)
+		}
+		return restore, post(ctx, "http://"+platformAddress+"/standin/copy", nil)
 	case FaultUpstream:
 		p := t.upstreams[int(t.options.Seed)%len(t.upstreams)]
 		t.say("killing %s", p.name)
