mirror: what two copies of the store in a row lack is retained from the second one on

What callers would have seen: an evacuation that the operator set before two returns of the store in a row ends 10 s after the first one, though it is lost again with the second one and not yet written again.

Cause: an object that is retained since an era began was passed over by the first state of the next era too, and kept the end of the earlier retention.

Change: the first state of an era treats all that it lacks alike; putting and removing by a list are functions of their own for the first state of an era and for later ones.

Evidence: TestEras, 'lacked by two copies in a row' (new).

--- a/mirror/era_test.go
+++ b/mirror/era_test.go
@@ -91,6 +91,9 @@
 			steps: []step{before, list(0, eraPage(2, 30)), events(time.Second, eraPage(2, 31, eraObject("a", 2, 31, "again"))), expire(testRetention)},
 			want:  map[string]string{"a": "again"},
 		},
+		"lacked by two copies in a row: retained from the second one on": {
+			steps: []step{before, list(0, eraPage(2, 30)), list(time.Second, eraPage(3, 30)), expire(testRetention)}, want: map[string]string{"a": "ready"},
+		},
 		"in the copy, removed in the new era: gone at once": {
 			steps: []step{before, list(0, eraPage(2, 50, eraObject("a", 2, 40, "ready"))), events(time.Second, eraPage(2, 60, gone))}, want: map[string]string{},
 		},
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -173,28 +173,20 @@
 		clear(m.tombstones)
 	}
 	m.newest = revision.Max(m.newest, revision.Revision{Era: page.Cursor.Era})
+	put, remove := m.put, m.removeMissing
+	if begins {
+		put, remove = m.putCopied, m.retainMissing
+	}
 	listed := make(map[string]bool, len(page.Objects))
 	for _, o := range page.Objects {
 		listed[o.Name()] = true
 		m.newest = revision.Max(m.newest, o.Version)
-		if begins {
-			changed = m.putCopied(o, from) || changed
-		} else {
-			changed = m.put(o, from) || changed
-		}
+		changed = put(o, from) || changed
 	}
 	for name, o := range m.objects {
-		if listed[name] || o.Object.Version.After(page.Cursor) || m.retainedForEra(name, from.At) {
-			continue
+		if !listed[name] && !o.Object.Version.After(page.Cursor) {
+			changed = remove(name, page.Cursor, from) || changed
 		}
-		if begins {
-			changed = m.retainMissing(name, page.Cursor, from) || changed
-			continue
-		}
-		if _, retained := m.retainedUntil[name]; !retained {
-			m.newest = revision.Max(m.newest, page.Cursor) // the revision of the removal is not known
-		}
-		changed = m.remove(name, page.Cursor, from) || changed
 	}
 	if page.Cursor.Era > m.cursor.Era {
 		m.renumberRetained(page.Cursor.Era)
@@ -203,6 +195,18 @@
 	return changed
 }
 
+// removeMissing removes an object that a list lacks, unless it is retained since the present era began. It reports whether
+// the object was dropped.
+func (m *Mirror) removeMissing(name string, cursor revision.Revision, from Origin) bool {
+	if m.retainedForEra(name, from.At) {
+		return false
+	}
+	if _, retained := m.retainedUntil[name]; !retained {
+		m.newest = revision.Max(m.newest, cursor) // the revision of the removal is not known
+	}
+	return m.remove(name, cursor, from)
+}
+
 // ApplyEvents applies the changes that a watch from the cursor returned, and reports
 // whether anything changed. Changes of another era than the cursor's are ignored.
 func (m *Mirror) ApplyEvents(page platform.Page, from Origin) bool {
