--- a/hosted/confirm.go
+++ b/hosted/confirm.go
@@ -166,7 +166,8 @@
 }
 
 // confirmBy records one confirmation of a peer for the kinds of which it has the same objects of the same era as this
-// instance: what an earlier era holds may look the same, and is not what the store has now. It reports whether those are all kinds. f.mu must be held.
+// instance: a state of an earlier era may look the same, and is not what the store has now. It reports whether those
+// are all kinds. f.mu must be held.
 func (f *follower) confirmBy(reported *gossip.Confirmation) bool {
 	c, all, confirmed := &f.confirming, true, false
 	for i, kind := range kinds() {
--- a/hosted/drill_test.go
+++ b/hosted/drill_test.go
@@ -268,7 +268,7 @@
 }
 
 // TestDrillCalls guards against a load on the store after its return from a copy that grows with the instances, or does
-// not end: those that watch it load each kind anew, and tell the others.
+// not end: those that watch it load each kind again, and the others get the state from them.
 func TestDrillCalls(t *testing.T) {
 	const lasts = 10 * time.Second
 	for _, size := range append(slices.Clone(drillSizes), largeSize) {
--- a/mirror/era_test.go
+++ b/mirror/era_test.go
@@ -168,7 +168,7 @@
 }
 
 // TestEraFromPeer guards against an instance that loses what only it knows, since it learns of a new era from a peer that
-// did not know it, and against one that a peer of the new era tells only what changed.
+// did not know it, and against one that gets only the changes from a peer of the new era.
 func TestEraFromPeer(t *testing.T) {
 	m, peer := newEraMirror(), newEraMirror()
 	m.List(eraPage(1, 50, eraObject("a", 1, 40, "ready"), eraObject("b", 1, 50, "ready")), at(start))
@@ -182,7 +182,7 @@
 	if diff := cmp.Diff(map[string]string{"a": "ready", "b": "ready", "c": "ready"}, values(m)); diff != "" {
 		t.Error(diff)
 	}
-	// The peer, which is told so, must not take it over: it has not seen it.
+	// The peer must not take over what is retained here: it has not seen it.
 	peer.Merge(m.Since(peer.Cursor(), start), at(start))
 	if diff := cmp.Diff(map[string]string{"a": "ready", "c": "ready"}, values(peer)); diff != "" {
 		t.Errorf("the peer: %s", diff)
