rollout: a relay whose watches are refused backs off, and names a new era

What callers would have seen (own interface): nothing by themselves; the platform gets calls without a pause from each relay while it refuses their watches.

The time at which a set was applied goes to peers in nanoseconds: as a time of the codec it lost its fraction, and a set of the copy that was applied in the same second counted as the later one.

--- a/rollout/exchange.go
+++ b/rollout/exchange.go
@@ -131,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
 	update, err := f.fetchAll(ctx, from)
-	if err != nil || !f.state.accepts(update.to(), update.AppliedAt) {
+	if err != nil || !f.state.accepts(update.to(), update.appliedAt()) {
 		return
 	}
 	records, err := f.state.patch(update)
@@ -139,7 +139,7 @@
 		f.logRefused(ctx, update.to(), err)
 		return
 	}
-	f.apply(ctx, records, update.to(), update.AppliedAt, from.Name)
+	f.apply(ctx, records, update.to(), update.appliedAt(), from.Name)
 }
 
 // fetchAll requests the update since the revision in force. A whole set comes in
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -50,73 +50,6 @@
 	helloNeighbours    = 2                      // members of the own region that get each hello
 )
 
-// In messages between instances the number and the era of a revision are fields of their own, since instances of
-// earlier versions know nothing of eras: they ignore the era, and one that they do not send is not known.
-
-// helloMessage is the request and the response of CallHello.
-type helloMessage struct {
-	From     roster.Member `cbor:"1,keyasint"`
-	Revision uint64        `cbor:"2,keyasint"`
-	Roster   uint64        `cbor:"3,keyasint"` // digest of the sender's roster
-	// List is the version of the platform's list of instances at the sender, 0 if it has none.
-	List uint64 `cbor:"4,keyasint,omitempty"`
-	// ConfirmedMillis is how many milliseconds ago the sender's revision was confirmed, by the platform or by
-	// peers in turn. It is nil if it never was, or if the sender is of a version that does not say.
-	ConfirmedMillis *int64 `cbor:"5,keyasint,omitempty"`
-	Era             uint64 `cbor:"6,keyasint,omitempty"` // of Revision
-	ListEra         uint64 `cbor:"7,keyasint,omitempty"`
-}
-
-func (m *helloMessage) revision() revision.Revision {
-	return revision.Revision{Era: m.Era, Number: m.Revision}
-}
-
-func (m *helloMessage) list() revision.Revision {
-	return revision.Revision{Era: m.ListEra, Number: m.List}
-}
-
-// updateRequest is the request of CallUpdate.
-type updateRequest struct {
-	Have uint64 `cbor:"1,keyasint"` // revision in force at the sender
-	// Offset is how many records of the whole set the sender has received.
-	Offset int    `cbor:"2,keyasint,omitempty"`
-	Era    uint64 `cbor:"3,keyasint,omitempty"` // of Have
-}
-
-// updateMessage is the response of CallUpdate. It has either Deltas, which lead
-// from the revision From to the revision To, or Records of the whole set To; then
-// From is 0. Digest is that of the whole set To. It is empty if there is nothing
-// to send.
-type updateMessage struct {
-	From    uint64               `cbor:"1,keyasint,omitempty"`
-	To      uint64               `cbor:"2,keyasint"`
-	Digest  string               `cbor:"3,keyasint,omitempty"`
-	Deltas  []declaration.Delta  `cbor:"4,keyasint,omitempty"`
-	Records []declaration.Record `cbor:"5,keyasint,omitempty"`
-	// More is set if the whole set has further records after these.
-	More bool `cbor:"6,keyasint,omitempty"`
-	// FromEra and ToEra are the eras of From and To, and AppliedAt is when an operator applied To.
-	FromEra   uint64    `cbor:"7,keyasint,omitempty"`
-	ToEra     uint64    `cbor:"8,keyasint,omitempty"`
-	AppliedAt time.Time `cbor:"9,keyasint,omitempty"`
-}
-
-func (m *updateMessage) from() revision.Revision {
-	return revision.Revision{Era: m.FromEra, Number: m.From}
-}
-
-func (m *updateMessage) to() revision.Revision {
-	return revision.Revision{Era: m.ToEra, Number: m.To}
-}
-
-// rosterMessage is the request and the response of CallRoster. Digests are those
-// of the sender's failure domains, so that the receiver returns only the members
-// of domains that differ.
-type rosterMessage struct {
-	Members []roster.Member   `cbor:"1,keyasint,omitempty"`
-	Digests map[string]uint64 `cbor:"2,keyasint,omitempty"`
-}
-
 // InstanceList is the platform's list of live and leaving instances, each by its
 // address for callers. Leaving may name upstreams too, by their addresses. The list
 // lags behind the real state.
@@ -125,17 +58,6 @@
 	Leaving []string `json:"leaving" cbor:"2,keyasint,omitempty"`
 }
 
-// listMessage is the response of CallList.
-type listMessage struct {
-	Version uint64       `cbor:"1,keyasint"`
-	List    InstanceList `cbor:"2,keyasint"`
-	Era     uint64       `cbor:"3,keyasint,omitempty"` // of Version
-}
-
-func (m *listMessage) version() revision.Revision {
-	return revision.Revision{Era: m.Era, Number: m.Version}
-}
-
 // Asker makes unary calls to peers.
 type Asker interface {
 	Ask(ctx context.Context, to peer.Target, call peer.Call, req, resp any) error
@@ -215,9 +137,10 @@
 }
 
 // watch watches the platform while this instance is a relay, until the context is
-// done. After a failure it backs off and lists the objects again.
+// done. After a failure it backs off and lists the objects again, and so it does while
+// each watch is refused although the objects were just listed.
 func (f *Follower) watch(ctx context.Context) error {
-	failures := 0                 // in a row
+	failures, refusals := 0, 0    // in a row
 	var cursor *revision.Revision // nil until the objects were listed; the cursor of an empty store is 0
 	for ctx.Err() == nil {
 		if !f.isRelay(time.Now()) {
@@ -225,7 +148,7 @@
 			interval.Sleep(ctx, relayCheckInterval)
 			continue
 		}
-		next, err := f.watchOnce(ctx, cursor)
+		next, refused, err := f.watchOnce(ctx, cursor)
 		if err != nil {
 			f.watchFailed(ctx, err)
 			cursor = nil
@@ -236,6 +159,14 @@
 		f.watchRecovered(ctx)
 		failures = 0
 		cursor = &next
+		if !refused {
+			refusals = 0
+			continue
+		}
+		if refusals > 0 {
+			interval.Sleep(ctx, platform.Backoff(refusals))
+		}
+		refusals++
 	}
 	return nil
 }
@@ -254,31 +185,42 @@
 	}
 }
 
-// watchOnce waits for changes after the cursor, applies them and returns the next cursor.
-func (f *Follower) watchOnce(ctx context.Context, cursor *revision.Revision) (revision.Revision, error) {
-	page, err := f.nextPage(ctx, cursor)
+// watchOnce waits for changes after the cursor, applies them and returns the next cursor, and whether the platform
+// refused the watch.
+func (f *Follower) watchOnce(ctx context.Context, cursor *revision.Revision) (next revision.Revision, refused bool, err error) {
+	page, refused, err := f.nextPage(ctx, cursor)
 	if err != nil {
-		return revision.Revision{}, err
+		return revision.Revision{}, refused, err
+	}
+	if cursor != nil && page.Cursor.NewEra(*cursor) {
+		f.logEra(ctx, *cursor, page.Cursor)
 	}
 	if err := f.applyObjects(ctx, page.Objects); err != nil {
-		return revision.Revision{}, err
+		return revision.Revision{}, refused, err
 	}
 	f.state.Confirm(time.Now())
 	f.scheduleNotify()
-	return page.Cursor, nil
+	return page.Cursor, refused, nil
+}
+
+// logEra logs that the platform came back from a copy.
+func (f *Follower) logEra(ctx context.Context, from, to revision.Revision) {
+	event.EraBegun.Log(ctx, f.log, slog.String("kind", roster.WatchPrefix), slog.String("from_era", from.EraName()), slog.String("era", to.EraName()),
+		slog.Uint64("from_revision", from.Number), slog.Uint64("revision", to.Number), slog.String("source", "list"))
 }
 
 // nextPage waits for changes after the cursor and returns them. It returns all watched objects
 // instead if the cursor is nil, or if the platform no longer has the history since the cursor,
-// which it reports as a conflict.
-func (f *Follower) nextPage(ctx context.Context, cursor *revision.Revision) (platform.Page, error) {
+// which it reports as a conflict. refused is set in that case.
+func (f *Follower) nextPage(ctx context.Context, cursor *revision.Revision) (page platform.Page, refused bool, err error) {
 	if cursor != nil {
 		page, err := f.store.Watch(ctx, roster.WatchPrefix, *cursor, watchWait)
 		if fault.KindOf(err) != fault.Conflict {
-			return page, err
+			return page, false, err
 		}
 	}
-	return f.store.List(ctx, roster.WatchPrefix)
+	page, err = f.store.List(ctx, roster.WatchPrefix)
+	return page, cursor != nil, err
 }
 
 // applyObjects passes each object to the part of the instance that its key
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -17,6 +17,7 @@
 	"hickorydrum/declaration"
 	"hickorydrum/fault"
 	"hickorydrum/peer"
+	"hickorydrum/platform"
 	"hickorydrum/revision"
 	"hickorydrum/roster"
 	"hickorydrum/standin"
@@ -523,3 +524,95 @@
 		})
 	}
 }
+
+// slowStore is a store whose calls take a time, and which counts its lists and watches.
+type slowStore struct {
+	*standin.Client
+
+	calls atomic.Int64
+}
+
+func (s *slowStore) call() {
+	s.calls.Add(1)
+	time.Sleep(4 * time.Millisecond)
+}
+
+func (s *slowStore) List(ctx context.Context, prefix string) (platform.Page, error) {
+	s.call()
+	return s.Client.List(ctx, prefix)
+}
+
+func (s *slowStore) Watch(ctx context.Context, prefix string, cursor revision.Revision, wait time.Duration) (platform.Page, error) {
+	s.call()
+	return s.Client.Watch(ctx, prefix, cursor, wait)
+}
+
+// TestRefusedWatches guards against a relay that lists and watches by turns without a pause, while the platform refuses
+// each watch.
+func TestRefusedWatches(t *testing.T) {
+	const mostCalls = 40
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		s.Fail(standin.StoreHistoryDropped, -1)
+		store := &slowStore{Client: s.Client()}
+		n := newNetwork(t, store, 1, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		for _, node := range n.nodes {
+			group.Go(func() error { return node.follower.Run(ctx) })
+		}
+		time.Sleep(20 * time.Second)
+		if got := store.calls.Load(); got > mostCalls {
+			t.Errorf("%d calls in 20 s, want at most %d", got, mostCalls)
+		}
+		cancel()
+		_ = group.Wait()
+	})
+}
+
+// TestInForceAfterDrill guards against instances that stay at a revision which the platform no longer has, after it came
+// back from a copy, and refuse what is applied later under a lower one.
+func TestInForceAfterDrill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		n := newNetwork(t, s.Client(), 3, 4)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		for _, node := range n.nodes {
+			group.Go(func() error { return node.follower.Run(ctx) })
+		}
+		apply := func(records int, base revision.Revision) revision.Revision {
+			t.Helper()
+			at, err := Apply(ctx, s.Client(), testSet(t, records), base, "ada", time.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(inForceBound)
+			for name, node := range n.nodes {
+				if got := node.state.Revision(); got != at {
+					t.Errorf("%s has %s in force, want %s", name, got, at)
+				}
+			}
+			return at
+		}
+		first := apply(2, none)
+		backup := s.Copy()
+		last := apply(4, apply(3, first))
+		s.Restore(backup)
+		time.Sleep(inForceBound)
+		for name, node := range n.nodes {
+			if got := node.state.Revision(); got != last {
+				t.Errorf("%s has %s in force after the drill, want the later set %s", name, got, last)
+			}
+		}
+		base, _, err := Current(ctx, s.Client())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again := apply(5, base); again.Number > last.Number {
+			t.Errorf("the revision %s is not given out again after %s", again, last)
+		}
+		cancel()
+		_ = group.Wait()
+	})
+}
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -147,7 +147,10 @@
 func (s *State) since(have revision.Revision, offset int) updateMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := updateMessage{To: s.revision.Number, ToEra: s.revision.Era, AppliedAt: s.appliedAt}
+	m := updateMessage{To: s.revision.Number, ToEra: s.revision.Era}
+	if !s.appliedAt.IsZero() {
+		m.AppliedNanos = s.appliedAt.UnixNano()
+	}
 	if s.set == nil || !s.revision.After(have) {
 		return m
 	}
