--- a/hosted/era.go
+++ b/hosted/era.go
@@ -25,7 +25,7 @@
 
 var (
 	erasBegun = metrics.GetOrCreateCounter(`hickorydrum_store_eras_total`)
-	// eraObjects count what a copy of the store had otherwise than it was known here.
+	// These count the objects that a copy of the store had otherwise than they were known here.
 	eraRetained = metrics.GetOrCreateCounter(`hickorydrum_store_era_objects_total{outcome="retained"}`)
 	eraKept     = metrics.GetOrCreateCounter(`hickorydrum_store_era_objects_total{outcome="kept"}`)
 	eraHidden   = metrics.GetOrCreateCounter(`hickorydrum_store_era_objects_total{outcome="hidden"}`)
