instance, rollout: instances register again after the platform came back from a copy

What callers would have seen (own interface): instances that start later do not find those that had registered since the copy, until a peer names them.

Cause: an instance writes its state once, at its start.

Change: a relay that finds a new era writes the members of its failure domain again; states that the platform has are not written.

Evidence: TestRegisteredAfterDrill times out without the change, and passes with it.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -149,6 +149,7 @@
 	i.entry = entry.New(i.roster.Self, i.pool, i.claimer, i.log,
 		entry.WithFrozen(i.frozen), entry.WithLookupTTL(i.settings.Duration("lookup-life")))
 	i.follower = rollout.NewFollower(i.state, i.platform, i.roster, i.node, i.log, i.onInstanceList)
+	i.follower.OnEra(i.registerDomain)
 	i.callers = server.New(l.callers, i.entry.Handler(), i.log)
 	i.admin = server.New(l.admin, i.adminHandler(), i.log, server.WithName("operators"))
 	i.callers.SetIdle(callerIdleTimeout)
@@ -218,31 +219,6 @@
 	i.watcher.SetPlatformList(append(slices.Clone(page.Live), page.Leaving...))
 }
 
-// onGone writes a member's state as gone to the platform, for instances that start later.
-func (i *Instance) onGone(m roster.Member) {
-	m.State = roster.Gone
-	i.group.Go(func() error {
-		i.register(i.ctx, m)
-		return nil
-	})
-}
-
-// register writes a member's state to the platform, with retries until it succeeds. It
-// reports false if the context ended first.
-func (i *Instance) register(ctx context.Context, m roster.Member) bool {
-	for failures := 0; ctx.Err() == nil; failures++ {
-		err := i.registry.Write(ctx, m)
-		if err == nil {
-			return true
-		}
-		if failures == 0 {
-			event.RegisterFailed.Log(ctx, i.log, slog.String("member", m.ID()), slog.String("error", err.Error()))
-		}
-		interval.Sleep(ctx, platform.Backoff(failures))
-	}
-	return false
-}
-
 // Run serves until stop is done. It then waits for the requests in flight before it closes
 // the listeners and ends the background work.
 func (i *Instance) Run(stop context.Context) error {
@@ -290,37 +266,6 @@
 	})
 }
 
-// join copies the state of the peers and then registers this instance with the platform.
-// Look-ups name only registered instances.
-func (i *Instance) join(ctx context.Context) error {
-	// The copy from peers comes first. It doesn't need the platform, and an instance that
-	// cannot register yet still serves the callers that send requests to it.
-	i.bootstrap(ctx)
-	if !i.register(ctx, withState(i.roster.Self(), roster.Joining)) {
-		return nil
-	}
-	if members, err := i.registry.Read(ctx); err == nil {
-		i.roster.Merge(members)
-	}
-	i.adopt(ctx)
-	if !i.register(ctx, withState(i.roster.Self(), roster.Live)) {
-		return nil
-	}
-	if i.roster.Self().State == roster.Joining {
-		i.roster.SetSelf(roster.Live)
-		event.Registered.Log(ctx, i.log)
-	}
-	i.follower.NotifyPeers(ctx)
-	event.Ready.Log(ctx, i.log)
-	return nil
-}
-
-// withState returns m with another state.
-func withState(m roster.Member, s roster.State) roster.Member {
-	m.State = s
-	return m
-}
-
 // bootstrap asks the seeds for a first revision, up to seedAttempts times.
 func (i *Instance) bootstrap(ctx context.Context) {
 	var seeds []peer.Target
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/entry"
+	"hickorydrum/roster"
 	"hickorydrum/standin"
 )
 
@@ -511,6 +512,26 @@
 	c.await("every instance live, with one revision", c.converged)
 }
 
+// TestRegisteredAfterDrill guards against an instance that later ones do not find, since the platform came back from a copy
+// of before it registered.
+func TestRegisteredAfterDrill(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	backup := c.store.Copy()
+	late := c.start("b2", "one", "b")
+	c.await("the late instance to be live", func() bool { return late.instance.Status().State == "live" })
+	c.await("every instance live, with one revision", c.converged)
+	c.store.Restore(backup)
+	registry := roster.NewRegistry(c.store.Client())
+	c.await("the late instance to be registered again", func() bool {
+		members, err := registry.Read(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return slices.ContainsFunc(members, func(m roster.Member) bool { return m.Name == "b2" && m.State == roster.Live })
+	})
+}
+
 // TestRegionDies stops the only instance of region two and its upstreams. Its callers
 // now use an instance of region one and must be served there, in steps of the failure
 // cap; until then the responses must say that nothing was executed.
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -73,6 +73,7 @@
 	asker  Asker
 	log    *slog.Logger
 	onList func(InstanceList)
+	onEra  func()
 
 	loader       loader
 	watchFailing atomic.Bool   // the last call for the watch failed
@@ -89,13 +90,17 @@
 	state *State, store Store, r *roster.Roster, asker Asker, log *slog.Logger, onList func(InstanceList),
 ) *Follower {
 	f := &Follower{
-		state: state, store: store, roster: r, asker: asker, log: log, onList: onList,
+		state: state, store: store, roster: r, asker: asker, log: log, onList: onList, onEra: func() {},
 		changed: make(chan struct{}, 1),
 	}
 	r.OnChange(func(*roster.View) { f.scheduleNotify() })
 	return f
 }
 
+// OnEra sets the function that is called when this instance watches the platform and finds that it came back from a copy.
+// It must be set before Run.
+func (f *Follower) OnEra(onEra func()) { f.onEra = onEra }
+
 // Register adds the handlers of the calls to the node.
 func (f *Follower) Register(node *peer.Node) {
 	node.Handle(CallHello, peer.Unary(f.onHello))
@@ -194,6 +199,7 @@
 	}
 	if cursor != nil && page.Cursor.NewEra(*cursor) {
 		f.logEra(ctx, *cursor, page.Cursor)
+		f.onEra()
 	}
 	if err := f.applyObjects(ctx, page.Objects); err != nil {
 		return revision.Revision{}, refused, err
