rollout: an upstream that left stays leaving when the platform comes back from a copy

Callers (own interface): the platform comes back from a copy of before an upstream was listed as leaving. The instances take the copy's list of instances, since its era is later, and send requests to that upstream again, until the platform writes its list again. An instance that started since the copy counted as delisted for so long.

Cause: heads of a copy are compared by the time at which they were applied, lists had no such guard.

The first list of an era now only adds to what is known, until a later one of the same era comes, which was written since the return, or 10 s have passed (the same time as for what operators write on the platform's interface). So an older copy takes nothing back, a list that is written again counts at once, and nothing is leaving for good. Two copies in a row keep what was known before the first.

Measured: TestListFromCopy passes, with go test ./rollout. Not shown: an instance that starts in these 10 s knows the list of the copy only.

--- a/rollout/exchange.go
+++ b/rollout/exchange.go
@@ -15,9 +15,10 @@
 
 // helloLoop regularly exchanges hellos with a few neighbours in the region and one
 // instance of another region, so that changes reach every instance even when
-// relays or the platform fail.
+// relays or the platform fail. It also ends the retention of the list.
 func (f *Follower) helloLoop(ctx context.Context) error {
-	return interval.Each(ctx, helloInterval, func(time.Time) {
+	return interval.Each(ctx, helloInterval, func(now time.Time) {
+		f.endListRetention(now)
 		self := f.roster.Self()
 		f.helloAll(ctx, without(f.neighbours(f.roster.View(), self), self))
 	})
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -80,12 +80,12 @@
 	changed      chan struct{} // has an entry if peers must be notified of a change
 
 	listMu sync.Mutex // held while a list is applied
-	list   listMessage
+	list   listState
 }
 
 // NewFollower returns a Follower. onList is called with each version of the
 // platform's list of instances that this instance gets from the platform or a peer,
-// in their order.
+// in their order; that of a copy has what was known before, too, for a time.
 func NewFollower(
 	state *State, store Store, r *roster.Roster, asker Asker, log *slog.Logger, onList func(InstanceList),
 ) *Follower {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -246,6 +246,71 @@
 	})
 }
 
+// TestListFromCopy guards against an upstream that gets requests again since the platform came back from a copy of before
+// it was listed as leaving, and against one that stays leaving for good after that.
+func TestListFromCopy(t *testing.T) {
+	tests := map[string]struct {
+		restores int    // copies in a row
+		again    string // what the platform writes after that, nothing if empty
+		want     []string
+		wantEnd  []string // long after that
+	}{
+		"not written again":         {1, "", []string{"b", "a"}, []string{"b"}},
+		"two copies in a row":       {2, "", []string{"b", "a"}, []string{"b"}},
+		"written again":             {1, `{"leaving":["a"]}`, []string{"a"}, []string{"a"}},
+		"written again, not as was": {1, `{"leaving":["c"]}`, []string{"c"}, []string{"c"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				n := newNetwork(t, s.Client(), 2, 5)
+				ctx, cancel := context.WithCancel(t.Context())
+				var group errgroup.Group
+				for _, node := range n.nodes {
+					group.Go(func() error { return node.follower.Run(ctx) })
+				}
+				write := func(list string) {
+					t.Helper()
+					stored, err := s.Get(ctx, InstanceListKey)
+					if err != nil && fault.KindOf(err) != fault.Missing {
+						t.Fatal(err)
+					}
+					if _, err := s.Put(ctx, InstanceListKey, []byte(list), stored.Version); err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(2 * time.Second)
+				}
+				check := func(want []string) {
+					t.Helper()
+					for name, node := range n.nodes {
+						if diff := cmp.Diff(want, *node.leaving.Load()); diff != "" {
+							t.Errorf("%s takes other upstreams for leaving (-want +got):\n%s", name, diff)
+						}
+					}
+				}
+				write(`{"leaving":["b"]}`)
+				backup := s.Copy()
+				write(`{"leaving":["a"]}`)
+				check([]string{"a"})
+				for range test.restores {
+					s.Restore(backup)
+					time.Sleep(2 * time.Second)
+					check([]string{"b", "a"})
+				}
+				if test.again != "" {
+					write(test.again)
+				}
+				check(test.want)
+				time.Sleep(time.Minute)
+				check(test.wantEnd)
+				cancel()
+				_ = group.Wait()
+			})
+		})
+	}
+}
+
 // inForceBound is the time that the users allow from the acceptance of a revision
 // until it is in force at every instance.
 const inForceBound = 5 * time.Second
