--- a/gossip/confirm.go
+++ b/gossip/confirm.go
@@ -103,7 +103,7 @@
 		at = v.arrivedAt(now).Add(-time.Duration(msg.AgeMillis) * time.Millisecond)
 	})
 	if ok {
-		m.onConfirmed(Confirmation{From: from, SameDomain: sameDomain, Newest: revision.Unpack(msg.Newest, storeKinds), Digests: msg.Digests, At: at})
+		m.onConfirmed(Confirmation{From: from, SameDomain: sameDomain, Newest: revision.Unpack(msg.Newest, StoreKinds), Digests: msg.Digests, At: at})
 	}
 	return nil
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -271,7 +271,7 @@
 	if !ok {
 		return nil
 	}
-	m.onRevisions(RevisionNotice{From: from, SameDomain: sameDomain, Newest: revision.Unpack(msg.Newest, storeKinds)})
+	m.onRevisions(RevisionNotice{From: from, SameDomain: sameDomain, Newest: revision.Unpack(msg.Newest, StoreKinds)})
 	if sameDomain && len(msg.LoadReports) > 0 {
 		m.onLoadReports(decodeLoadReports(msg.LoadReports, at))
 	}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -19,8 +19,9 @@
 	// maxDatagram bounds the size of a received datagram, in bytes. A larger one is cut off
 	// and cannot be decoded.
 	maxDatagram = 8 << 10
-	// storeKinds is how many kinds of entries in the platform's store instances follow.
-	storeKinds = 3
+	// StoreKinds is how many kinds of entries in the platform's store instances follow. Notices carry the newest
+	// revision of each, then the era of each.
+	StoreKinds = 3
 	// maxAgeMillis bounds the age of a received summary, in milliseconds.
 	maxAgeMillis = int64(time.Hour / time.Millisecond)
 )
--- a/hosted/era_test.go
+++ b/hosted/era_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
+	"hickorydrum/gossip"
 	"hickorydrum/platform"
 	"hickorydrum/standin"
 )
@@ -79,3 +80,10 @@
 		t.Errorf("%d calls to the store, want at most %d", reads, mostCalls)
 	}
 }
+
+// TestKindsOfNotices guards against eras that notices drop since another number of kinds is followed than they carry.
+func TestKindsOfNotices(t *testing.T) {
+	if got := len(kinds()); got != gossip.StoreKinds {
+		t.Errorf("%d kinds are followed, notices carry %d", got, gossip.StoreKinds)
+	}
+}
--- a/instance/register.go
+++ b/instance/register.go
@@ -43,7 +43,11 @@
 
 // onGone writes a member's state as gone to the platform, for instances that start later.
 func (i *Instance) onGone(m roster.Member) {
-	m.State = roster.Gone
+	i.startRegister(withState(m, roster.Gone))
+}
+
+// startRegister registers a member in the background.
+func (i *Instance) startRegister(m roster.Member) {
 	i.group.Go(func() error {
 		i.register(i.ctx, m)
 		return nil
@@ -71,12 +75,8 @@
 func (i *Instance) registerDomain() {
 	own := i.roster.Self().Domain
 	for _, m := range i.roster.View().Members() {
-		if m.Domain != own {
-			continue
+		if m.Domain == own {
+			i.startRegister(m)
 		}
-		i.group.Go(func() error {
-			i.register(i.ctx, m)
-			return nil
-		})
 	}
 }
--- a/requestlog/era.go
+++ b/requestlog/era.go
@@ -1,6 +1,7 @@
 package requestlog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -28,10 +29,7 @@
 	var out []line
 	for i := len(s.context) - 1; i >= 0; i-- {
 		one := s.context[i]
-		seen := false
-		for _, other := range out {
-			seen = seen || other.Kind == one.Kind
-		}
+		seen := slices.ContainsFunc(out, func(other line) bool { return other.Kind == one.Kind })
 		if one.is(event.EraBegun) && one.source == l.source && !seen && !one.at.After(l.at) && l.at.Sub(one.at) < eraShownFor {
 			out = append(out, one)
 		}
