rollout: a return of the platform from a copy is noticed after an outage, and by all instances

Callers (own interface): an instance that registered after the copy was made is missing on the platform for good if the platform was away before it came back: look-ups do not name it, later instances do not find it. No line names the era.

Cause: a relay compared the era of what it lists with the cursor of its last watch. The cursor is dropped when a call fails, so after any outage there was nothing to compare with, and OnEra was never called. TestRegisteredAfterDrill brings the copy back without an outage and so missed it. The instances that do not watch learnt nothing of a new era at all.

The newest revision is now kept apart from the cursor. Hellos name the latest era that their sender knows (a new field; instances of earlier versions neither send nor read it), each instance logs event 323 once for each era and calls OnEra, which says whether the instance is a relay: only relays write the members of their failure domain again, as before.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -149,7 +149,7 @@
 	i.entry = entry.New(i.roster.Self, i.pool, i.claimer, i.log,
 		entry.WithFrozen(i.frozen), entry.WithLookupTTL(i.settings.Duration("lookup-life")))
 	i.follower = rollout.NewFollower(i.state, i.platform, i.roster, i.node, i.log, i.onInstanceList)
-	i.follower.OnEra(i.registerDomain)
+	i.follower.OnEra(i.onEra)
 	i.callers = server.New(l.callers, i.entry.Handler(), i.log)
 	i.admin = server.New(l.admin, i.adminHandler(), i.log, server.WithName("operators"))
 	i.callers.SetIdle(callerIdleTimeout)
--- a/instance/register.go
+++ b/instance/register.go
@@ -70,6 +70,13 @@
 	return false
 }
 
+// onEra writes again what the platform may have lost, after that came back from a copy.
+func (i *Instance) onEra(relay bool) {
+	if relay {
+		i.registerDomain()
+	}
+}
+
 // registerDomain writes the members of the failure domain to the platform again, after that came back from a copy which
 // may lack them or have them in an earlier state. A state that the platform has already is not written.
 func (i *Instance) registerDomain() {
--- a/rollout/exchange.go
+++ b/rollout/exchange.go
@@ -90,6 +90,9 @@
 	hello := helloMessage{
 		From: f.roster.Self(), Revision: at.Number, Era: at.Era, Roster: f.roster.View().Digest(), List: list.Number, ListEra: list.Era,
 	}
+	f.newestMu.Lock()
+	hello.StoreEra = f.newest.Era
+	f.newestMu.Unlock()
 	if at := f.state.ConfirmedAt(); !at.IsZero() {
 		age := max(0, time.Since(at).Milliseconds())
 		hello.ConfirmedMillis = &age
@@ -108,18 +111,24 @@
 	}
 }
 
-// reconcile compares the hello of a peer with the state of this instance. It
-// fetches a higher revision and a later list of instances, takes an equal revision that
-// was confirmed to the peer as a confirmation, and exchanges members if the rosters differ.
-func (f *Follower) reconcile(ctx context.Context, theirs helloMessage) {
+// take compares the hello of a peer with the state of this instance. It fetches a higher revision and a
+// later list of instances, takes an equal revision that was confirmed to the peer as a confirmation, and
+// learns of a later era of the platform.
+func (f *Follower) take(ctx context.Context, theirs *helloMessage) {
 	f.roster.Merge([]roster.Member{theirs.From})
+	f.noteNewest(ctx, revision.Revision{Era: theirs.StoreEra}, theirs.From.Name)
 	if theirs.revision().After(f.state.Revision()) {
 		f.fetch(ctx, theirs.From)
 	}
-	f.confirmBy(&theirs)
+	f.confirmBy(theirs)
 	if theirs.list().After(f.listVersion()) {
 		f.fetchList(ctx, theirs.From)
 	}
+}
+
+// reconcile takes the hello of a peer, and exchanges members if the rosters differ.
+func (f *Follower) reconcile(ctx context.Context, theirs helloMessage) {
+	f.take(ctx, &theirs)
 	if theirs.Roster != f.roster.View().Digest() {
 		f.syncRosters(ctx, theirs.From)
 	}
@@ -203,14 +212,7 @@
 	if err := checkSender(name, theirs.From); err != nil {
 		return helloMessage{}, err
 	}
-	f.roster.Merge([]roster.Member{theirs.From})
-	if theirs.revision().After(f.state.Revision()) {
-		f.fetch(ctx, theirs.From)
-	}
-	f.confirmBy(&theirs)
-	if theirs.list().After(f.listVersion()) {
-		f.fetchList(ctx, theirs.From)
-	}
+	f.take(ctx, &theirs)
 	return f.ownHello(), nil
 }
 
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -73,7 +73,7 @@
 	asker  Asker
 	log    *slog.Logger
 	onList func(InstanceList)
-	onEra  func()
+	onEra  func(relay bool)
 
 	loader       loader
 	watchFailing atomic.Bool   // the last call for the watch failed
@@ -81,6 +81,9 @@
 
 	listMu sync.Mutex // held while a list is applied
 	list   listState
+
+	newestMu sync.Mutex
+	newest   revision.Revision // the highest that the platform, or a peer, is known to have reached
 }
 
 // NewFollower returns a Follower. onList is called with each version of the
@@ -90,16 +93,16 @@
 	state *State, store Store, r *roster.Roster, asker Asker, log *slog.Logger, onList func(InstanceList),
 ) *Follower {
 	f := &Follower{
-		state: state, store: store, roster: r, asker: asker, log: log, onList: onList, onEra: func() {},
+		state: state, store: store, roster: r, asker: asker, log: log, onList: onList, onEra: func(bool) {},
 		changed: make(chan struct{}, 1),
 	}
 	r.OnChange(func(*roster.View) { f.scheduleNotify() })
 	return f
 }
 
-// OnEra sets the function that is called when this instance watches the platform and finds that it came back from a copy.
-// It must be set before Run.
-func (f *Follower) OnEra(onEra func()) { f.onEra = onEra }
+// OnEra sets the function that is called once for each return of the platform from a copy that this instance learns of.
+// relay says whether it is one of the relays of its failure domain then. It must be set before Run.
+func (f *Follower) OnEra(onEra func(relay bool)) { f.onEra = onEra }
 
 // Register adds the handlers of the calls to the node.
 func (f *Follower) Register(node *peer.Node) {
@@ -197,10 +200,7 @@
 	if err != nil {
 		return revision.Revision{}, refused, err
 	}
-	if cursor != nil && page.Cursor.NewEra(*cursor) {
-		f.logEra(ctx, *cursor, page.Cursor)
-		f.onEra()
-	}
+	f.noteNewest(ctx, page.Cursor, "list")
 	if err := f.applyObjects(ctx, page.Objects); err != nil {
 		return revision.Revision{}, refused, err
 	}
@@ -209,12 +209,6 @@
 	return page.Cursor, refused, nil
 }
 
-// logEra logs that the platform came back from a copy.
-func (f *Follower) logEra(ctx context.Context, from, to revision.Revision) {
-	event.EraBegun.Log(ctx, f.log, slog.String("kind", roster.WatchPrefix), slog.String("from_era", from.EraName()), slog.String("era", to.EraName()),
-		slog.Uint64("from_revision", from.Number), slog.Uint64("revision", to.Number), slog.String("source", "list"))
-}
-
 // nextPage waits for changes after the cursor and returns them. It returns all watched objects
 // instead if the cursor is nil, or if the platform no longer has the history since the cursor,
 // which it reports as a conflict. refused is set in that case.
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -23,6 +23,8 @@
 	ConfirmedMillis *int64 `cbor:"5,keyasint,omitempty"`
 	Era             uint64 `cbor:"6,keyasint,omitempty"` // of Revision
 	ListEra         uint64 `cbor:"7,keyasint,omitempty"`
+	// StoreEra is the latest era of the platform that the sender knows.
+	StoreEra uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 func (m *helloMessage) revision() revision.Revision {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -681,3 +681,48 @@
 		_ = group.Wait()
 	})
 }
+
+// TestEraEverywhere guards against instances that do not learn that the platform came back from a copy, and so write
+// nothing of what was lost again: it was away meanwhile, or another instance watches it.
+func TestEraEverywhere(t *testing.T) {
+	tests := map[string]time.Duration{"at once": 0, "after an outage": 3 * time.Second, "after a long one": 30 * time.Second}
+	for name, outage := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				n := newNetwork(t, s.Client(), 3, 4)
+				ctx, cancel := context.WithCancel(t.Context())
+				var group errgroup.Group
+				var relays, others atomic.Int64
+				for _, node := range n.nodes {
+					node.follower.OnEra(func(relay bool) {
+						if relay {
+							relays.Add(1)
+						} else {
+							others.Add(1)
+						}
+					})
+					group.Go(func() error { return node.follower.Run(ctx) })
+				}
+				time.Sleep(5 * time.Second)
+				backup := s.Copy()
+				time.Sleep(time.Second)
+				for drills := 1; drills <= 2; drills++ {
+					if outage > 0 {
+						s.Fail(standin.StoreDown, -1)
+						time.Sleep(outage)
+					}
+					s.Restore(backup)
+					s.Fail(standin.StoreDown, 0)
+					time.Sleep(10 * time.Second)
+					want := []int64{int64(drills * 3 * relaysPerDomain), int64(drills * 3 * (4 - relaysPerDomain))}
+					if diff := cmp.Diff(want, []int64{relays.Load(), others.Load()}); diff != "" {
+						t.Errorf("calls at relays and at others after drill %d (-want +got):\n%s", drills, diff)
+					}
+				}
+				cancel()
+				_ = group.Wait()
+			})
+		})
+	}
+}
