idempotency: claims that a copy of the store lacks are written again

Callers (own interface): the platform comes back from a copy of before an order was claimed. The caller, whose answer was lost or who is careful, sends the order again with its key, and it is executed a second time. A copy that has the claim, but not its end, keeps the key blocked and then says that the outcome is unknown, though the answer was known.

Cause: a claim exists in the store only. Of those whose request was still under way the end was kept, the others were gone.

The claim of another request is never replaced, but for one that was released: it forbids nothing. The end of a request that meets the rewriting of its own claim tries once more.

Not covered: a repeat that comes before the claim is written again, and claims of an instance that has ended.

--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -104,6 +104,7 @@
 	now   func() time.Time
 	group errgroup.Group
 	ctx   context.Context
+	kept  keptClaims
 }
 
 // New returns a Claimer whose background work ends with the context.
@@ -241,9 +242,18 @@
 	}
 }
 
-// put writes the record if the object still has the version (zero: does not exist yet), and
-// keeps the new version.
+// put writes the record as write does. A claim that was written is kept for the case that the store loses it.
 func (c *Claim) put(ctx context.Context, version revision.Revision) error {
+	err := c.write(ctx, version)
+	if err == nil {
+		c.claimer.kept.keep(c.object, c.rec, c.claimer.now())
+	}
+	return err
+}
+
+// write writes the record if the object still has the version (zero: does not exist yet), and
+// stores the new version.
+func (c *Claim) write(ctx context.Context, version revision.Revision) error {
 	value, err := json.Marshal(c.rec)
 	if err != nil {
 		return err
@@ -313,6 +323,7 @@
 // storeTimeout. If that fails, the claim expires, and repeated requests get the correct
 // response that the outcome is unknown.
 func (c *Claim) writeFinalState() {
+	c.claimer.kept.keep(c.object, c.rec, c.claimer.now())
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.claimer.ctx), storeTimeout)
 	defer cancel()
 	for failures := 0; ; failures++ {
@@ -331,20 +342,25 @@
 }
 
 // putAgain writes the record after the store came back from a copy in which the claim is missing or has another version.
-// The error is of kind fault.Conflict if the object is another request's.
+// The error is of kind fault.Conflict if the object is another request's. WriteAgain may write the claim at the same
+// time, so a conflict over it is tried once more.
 func (c *Claim) putAgain(ctx context.Context) error {
-	found, err := c.claimer.store.Get(ctx, c.object)
-	if fault.KindOf(err) == fault.Missing {
-		return c.put(ctx, revision.Revision{})
-	}
-	if err != nil {
-		return err
-	}
-	var rec record
-	if json.Unmarshal(found.Value, &rec) != nil || rec.Nonce != c.rec.Nonce {
-		return fault.New(fault.Conflict, "the claim is another request's", "")
+	var err error
+	for range 2 {
+		var found platform.Object
+		found, err = c.claimer.store.Get(ctx, c.object)
+		if err != nil && fault.KindOf(err) != fault.Missing {
+			return err
+		}
+		var rec record
+		if err == nil && (json.Unmarshal(found.Value, &rec) != nil || rec.Nonce != c.rec.Nonce) {
+			return fault.New(fault.Conflict, "the claim is another request's", "")
+		}
+		if err = c.put(ctx, found.Version); fault.KindOf(err) != fault.Conflict {
+			return err
+		}
 	}
-	return c.put(ctx, found.Version)
+	return err
 }
 
 // Clean deletes claims that expired longer than Retention ago. Only one instance of the
--- a/idempotency/idempotency_test.go
+++ b/idempotency/idempotency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"testing"
@@ -33,6 +34,7 @@
 	t       *testing.T
 	store   *standin.Store
 	claimer *Claimer
+	held    *Claim // of a test
 }
 
 func newFixture(ctx context.Context, t *testing.T) *fixture {
@@ -235,6 +237,127 @@
 	}
 }
 
+// TestWriteAgain guards against a request that is executed twice since the store came back from a copy without its claim,
+// or with an earlier state of it, after it had ended.
+func TestWriteAgain(t *testing.T) {
+	answer := func(c *Claim) { c.Finish(NewResponse(http.StatusOK, nil, []byte("done"))) }
+	tests := map[string]struct {
+		before func(f *fixture)               // what the copy has
+		lost   func(f *fixture)               // what it lacks
+		after  func(t *testing.T, f *fixture) // between the return and the writing
+		want   result
+	}{
+		"answered": {lost: func(f *fixture) { answer(f.mustClaim()) }, want: result{Body: "done"}},
+		"answered, claimed in the copy": {
+			before: func(f *fixture) { f.held = f.mustClaim() }, lost: func(f *fixture) { answer(f.held) },
+			want: result{Body: "done"},
+		},
+		"answered, too large to keep": {
+			lost: func(f *fixture) { f.mustClaim().Finish(NewResponse(http.StatusOK, nil, make([]byte, MaxStoredBody+1))) },
+			want: result{Kind: fault.Conflict, Execution: fault.Executed},
+		},
+		"outcome unknown": {
+			lost: func(f *fixture) { f.mustClaim().Fail(unknown()) },
+			want: result{Kind: fault.Conflict, Execution: fault.MaybeExecuted},
+		},
+		"under way": {lost: func(f *fixture) { f.mustClaim() }, want: inProgressResult},
+		"not run, claimed in the copy": {
+			before: func(f *fixture) { f.held = f.mustClaim() }, lost: func(f *fixture) { f.held.Fail(notExecuted()) },
+			want: result{Claimed: true},
+		},
+		"not run, then answered": {
+			lost: func(f *fixture) {
+				f.mustClaim().Fail(notExecuted())
+				answer(f.mustClaim())
+			},
+			want: result{Body: "done"},
+		},
+		"answered, not run before in the copy": {
+			before: func(f *fixture) { f.mustClaim().Fail(notExecuted()) },
+			lost:   func(f *fixture) { answer(f.mustClaim()) },
+			want:   result{Body: "done"},
+		},
+		"another request got the key": {
+			lost:  func(f *fixture) { answer(f.mustClaim()) },
+			after: func(_ *testing.T, f *fixture) { f.other(f.t.Context()).mustClaim() },
+			want:  inProgressResult,
+		},
+		"answered while it is written again": {
+			lost: func(f *fixture) { f.held = f.mustClaim() },
+			after: func(_ *testing.T, f *fixture) {
+				f.store.Fail(standin.StoreSlow, -1)
+				f.claimer.Go(func() { answer(f.held) })
+			},
+			want: result{Body: "done"},
+		},
+		"store away": {
+			lost: func(f *fixture) { answer(f.mustClaim()) },
+			after: func(_ *testing.T, f *fixture) {
+				f.store.Fail(standin.StoreDown, -1)
+				time.AfterFunc(5*time.Second, func() { f.store.Fail(standin.StoreDown, 0) })
+			},
+			want: result{Body: "done"},
+		},
+		"a copy of long ago": {
+			lost: func(f *fixture) {
+				answer(f.mustClaim())
+				time.Sleep(maxCopyAge + time.Second)
+				if claim, _ := f.begin("another", testRequest); claim == nil {
+					f.t.Error("another key is not claimed")
+				}
+			},
+			want: result{Claimed: true}, // forgotten
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				f := newFixture(ctx, t)
+				if test.before != nil {
+					test.before(f)
+				}
+				backup := f.store.Copy()
+				test.lost(f)
+				f.store.Restore(backup)
+				if test.after != nil {
+					test.after(t, f)
+				}
+				f.claimer.WriteAgain()
+				time.Sleep(9 * time.Second) // a claim under way expires after 15 s
+				f.store.Fail(standin.StoreSlow, 0)
+				_, got := f.other(ctx).begin(testKey, testRequest)
+				if diff := cmp.Diff(test.want, got); diff != "" {
+					t.Error(diff)
+				}
+				cancel()
+				f.claimer.Wait()
+			})
+		})
+	}
+}
+
+// TestKeptClaims guards against claims and bodies that are kept without bounds for the case that the store loses them.
+func TestKeptClaims(t *testing.T) {
+	now := time.Now()
+	var kept keptClaims
+	ended := record{State: stateDone, Stored: true, Body: make([]byte, MaxStoredBody)}
+	for n := range 2 * maxKept {
+		kept.keep(fmt.Sprint(n), ended, now)
+		kept.keep(fmt.Sprint(n), ended, now) // as after a failed write
+	}
+	if got := len(kept.objects()); got > maxKept || kept.bytes > maxKeptBytes {
+		t.Errorf("%d claims and %d bytes are kept", got, kept.bytes)
+	}
+	if rec, ok := kept.latest(fmt.Sprint(2*maxKept - 1)); !ok || rec.State != stateDone || rec.Stored {
+		t.Errorf("the last claim is kept as %+v, %t, want it without its response", rec.State, ok)
+	}
+	kept.keep("later", ended, now.Add(maxCopyAge+time.Second))
+	if diff := cmp.Diff([]string{"later"}, kept.objects()); diff != "" || kept.bytes != MaxStoredBody || len(kept.order) != 1 {
+		t.Errorf("%d bytes, %d entries; %s", kept.bytes, len(kept.order), diff)
+	}
+}
+
 // TestOneClaimAtATime guards against two instances that both hold the claim of a key:
 // instances claim it one after the other while writes or responses of the platform are
 // lost, late or slow, and only one may get it.
--- a/instance/register.go
+++ b/instance/register.go
@@ -72,6 +72,7 @@
 
 // onEra writes again what the platform may have lost, after that came back from a copy.
 func (i *Instance) onEra(relay bool) {
+	i.claimer.WriteAgain()
 	if relay {
 		i.registerDomain()
 	}
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hickorydrum/entry"
+	"hickorydrum/idempotency"
 	"hickorydrum/roster"
 	"hickorydrum/standin"
 )
@@ -532,6 +533,36 @@
 	})
 }
 
+// TestResendAfterDrill guards against an order that is executed twice, since the platform came back from a copy of before
+// it was claimed and the caller sends it again. The platform is away meanwhile, as in most drills.
+func TestResendAfterDrill(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	backup := c.store.Copy()
+	id := c.newID()
+	k := keyed.call(id)
+	if got := c.send(id, k); !got.Valid {
+		t.Fatalf("the order got %+v", got)
+	}
+	claim := idempotency.ObjectKey("orders", k.key)
+	has := func() bool {
+		o, err := c.store.Client().Get(t.Context(), claim)
+		return err == nil && strings.Contains(string(o.Value), `"done"`)
+	}
+	c.await("the answer to be kept", has)
+	c.store.Fail(standin.StoreDown, -1)
+	time.Sleep(2 * time.Second)
+	c.store.Restore(backup)
+	c.store.Fail(standin.StoreDown, 0)
+	c.await("the claim to be written again", has)
+	k.memberIndex = 3
+	got := c.send(id, k)
+	if !got.Valid {
+		t.Errorf("the order, sent again, got %+v", got)
+	}
+	c.checkPromises(id, keyed, got)
+}
+
 // TestRegionDies stops the only instance of region two and its upstreams. Its callers
 // now use an instance of region one and must be served there, in steps of the failure
 // cap; until then the responses must say that nothing was executed.
