rollout: returns of the platform are learnt of at 3 to 92 instances

TestEraEverywhere gets rows of other sizes and forms: three domains of one instance, 13 of seven, two of 46, 40 of one.

--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -685,12 +685,23 @@
 // TestEraEverywhere guards against instances that do not learn that the platform came back from a copy, and so write
 // nothing of what was lost again: it was away meanwhile, or another instance watches it.
 func TestEraEverywhere(t *testing.T) {
-	tests := map[string]time.Duration{"at once": 0, "after an outage": 3 * time.Second, "after a long one": 30 * time.Second}
-	for name, outage := range tests {
+	tests := map[string]struct {
+		outage             time.Duration
+		domains, perDomain int64
+	}{
+		"at once":                         {0, 3, 4},
+		"after an outage":                 {3 * time.Second, 3, 4},
+		"after a long one":                {30 * time.Second, 3, 4},
+		"three instances":                 {3 * time.Second, 3, 1},
+		"91 instances, after an outage":   {3 * time.Second, 13, 7},
+		"92 instances, in two domains":    {0, 2, 46},
+		"40 instances, each in one alone": {0, 40, 1},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := standin.NewStore()
-				n := newNetwork(t, s.Client(), 3, 4)
+				n := newNetwork(t, s.Client(), int(test.domains), int(test.perDomain))
 				ctx, cancel := context.WithCancel(t.Context())
 				var group errgroup.Group
 				var relays, others atomic.Int64
@@ -707,17 +718,18 @@
 				time.Sleep(5 * time.Second)
 				backup := s.Copy()
 				time.Sleep(time.Second)
-				for drills := 1; drills <= 2; drills++ {
-					if outage > 0 {
+				relaysWanted := test.domains * min(test.perDomain, relaysPerDomain)
+				for drills := int64(1); drills <= 2; drills++ {
+					if test.outage > 0 {
 						s.Fail(standin.StoreDown, -1)
-						time.Sleep(outage)
+						time.Sleep(test.outage)
 					}
 					s.Restore(backup)
 					s.Fail(standin.StoreDown, 0)
 					time.Sleep(10 * time.Second)
-					want := []int64{int64(drills * 3 * relaysPerDomain), int64(drills * 3 * (4 - relaysPerDomain))}
+					want := []int64{drills * relaysWanted, drills * (test.domains*test.perDomain - relaysWanted)}
 					if diff := cmp.Diff(want, []int64{relays.Load(), others.Load()}); diff != "" {
-						t.Errorf("calls at relays and at others after drill %d (-want +got):\n%s", drills, diff)
+						t.Errorf("calls at relays and at others after return %d (-want +got):\n%s", drills, diff)
 					}
 				}
 				cancel()
