hosted: an upstream does not come back with the entry of an earlier start

Callers: the store comes back from a copy that has the entry of an upstream before it was started again; the new process has drained or been removed since. The instances that knew send requests to it again, up to 2 s for a removed one, until the next entry for one that drains.

Cause: what takes the right away was held against entries of the same start only. An entry of an earlier start gives no more right: its process has ended. Entries of no later start are compared now; a later start is a new process, as before.

--- a/hosted/era.go
+++ b/hosted/era.go
@@ -37,25 +37,25 @@
 	case platform.KindUpstreams:
 		hideFor := lapseHeartbeats*heartbeat + entryRetention
 		return mirror.New(kind, mirror.WithRetention(entryRetention), mirror.WithEraRetention(entryRetention),
-			mirror.WithWithdrawals(leavesStill), mirror.WithHiding(hideFor, sameStart))
+			mirror.WithWithdrawals(leavesStill), mirror.WithHiding(hideFor, noLaterStart))
 	case platform.KindConfiguration:
 		return mirror.New(kind, mirror.WithEraRetention(operatorRetention), mirror.WithWithdrawals(laterConfiguration))
 	}
 	return mirror.New(kind, mirror.WithEraRetention(operatorRetention))
 }
 
-// sameStart reports whether two entries of an upstream are of the same start of it.
-func sameStart(one, other platform.Object) bool {
-	a, err := platform.DecodeUpstream(one)
-	b, errOther := platform.DecodeUpstream(other)
-	return err == nil && errOther == nil && a.StartMillis == b.StartMillis
+// noLaterStart reports whether a copied entry of an upstream is of the same start of it as the known one, or of an earlier.
+func noLaterStart(known, copied platform.Object) bool {
+	a, err := platform.DecodeUpstream(known)
+	b, errCopied := platform.DecodeUpstream(copied)
+	return err == nil && errCopied == nil && b.StartMillis <= a.StartMillis
 }
 
-// leavesStill reports whether an upstream, by the known entry, leaves, and by a copied one of the same start does not.
+// leavesStill reports whether an upstream, by the known entry, leaves, and by a copied one of no later start does not.
 func leavesStill(known, copied platform.Object) bool {
 	a, err := platform.DecodeUpstream(known)
 	b, errCopied := platform.DecodeUpstream(copied)
-	return err == nil && errCopied == nil && a.StartMillis == b.StartMillis && a.Draining && !b.Draining
+	return err == nil && errCopied == nil && a.Draining && !b.Draining && noLaterStart(known, copied)
 }
 
 // laterConfiguration reports whether the known configuration has a higher version than a copied one. What it withdrew
--- a/hosted/era_test.go
+++ b/hosted/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http/httptest"
 	"testing"
@@ -87,3 +88,34 @@
 		t.Errorf("%d kinds are followed, notices carry %d", got, gossip.StoreKinds)
 	}
 }
+
+// TestEarlierStart guards against an upstream that gets requests again, although its process has ended, since a copy of the
+// store has the entry of a start before the one that drained or was removed.
+func TestEarlierStart(t *testing.T) {
+	entry := func(start int, state string) platform.Object {
+		return platform.Object{Key: platform.KindUpstreams + "/a", Value: fmt.Appendf(nil,
+			`{"address":"10.9.0.1:80","born":%d,"info":{"service":"s","zone":"z","slots":4},"status":{"state":%q}}`, start, state)}
+	}
+	tests := map[string]struct {
+		known, copied platform.Object
+		hides, keeps  bool
+	}{
+		"the same start":          {entry(2, "draining"), entry(2, "ready"), true, true},
+		"an earlier start":        {entry(2, "draining"), entry(1, "ready"), true, true},
+		"a later start":           {entry(1, "draining"), entry(2, "ready"), false, false},
+		"no known start":          {entry(0, "draining"), entry(2, "ready"), false, false},
+		"the known one is ready":  {entry(2, "ready"), entry(1, "ready"), true, false},
+		"both drain":              {entry(2, "draining"), entry(1, "draining"), true, false},
+		"one that cannot be read": {entry(2, "draining"), platform.Object{Key: platform.KindUpstreams + "/a"}, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := noLaterStart(test.known, test.copied); got != test.hides {
+				t.Errorf("a removed one stays hidden: %t, want %t", got, test.hides)
+			}
+			if got := leavesStill(test.known, test.copied); got != test.keeps {
+				t.Errorf("the known entry is kept: %t, want %t", got, test.keeps)
+			}
+		})
+	}
+}
