idempotency: a claim is written again within a second of the store being back

Callers (own interface): the store goes away once more right after its return from a copy. A repeat of an order up to five seconds after it is back runs a second time, since its claim is not written again yet.

Cause: the pause between attempts grew to 5 s, and 7.5 with its jitter. The bound of the pause is now a second for this work: every second of it leaves room for a second execution, and at most four calls wait at an instance.

The test is as it was.

--- a/idempotency/kept.go
+++ b/idempotency/kept.go
@@ -23,8 +23,10 @@
 	// forgotten, beyond the second the newest are kept without their responses.
 	maxKept      = 1 << 14
 	maxKeptBytes = 16 << 20
-	// concurrentWrites is how many claims are written again at one time.
+	// concurrentWrites is how many claims are written again at one time, and maxPause bounds the pause between two
+	// attempts: until then a repeat of the request would be executed again.
 	concurrentWrites = 4
+	maxPause         = time.Second
 )
 
 // keptClaims holds the claims that an instance wrote lately. A copy of the store may lack them: without them a repeat of
@@ -149,7 +151,7 @@
 		if err == nil {
 			return
 		}
-		if !interval.Sleep(ctx, platform.Backoff(failures)) {
+		if !interval.Sleep(ctx, min(platform.Backoff(failures), maxPause)) {
 			event.AnswerNotKept.Log(cl.ctx, cl.log, slog.String("object", object), slog.String("error", err.Error()))
 			return
 		}
